--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"crypto/hmac"
+	"errors"
+	"sync/atomic"
+
+	"github.com/figweir/figweir/finding"
+	"github.com/figweir/figweir/platform/store"
+)
+
+// Errors of Snapshot.Authenticate.
+var (
+	ErrUnknownKey   = errors.New("config: unknown key")
+	ErrWithdrawnKey = errors.New("config: withdrawn key")
+)
+
+// Snapshot is an immutable, indexed view of one revision of the configuration.
+// It is shared by all requests without locks.
+type Snapshot struct {
+	Revision store.Revision
+	Document *Document
+
+	keys       map[string]keyRef
+	workspaces map[string]*Workspace
+	services   map[string]*Service
+	pools      map[string]*Pool
+	models     map[string]*Pool
+	servers    map[string][]*BackendServer
+}
+
+type keyRef struct {
+	key       *Key
+	workspace *Workspace
+}
+
+// Build checks the document and returns its snapshot, or all findings as a
+// *finding.Error.
+func Build(d *Document, revision store.Revision) (*Snapshot, error) {
+	var findings finding.List
+	Validate(d, &findings)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{
+		Revision:   revision,
+		Document:   d,
+		keys:       make(map[string]keyRef),
+		workspaces: make(map[string]*Workspace, len(d.Workspaces)),
+		services:   make(map[string]*Service, len(d.Services)),
+		pools:      make(map[string]*Pool, len(d.Pools)),
+		models:     make(map[string]*Pool),
+		servers:    make(map[string][]*BackendServer),
+	}
+	for i := range d.Pools {
+		p := &d.Pools[i]
+		s.pools[p.Name] = p
+		for _, model := range p.Models {
+			s.models[model] = p
+		}
+	}
+	for i := range d.Services {
+		s.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		s.workspaces[w.Name] = w
+		for j := range w.Keys {
+			s.keys[w.Keys[j].ID] = keyRef{key: &w.Keys[j], workspace: w}
+		}
+	}
+	for i := range d.BackendServers {
+		b := &d.BackendServers[i]
+		s.servers[b.Pool] = append(s.servers[b.Pool], b)
+	}
+	return s, nil
+}
+
+// Authenticate returns the workspace that a key belongs to. The digest is
+// compared in constant time.
+func (s *Snapshot) Authenticate(key string, secret []byte) (*Workspace, error) {
+	id, err := KeyID(key)
+	if err != nil {
+		return nil, ErrUnknownKey
+	}
+	ref, ok := s.keys[id]
+	if !ok {
+		return nil, ErrUnknownKey
+	}
+	if !hmac.Equal([]byte(DigestKey(key, secret)), []byte(ref.key.Digest)) {
+		return nil, ErrUnknownKey
+	}
+	if ref.key.Withdrawn {
+		return nil, ErrWithdrawnKey
+	}
+	return ref.workspace, nil
+}
+
+// KeyValid reports whether the key with this id still exists, is not withdrawn
+// and belongs to the workspace. Running streams use it after a change.
+func (s *Snapshot) KeyValid(id, workspace string) bool {
+	ref, ok := s.keys[id]
+	return ok && !ref.key.Withdrawn && ref.workspace.Name == workspace
+}
+
+// Workspace returns a workspace by name, or nil.
+func (s *Snapshot) Workspace(name string) *Workspace { return s.workspaces[name] }
+
+// Service returns a service by name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Pool returns a pool by name, or nil.
+func (s *Snapshot) Pool(name string) *Pool { return s.pools[name] }
+
+// PoolForModel returns the pool that serves a model, or nil.
+func (s *Snapshot) PoolForModel(model string) *Pool { return s.models[model] }
+
+// Servers returns the registered backend servers of a pool. The caller must
+// not change the slice.
+func (s *Snapshot) Servers(pool string) []*BackendServer { return s.servers[pool] }
+
+// MayCall reports whether the workspace may call the service.
+func (w *Workspace) MayCall(service string) bool {
+	if len(w.Services) == 0 {
+		return true
+	}
+	for _, name := range w.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Holder publishes the current snapshot to all goroutines. Its revision never
+// goes back.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+	changed atomic.Pointer[chan struct{}]
+}
+
+// NewHolder returns a holder without a snapshot.
+func NewHolder() *Holder {
+	h := &Holder{}
+	ch := make(chan struct{})
+	h.changed.Store(&ch)
+	return h
+}
+
+// Load returns the current snapshot, or nil before the first Swap.
+func (h *Holder) Load() *Snapshot { return h.current.Load() }
+
+// Swap publishes s if its revision is greater than the current one, and
+// reports whether it did.
+func (h *Holder) Swap(s *Snapshot) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && s.Revision <= old.Revision {
+			return false
+		}
+		if h.current.CompareAndSwap(old, s) {
+			ch := make(chan struct{})
+			close(*h.changed.Swap(&ch))
+			return true
+		}
+	}
+}
+
+// Changed returns a channel that is closed at the next Swap.
+func (h *Holder) Changed() <-chan struct{} { return *h.changed.Load() }
--- /dev/null
+++ b/standin/memstore/memstore.go
@@ -0,0 +1,365 @@
+// Package memstore is an in-memory stand-in for the platform's key-value
+// service. Tests use it directly with injected faults; the platform stand-in
+// serves it over HTTP.
+package memstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figweir/figweir/platform/store"
+)
+
+// maxHistory bounds the number of past changes kept for watches.
+const maxHistory = 4096
+
+// Op names an operation of the store.
+type Op string
+
+// The operations that faults and counters distinguish.
+const (
+	OpGet    Op = "get"
+	OpList   Op = "list"
+	OpPut    Op = "put"
+	OpDelete Op = "delete"
+	OpWatch  Op = "watch"
+	OpGrant  Op = "grant"
+	OpRenew  Op = "renew"
+	OpRevoke Op = "revoke"
+)
+
+// Fault says how a call misbehaves. The zero value is a normal call.
+type Fault struct {
+	// Before runs before the operation; a test pauses the caller here.
+	Before func()
+	// After runs after the operation and before its answer.
+	After func()
+	// Refuse returns store.ErrUnavailable without acting.
+	Refuse bool
+	// LoseAnswer acts and then returns store.ErrAmbiguous.
+	LoseAnswer bool
+}
+
+// FaultFunc decides the fault of each call.
+type FaultFunc func(op Op, key string) Fault
+
+// Store is an in-memory store.Store. The zero value is not usable; see New.
+type Store struct {
+	mu       sync.Mutex
+	revision store.Revision
+	entries  map[string]store.Entry
+	history  []store.Event
+	leases   map[store.LeaseID]*lease
+	lastID   store.LeaseID
+	changed  chan struct{}
+	fault    FaultFunc
+	calls    map[Op]int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		entries: make(map[string]store.Entry),
+		leases:  make(map[store.LeaseID]*lease),
+		changed: make(chan struct{}),
+		calls:   make(map[Op]int),
+	}
+}
+
+// SetFault installs the fault function; nil removes it.
+func (s *Store) SetFault(f FaultFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls returns how many calls of each operation have been made.
+func (s *Store) Calls() map[Op]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[Op]int, len(s.calls))
+	for op, n := range s.calls {
+		out[op] = n
+	}
+	return out
+}
+
+func (s *Store) begin(op Op, key string) Fault {
+	s.mu.Lock()
+	s.calls[op]++
+	f := s.fault
+	s.mu.Unlock()
+	if f == nil {
+		return Fault{}
+	}
+	fault := f(op, key)
+	if fault.Before != nil {
+		fault.Before()
+	}
+	return fault
+}
+
+func end(fault Fault, write bool) error {
+	if fault.After != nil {
+		fault.After()
+	}
+	if fault.LoseAnswer {
+		if write {
+			return store.ErrAmbiguous
+		}
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
+	fault := s.begin(OpGet, key)
+	if fault.Refuse || ctx.Err() != nil {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.expireLocked()
+	entry, ok := s.entries[key]
+	s.mu.Unlock()
+	if err := end(fault, false); err != nil {
+		return store.Entry{}, err
+	}
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return entry, nil
+}
+
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	fault := s.begin(OpList, prefix)
+	if fault.Refuse || ctx.Err() != nil {
+		return nil, 0, store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.expireLocked()
+	var out []store.Entry
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, entry)
+		}
+	}
+	revision := s.revision
+	s.mu.Unlock()
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	if err := end(fault, false); err != nil {
+		return nil, 0, err
+	}
+	return out, revision, nil
+}
+
+// Put implements store.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Revision, id store.LeaseID) (store.Revision, error) {
+	fault := s.begin(OpPut, key)
+	if fault.Refuse || ctx.Err() != nil {
+		return 0, store.ErrUnavailable
+	}
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
+	}
+	revision, err := s.put(key, value, expected, id)
+	if lost := end(fault, true); lost != nil {
+		return 0, lost
+	}
+	return revision, err
+}
+
+func (s *Store) put(key string, value []byte, expected store.Revision, id store.LeaseID) (store.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if id != 0 && s.leases[id] == nil {
+		return 0, store.ErrNotFound
+	}
+	if s.entries[key].Revision != expected {
+		return 0, store.ErrConflict
+	}
+	s.revision++
+	entry := store.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision, Lease: id}
+	s.entries[key] = entry
+	s.recordLocked(store.Event{Entry: entry})
+	return s.revision, nil
+}
+
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected store.Revision) error {
+	fault := s.begin(OpDelete, key)
+	if fault.Refuse || ctx.Err() != nil {
+		return store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.expireLocked()
+	entry, ok := s.entries[key]
+	var err error
+	switch {
+	case !ok:
+		err = store.ErrNotFound
+	case entry.Revision != expected:
+		err = store.ErrConflict
+	default:
+		s.deleteLocked(key)
+	}
+	s.mu.Unlock()
+	if lost := end(fault, true); lost != nil {
+		return lost
+	}
+	return err
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	fault := s.begin(OpWatch, prefix)
+	if fault.Refuse {
+		return nil, 0, store.ErrUnavailable
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, revision, changed, err := s.since(prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if len(events) > 0 {
+			return events, revision, end(fault, false)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, revision, end(fault, false)
+		case <-ctx.Done():
+			return nil, 0, store.ErrUnavailable
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after store.Revision) ([]store.Event, store.Revision, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if len(s.history) > 0 && s.history[0].Entry.Revision > after+1 {
+		return nil, 0, nil, store.ErrCompacted
+	}
+	var events []store.Event
+	for _, event := range s.history {
+		if event.Entry.Revision > after && strings.HasPrefix(event.Entry.Key, prefix) {
+			events = append(events, event)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	fault := s.begin(OpGrant, "")
+	if fault.Refuse || ctx.Err() != nil {
+		return 0, store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.lastID++
+	id := s.lastID
+	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.mu.Unlock()
+	time.AfterFunc(ttl, s.expire)
+	if err := end(fault, true); err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// Renew implements store.Store.
+func (s *Store) Renew(ctx context.Context, id store.LeaseID) error {
+	fault := s.begin(OpRenew, "")
+	if fault.Refuse || ctx.Err() != nil {
+		return store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.expireLocked()
+	l := s.leases[id]
+	if l != nil {
+		l.expires = time.Now().Add(l.ttl)
+		time.AfterFunc(l.ttl, s.expire)
+	}
+	s.mu.Unlock()
+	if err := end(fault, true); err != nil {
+		return err
+	}
+	if l == nil {
+		return store.ErrNotFound
+	}
+	return nil
+}
+
+// Revoke implements store.Store.
+func (s *Store) Revoke(ctx context.Context, id store.LeaseID) error {
+	fault := s.begin(OpRevoke, "")
+	if fault.Refuse || ctx.Err() != nil {
+		return store.ErrUnavailable
+	}
+	s.mu.Lock()
+	s.dropLeaseLocked(id)
+	s.mu.Unlock()
+	return end(fault, true)
+}
+
+func (s *Store) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+}
+
+func (s *Store) expireLocked() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.dropLeaseLocked(id)
+		}
+	}
+}
+
+func (s *Store) dropLeaseLocked(id store.LeaseID) {
+	if s.leases[id] == nil {
+		return
+	}
+	delete(s.leases, id)
+	var keys []string
+	for key, entry := range s.entries {
+		if entry.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.deleteLocked(key)
+	}
+}
+
+func (s *Store) deleteLocked(key string) {
+	delete(s.entries, key)
+	s.revision++
+	s.recordLocked(store.Event{Entry: store.Entry{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Store) recordLocked(event store.Event) {
+	s.history = append(s.history, event)
+	if len(s.history) > maxHistory {
+		s.history = append([]store.Event(nil), s.history[len(s.history)-maxHistory/2:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
