Serve a chat request and a service call end to end

Cause: the first need is the whole path, thin, from a caller with a workspace key through any node to an engine or a plain service and back.

Ruled out: a ready-made reverse proxy (not wanted, and it would cut a stream where this path resumes it at its offset); kept-alive connections for calls that may not be repeated (a server that has just closed one fails after bytes may have left, so a refusal could not say "not run").

Before: no program.

--- a/cmd/figweir/main.go
+++ b/cmd/figweir/main.go
@@ -1,8 +1,12 @@
 // Command figweir is the serving system's only binary.
 package main
 
-import "os"
+import (
+	"os"
+
+	"github.com/figweir/figweir/cli"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(cli.Main(os.Args[1:]))
 }
