Prove whole answers, key secrecy and the planned stop end to end

Cause: the path stood without tests of what it promises under faults of engines and services.

Ruled out: relying on an unreadable request body to keep net/http from sending a call twice; it replays requests with an Idempotency-Key header only on kept-alive connections, so calls that may not be repeated use a connection each, and the body needs no trick (removed).

Conclusion: these hold for one process per part in one test binary; SIGKILL of a node process is not covered yet.

--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,300 @@
+package demo
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/logging"
+	standin "github.com/figweir/figweir/standin/engine"
+	"github.com/figweir/figweir/standin/service"
+)
+
+func start(t *testing.T, o Options) *Deployment {
+	t.Helper()
+	if o.Nodes == 0 {
+		o.Nodes = 2
+	}
+	if o.Engines == 0 {
+		o.Engines = 3
+	}
+	if o.Services == 0 {
+		o.Services = 2
+	}
+	if o.Log.GetSink() == nil {
+		o.Log = logr.Discard()
+	}
+	d, err := Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+// Guards against a kind of request that the demo promises and that fails.
+func TestCheckPasses(t *testing.T) {
+	is := is.New(t)
+	result := start(t, Options{}).Check(t.Context())
+	is.Equal(len(result.Failed), 0) // all requests pass
+	is.Equal(result.Sent, result.Passed)
+}
+
+// Guards against answers that a real client library can't read.
+func TestOpenAIClientReadsAnswers(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	client := openai.NewClient(option.WithBaseURL(d.CallerURL(0)+"/v1"), option.WithAPIKey(d.Key), option.WithMaxRetries(0))
+	params := openai.ChatCompletionNewParams{
+		Model: Model, MaxTokens: openai.Int(9), Seed: openai.Int(3),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("pair round four")},
+	}
+	want := standin.Answer(Model, "pair round four", 3, 9)
+
+	whole, err := client.Chat.Completions.New(t.Context(), params)
+	is.NoErr(err)
+	is.Equal(whole.Choices[0].Message.Content, want)
+	is.Equal(whole.Usage.CompletionTokens, int64(9))
+
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	var acc openai.ChatCompletionAccumulator
+	for stream.Next() {
+		is.True(acc.AddChunk(stream.Current())) // chunks belong to one answer
+	}
+	is.NoErr(stream.Err())
+	is.Equal(acc.Choices[0].Message.Content, want)
+	is.Equal(acc.Usage.CompletionTokens, int64(9))
+
+	bad := openai.NewClient(option.WithBaseURL(d.CallerURL(0)+"/v1"), option.WithAPIKey(d.WithdrawnKey), option.WithMaxRetries(0))
+	_, err = bad.Chat.Completions.New(t.Context(), params)
+	var apiErr *openai.Error
+	is.True(errors.As(err, &apiErr))
+	is.Equal(apiErr.StatusCode, http.StatusUnauthorized)
+	is.Equal(apiErr.Code, string(apierr.Unauthorized))
+}
+
+// Guards against a caller that receives a cut, doubled or foreign answer when
+// streams are crossed, repeated, truncated or lost with their engine.
+func TestAnswersAreWholeWhenStreamsMisbehave(t *testing.T) {
+	faults := map[string]standin.Faults{
+		"crossed":                 {CrossEvery: 2},
+		"repeated":                {RepeatEvery: 2},
+		"truncated":               {TruncateAfter: 4},
+		"crossed and truncated":   {CrossEvery: 1, TruncateAfter: 3},
+		"late":                    {LagMillis: 3},
+		"refused by the engine":   {RefuseStreams: true},
+		"lost with the engine":    {ForgetAfter: 5},
+		"repeated and then lost":  {RepeatEvery: 1, ForgetAfter: 1},
+		"lost before first token": {ForgetAfter: 0, RefuseStreams: true},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := start(t, Options{})
+			// One engine stays healthy.
+			d.Engines[0].SetFaults(fault)
+			d.Engines[1].SetFaults(fault)
+			var wait sync.WaitGroup
+			for n := range 12 {
+				wait.Go(func() {
+					prompt := fmt.Sprintf("order %d", n)
+					text, err := d.Chat(t.Context(), n%2, ChatRequest{Key: d.Key, Prompt: prompt, Tokens: 20, Seed: 1, Stream: n%3 != 0})
+					is.NoErr(err)
+					is.Equal(text, standin.Answer(Model, prompt, 1, 20))
+				})
+			}
+			wait.Wait()
+		})
+	}
+}
+
+// Guards against a truncated stream that is given up although its engine could
+// resume it; with one engine a re-run elsewhere can't hide that.
+func TestTruncatedStreamIsResumedOnItsEngine(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Engines: 1})
+	d.Engines[0].SetFaults(standin.Faults{TruncateAfter: 4})
+	text, err := d.Chat(t.Context(), 1, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 30, Stream: true})
+	is.NoErr(err)
+	is.Equal(text, standin.Answer(Model, "x", 0, 30))
+	for _, attempts := range d.Engines[0].Served() {
+		is.Equal(attempts, 1) // one attempt, resumed
+	}
+}
+
+// Guards against a stream that ends silently when no engine can continue it.
+func TestLostStreamEndsInExplicitError(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Engines: 1})
+	d.Engines[0].SetFaults(standin.Faults{ForgetAfter: 3})
+	_, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 8, Stream: true})
+	var chatErr *ChatError
+	is.True(errors.As(err, &chatErr))
+	is.Equal(chatErr.Detail.Code, apierr.UpstreamFailed)
+	is.True(!chatErr.Detail.NotRun) // the engine did run part of it
+	is.True(chatErr.Text != "")
+}
+
+// Guards against answers that are cut when a node is stopped as planned, and
+// against new work on a node that is being stopped.
+func TestPlannedStopCutsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Engine: func(_ int, s *standin.Settings) { s.TokenMillis = 10 }})
+	const streams = 10
+	errs := make(chan error, streams)
+	for n := range streams {
+		go func() {
+			prompt := fmt.Sprintf("order %d", n)
+			text, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: prompt, Tokens: 30, Stream: n%2 == 0})
+			if err == nil && text != standin.Answer(Model, prompt, 0, 30) {
+				err = fmt.Errorf("answer %q is not whole", text)
+			}
+			errs <- err
+		}()
+	}
+	for running := 0; running < streams; {
+		running = 0
+		for _, e := range d.Engines {
+			running += e.Running()
+		}
+	}
+	stopped := d.BeginStop(0)
+	for range streams {
+		is.NoErr(<-errs)
+	}
+	is.NoErr(<-stopped) // the stop reports that nothing was cut
+	_, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: "late", Tokens: 1})
+	is.True(err != nil)
+	d.stop[0], d.stopped[0] = func() {}, closed()
+}
+
+func closed() chan error {
+	c := make(chan error, 1)
+	c <- nil
+	return c
+}
+
+// Guards against streams that go on after their key was withdrawn, and against
+// a withdrawn key that still works on a kept-alive connection.
+func TestWithdrawnKeyStopsWorkingOnOpenConnections(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Engine: func(_ int, s *standin.Settings) { s.TokenMillis = 5 }})
+	result := make(chan error, 1)
+	go func() {
+		_, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 100_000, Stream: true})
+		result <- err
+	}()
+	for d.Engines[0].Running()+d.Engines[1].Running()+d.Engines[2].Running() == 0 {
+	}
+	repository := config.NewRepository(d.Platform.Store)
+	document, version, err := repository.Load(t.Context())
+	is.NoErr(err)
+	for i := range document.Workspaces {
+		for j := range document.Workspaces[i].Keys {
+			document.Workspaces[i].Keys[j].Withdrawn = true
+		}
+	}
+	_, err = repository.Apply(t.Context(), document, version.Revision, "test")
+	is.NoErr(err)
+	var chatErr *ChatError
+	is.True(errors.As(<-result, &chatErr))
+	is.Equal(chatErr.Detail.Code, apierr.Unauthorized)
+	_, err = d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 1})
+	is.True(errors.As(err, &chatErr))
+	is.Equal(chatErr.Status, http.StatusUnauthorized)
+}
+
+// lockedBuffer collects the logs of all nodes.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// Guards against keys in logs, errors, or anything that a backend server sees.
+func TestKeysNeverLeaveTheNode(t *testing.T) {
+	is := is.New(t)
+	seen := &lockedBuffer{}
+	d := start(t, Options{Log: logging.New(seen, true)})
+	record := func(r *http.Request, body []byte) {
+		_ = r.Header.Write(seen)
+		fmt.Fprintln(seen, r.URL.RequestURI(), string(body))
+	}
+	for _, e := range d.Engines {
+		e.OnRequest = record
+	}
+	for _, s := range d.Services {
+		s.OnRequest = record
+	}
+	header := http.Header{"X-Copy": {"Bearer " + d.Key}, "X-Note": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}}
+	for i := range d.Nodes {
+		_, err := d.Chat(t.Context(), i, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 2})
+		is.NoErr(err)
+		status, _, err := d.do(t.Context(), i, http.MethodGet, "/services/"+Service+"/a?b=c", d.Key, header, nil)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		for _, path := range []string{"/services/" + Service + "/?key=" + d.Key, "/services/" + Service + "/" + d.Key} {
+			status, body, err := d.do(t.Context(), i, http.MethodGet, path, d.Key, nil, nil)
+			is.NoErr(err)
+			is.Equal(status, http.StatusBadRequest)
+			seen.Write(body)
+		}
+		status, body, err := d.do(t.Context(), i, http.MethodPost, "/v1/chat/completions", d.Key, nil, []byte(`{"model":"`+Model+`","messages":["`+d.Key+`"]}`))
+		is.NoErr(err)
+		is.Equal(status, http.StatusBadRequest)
+		seen.Write(body)
+		_, err = d.Chat(t.Context(), i, ChatRequest{Key: d.WithdrawnKey, Prompt: "x", Tokens: 2})
+		is.True(err != nil)
+	}
+	all := seen.String()
+	for _, key := range []string{d.Key, d.SecondKey, d.WithdrawnKey} {
+		is.True(!strings.Contains(all, key)) // no key in any output
+	}
+	is.True(strings.Contains(all, "kept"))          // other headers pass
+	is.True(!strings.Contains(all, "X-Hop"))        // hop-by-hop headers don't
+	is.True(strings.Contains(all, "X-Workspace"))   // the service learns whose call it is
+	is.True(strings.Contains(all, "workspace=nor")) // logs name the workspace
+}
+
+// Guards against a call with a lost answer that is sent again or reported as
+// not run.
+func TestLostAnswerOfServiceIsUnknown(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{LoseAnswers: true})
+	}
+	status, body, err := d.do(t.Context(), 0, http.MethodPost, "/services/"+Service+"/bookings", d.Key, nil, []byte("{}"))
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway)
+	is.True(strings.Contains(string(body), string(apierr.OutcomeUnknown)))
+	is.True(strings.Contains(string(body), `"not_run":false`))
+	is.Equal(d.Runs.Of(""), 1) // sent once
+}
--- a/service/client.go
+++ b/service/client.go
@@ -60,9 +60,11 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		idempotent: client(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}),
-		// A kept-alive connection that the service has just closed fails after
-		// bytes may have left. With a connection for each call, a service that
-		// is down shows as a failure to connect, after which "not run" is true.
+		// On a kept-alive connection that breaks, net/http sends a request with
+		// an Idempotency-Key header a second time, and any other request fails
+		// after bytes may have left. With a connection for each call nothing is
+		// sent twice, and a service that is down shows as a failure to connect,
+		// after which "not run" is true.
 		once: client(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 	}
 }
@@ -84,16 +86,10 @@
 
 // Call sends the call to the server at address and returns its whole answer.
 func (c *Client) Call(ctx context.Context, address string, call Call) (Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, body(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %s", ErrNotSent, err.Error())
 	}
-	// net/http replays a request that has an Idempotency-Key header when a
-	// connection breaks, unless its body can't be read again.
-	req.GetBody = nil
-	if len(call.Body) > 0 {
-		req.ContentLength = int64(len(call.Body))
-	}
 	req.Header = call.Header.Clone()
 	client := c.once
 	if call.Idempotent {
@@ -114,11 +110,6 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
 }
 
-// body hides the type of the reader, so that net/http can't replay it.
-func body(raw []byte) io.Reader {
-	return struct{ io.Reader }{bytes.NewReader(raw)}
-}
-
 func sendError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
