--- a/service/client_test.go
+++ b/service/client_test.go
@@ -17,8 +17,7 @@
 func breakingServer(t *testing.T, runs *atomic.Int64) string {
 	t.Helper()
 	seen := make(map[net.Conn]bool)
-	var server *httptest.Server
-	server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		conn := r.Context().Value(connKey{}).(net.Conn)
 		if seen[conn] {
