Answer refused requests whose body stops arriving

Cause: TestCallerLimits found that a request whose body stops arriving got no answer within 20 s. net/http reads the rest of a body before it sends the answer, and the handler had cleared the read deadline by then.

Ruled out: http.Server.ReadTimeout, whose deadline stays set while the handler runs and cancels the context of a long stream.

Before: "body that stops arriving" ran into the test's 20 s limit. After: the deadline is set for every request on arrival and cleared once the body is whole; all 15 cases answer, also for refusals before the body is read.

Conclusion: limits of the caller listener are covered by TestCallerLimits and TestConnectionLimit.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -97,6 +97,9 @@
 	h.Metrics.RequestsTotal.Add(1)
 	h.Metrics.InFlight.Add(1)
 	defer h.Metrics.InFlight.Add(-1)
+	// The deadline covers requests that are refused before their body is read:
+	// net/http reads the rest of a body before it sends the answer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 		h.refuse(w, apierr.New(apierr.Draining, "this node is being stopped", apierr.NotRun(), apierr.RetryAfter(drainRetry)))
@@ -171,23 +174,27 @@
 
 // readBody reads the body within the limits of the handler.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, s *session) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, apierr.New(apierr.TooLarge, "the body is larger than this node takes", apierr.NotRun())
-	}
 	if err != nil {
-		return nil, apierr.Wrap(err, apierr.BadRequest, "the body did not arrive whole in time", apierr.NotRun())
+		w.Header().Set("Connection", "close")
+		return nil, bodyError(err)
 	}
+	// A deadline that passes later would cancel the request's context.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if s.key != "" && (bytes.Contains(raw, []byte(s.key)) || strings.Contains(r.URL.RequestURI(), s.key)) {
 		return nil, apierr.New(apierr.BadRequest, "the workspace key may stand in the Authorization header only", apierr.NotRun())
 	}
 	return raw, nil
 }
 
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return apierr.New(apierr.TooLarge, "the body is larger than this node takes", apierr.NotRun())
+	}
+	return apierr.Wrap(err, apierr.BadRequest, "the body did not arrive whole in time", apierr.NotRun())
+}
+
 // refuse answers with an error before anything else was sent.
 func (h *Handler) refuse(w http.ResponseWriter, err error) {
 	h.Metrics.RefusalsTotal.Add(string(apierr.CodeOf(err)), 1)
--- /dev/null
+++ b/demo/limits_test.go
@@ -0,0 +1,138 @@
+package demo
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/settings"
+)
+
+func limited(_ int, s *settings.Settings) {
+	s.Limits.MaxBodyBytes = 1024
+	s.Limits.MaxHeaderBytes = 1024
+	s.Limits.BodyTimeoutSeconds = 0.05
+	s.Limits.HeaderTimeoutSeconds = 0.05
+	s.Limits.IdleTimeoutSeconds = 0.05
+}
+
+// raw sends bytes on a new connection and returns all that comes back until
+// the node closes it.
+func raw(t *testing.T, address, request string, halfClose bool) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// A node that never closes the connection fails the test here.
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	if halfClose {
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Fatal(err)
+	}
+	return string(answer)
+}
+
+func statusOf(t *testing.T, answer string) (int, apierr.Detail) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	if err != nil {
+		return 0, apierr.Detail{}
+	}
+	defer resp.Body.Close()
+	var body apierr.Body
+	_ = json.NewDecoder(resp.Body).Decode(&body)
+	return resp.StatusCode, body.Error
+}
+
+// Guards against a caller that holds a connection or memory without limit, and
+// against errors that don't say what was wrong.
+func TestCallerLimits(t *testing.T) {
+	d := start(t, Options{Nodes: 1, Settings: limited})
+	address := d.Nodes[0].CallerAddress()
+	auth := "Host: x\r\nAuthorization: Bearer " + d.Key + "\r\n"
+	post := "POST /v1/chat/completions HTTP/1.1\r\n" + auth
+	tests := []struct {
+		name      string
+		request   string
+		halfClose bool
+		status    int
+		code      apierr.Code
+	}{
+		{"body larger than the limit", post + "Content-Length: 2048\r\n\r\n" + strings.Repeat("x", 2048), false, 413, apierr.TooLarge},
+		{"chunked body larger than the limit", post + "Transfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 2048) + "\r\n0\r\n\r\n", false, 413, apierr.TooLarge},
+		{"body that stops arriving", post + "Content-Length: 100\r\n\r\n{", false, 400, apierr.BadRequest},
+		{"wrong key and body that stops arriving", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{", false, 401, apierr.Unauthorized},
+		{"unknown route and body that stops arriving", "POST /nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{", false, 404, apierr.NotFound},
+		{"body cut by a half-closed connection", post + "Content-Length: 100\r\n\r\n{", true, 400, apierr.BadRequest},
+		{"header that stops arriving", "POST /v1/chat", false, 400, ""},
+		{"header larger than the limit", post + "X-Pad: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", false, 431, ""},
+		{"malformed request line", "nonsense\r\n\r\n", false, 400, ""},
+		{"malformed JSON", post + "Content-Length: 1\r\n\r\n{", false, 400, apierr.BadRequest},
+		{"wrong type", post + "Content-Length: 12\r\n\r\n{\"model\": 1}", false, 400, apierr.BadRequest},
+		{"idle connection", "", false, 0, ""},
+		{"unknown route", "GET /nothing HTTP/1.1\r\n" + auth + "\r\n", false, 404, apierr.NotFound},
+		{"wrong method", "DELETE /v1/chat/completions HTTP/1.1\r\n" + auth + "\r\n", false, 400, apierr.BadRequest},
+		{"unknown service", "GET /services/nothing/ HTTP/1.1\r\n" + auth + "\r\n", false, 404, apierr.NotFound},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			status, detail := statusOf(t, raw(t, address, test.request, test.halfClose))
+			is.Equal(status, test.status)
+			is.Equal(detail.Code, test.code)
+			if test.code != "" {
+				is.True(detail.NotRun) // nothing was sent to a backend server
+				is.True(detail.Message != "")
+			}
+		})
+	}
+}
+
+// Guards against an unbounded number of connections of callers.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Nodes: 1, Settings: func(_ int, s *settings.Settings) { s.Limits.MaxConnections = 2 }})
+	address := d.Nodes[0].CallerAddress()
+	var conns []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		conns = append(conns, conn)
+		fmt.Fprintf(conn, "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", d.Key)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	third, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer third.Close()
+	fmt.Fprintf(third, "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", d.Key)
+	_ = third.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	_, err = third.Read(make([]byte, 1))
+	is.True(err != nil) // not served while the other two are open
+	is.NoErr(conns[0].Close())
+	_ = third.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(third), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(conns[1].Close())
+}
