route: choose backend servers from immutable views

The request path needs a choice of server that takes no shared lock and whose cost doesn't grow with the pool. A Tracker collects registrations, load reports and leaving notices and publishes a View through atomic.Pointer. A View holds the node's subset per role (24 servers by rendezvous hashing, half of them the nearest), so that a policy reads only a bounded number of servers. Own requests are counted with atomics; a late report is corrected by the own work at the time it was measured, so that own requests are neither counted twice nor forgotten.

Ruled out: go-rendezvous for the ranking of the subset. Its Remove indexes past the end of its slices, so the k best can't be drawn one after the other. The ranking uses xxhash; the library still finds the home server of a prefix.

--- /dev/null
+++ b/route/digest.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// digestSlots is the number of blocks that are remembered for one server. It
+// is about the number of KV blocks of an engine (4,000), so that a digest never
+// claims much more than the engine can hold; one digest takes 32 KiB.
+const digestSlots = 4096
+
+// digestMaxAge is how long a block counts as cached without being seen again.
+// Cache events have gaps, so a missed eviction must not attract requests
+// forever.
+const digestMaxAge = 2 * time.Minute
+
+// ageUnit is the resolution of the time in a slot.
+const ageUnit = 100 * time.Millisecond
+
+// timeBits is the part of a slot that holds the time; the rest holds the upper
+// bits of the block hash. 24 bits of 100 ms cover 19 days.
+const timeBits = 24
+
+const timeMask = 1<<timeBits - 1
+
+// Digest remembers which prefix blocks one engine is likely to have cached. It
+// is a direct-mapped table: a block that maps to a used slot replaces what was
+// there. Reads and writes are single atomic operations.
+type Digest struct {
+	slots [digestSlots]atomic.Uint64
+}
+
+// Add records that the blocks were seen in the cache at a time. Hashes are
+// chained: the hash of a block covers all blocks before it.
+func (d *Digest) Add(at time.Time, blocks ...uint64) {
+	stamp := stampOf(at)
+	for _, hash := range blocks {
+		d.slots[hash%digestSlots].Store(hash&^timeMask | stamp)
+	}
+}
+
+// Remove records that the engine has evicted the blocks.
+func (d *Digest) Remove(blocks ...uint64) {
+	for _, hash := range blocks {
+		slot := &d.slots[hash%digestSlots]
+		if old := slot.Load(); old&^timeMask == hash&^timeMask {
+			slot.CompareAndSwap(old, 0)
+		}
+	}
+}
+
+// Cached returns how many of the leading blocks are likely to be cached.
+func (d *Digest) Cached(now time.Time, blocks []uint64) int {
+	for i, hash := range blocks {
+		if !d.has(now, hash) {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+func (d *Digest) has(now time.Time, hash uint64) bool {
+	slot := d.slots[hash%digestSlots].Load()
+	if slot == 0 || slot&^timeMask != hash&^timeMask {
+		return false
+	}
+	age := (stampOf(now) - slot) & timeMask
+	return age <= uint64(digestMaxAge/ageUnit)
+}
+
+// stampOf never returns 0, so that an empty slot can't be taken for a block.
+func stampOf(at time.Time) uint64 {
+	return uint64(at.UnixMilli()/int64(ageUnit/time.Millisecond))&timeMask | 1
+}
--- /dev/null
+++ b/route/tracker.go
@@ -0,0 +1,232 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/figweir/figweir/config"
+)
+
+// SubsetServers is how many servers of one role a node talks to. It bounds the
+// connections of a node and the memory of its digests (32 KiB per server).
+const SubsetServers = 24
+
+// nearShare is the part of a subset that is filled from the nearest servers
+// first. The rest is drawn from all servers, so that a failure domain without
+// servers nearby doesn't depend on one other failure domain.
+const nearShare = 0.5
+
+// staleAfter is the age from which a load report says nothing about the
+// present. It is several times the lag of reports (up to 1 s).
+const staleAfter = 3 * time.Second
+
+// Tracker collects what is known of the servers of one pool and publishes it as
+// views. Its writers share a lock; readers of View don't take it.
+type Tracker struct {
+	pool string
+	node string
+
+	current atomic.Pointer[View]
+
+	mu            sync.Mutex
+	blockTokens   int
+	registrations []Registration
+	leaving       map[string]bool
+	states        map[string]*serverState
+	// index is the position of each server in registrations. Views share it; it
+	// is replaced, never changed.
+	index map[string]int
+}
+
+// serverState outlives the views, so that requests in flight stay counted.
+type serverState struct {
+	own     counters
+	history history
+	report  Report
+	// others is the reported load less the own load at the time of the report.
+	others   Load
+	reported bool
+	digest   *Digest
+	// rank is the rendezvous hash of node and server.
+	rank uint64
+}
+
+// NewTracker returns a tracker for the servers of a pool. node names this node;
+// it determines the subset of servers that the node talks to.
+func NewTracker(pool, node string, blockTokens int) *Tracker {
+	t := &Tracker{
+		pool: pool, node: node, blockTokens: blockTokens,
+		leaving: make(map[string]bool), states: make(map[string]*serverState),
+	}
+	t.current.Store(&View{Pool: pool, BlockTokens: blockTokens})
+	return t
+}
+
+// View returns the last published view. It is never nil.
+func (t *Tracker) View() *View { return t.current.Load() }
+
+// Register replaces the list of registered servers. The change is published.
+func (t *Tracker) Register(now time.Time, registrations []Registration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registrations = append([]Registration(nil), registrations...)
+	t.index = make(map[string]int, len(registrations))
+	for i, r := range registrations {
+		t.index[r.Name] = i
+		if t.states[r.Name] == nil {
+			t.states[r.Name] = &serverState{rank: xxhash.Sum64String(t.node + "/" + r.Name)}
+		}
+	}
+	for name := range t.states {
+		if _, known := t.index[name]; !known {
+			delete(t.states, name)
+			delete(t.leaving, name)
+		}
+	}
+	t.publish(now)
+}
+
+// Leave sets or clears the leaving flag of a server. The change is published at
+// once, so that the server gets no new work from this node.
+func (t *Tracker) Leave(now time.Time, name string, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.states[name] == nil || t.leaving[name] == leaving {
+		return
+	}
+	t.leaving[name] = leaving
+	t.publish(now)
+}
+
+// Observe takes a load report into account. A report that was measured before
+// the last one is ignored. The change is seen after the next Publish.
+func (t *Tracker) Observe(name string, r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.states[name]
+	if s == nil || (s.reported && !r.MeasuredAt.After(s.report.MeasuredAt)) {
+		return
+	}
+	s.report, s.reported = r, true
+	s.others = r.Load.sub(s.history.before(r.MeasuredAt))
+}
+
+// Publish makes a view of what is known now. Call it every 100 ms or so.
+func (t *Tracker) Publish(now time.Time) *View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.publish(now)
+}
+
+func (t *Tracker) publish(now time.Time) *View {
+	v := &View{
+		Pool: t.pool, BlockTokens: t.blockTokens, At: now,
+		Servers: make([]*Server, 0, len(t.registrations)),
+		index:   t.index,
+	}
+	servers := make([]Server, len(t.registrations))
+	for i, r := range t.registrations {
+		state := t.states[r.Name]
+		state.history.record(now, state.own.load())
+		s := &servers[i]
+		*s = Server{Registration: r, Leaving: t.leaving[r.Name], ReportAge: -1, others: state.others, own: &state.own}
+		if state.reported {
+			s.ReportAge = now.Sub(state.report.MeasuredAt)
+			s.Speed = state.report.Speed.or(r.Speed)
+		}
+		s.Speed = s.Speed.or(DefaultSpeed)
+		v.Servers = append(v.Servers, s)
+		if s.Draining {
+			v.draining++
+		}
+		if s.Leaving {
+			v.leaving++
+		}
+	}
+	assumeStaleLoad(v.Servers)
+	v.both = t.subset(v, config.RoleMixed)
+	v.prefill = t.subset(v, config.RolePrefill)
+	v.decode = t.subset(v, config.RoleDecode)
+	t.current.Store(v)
+	return v
+}
+
+// assumeStaleLoad gives servers with an old report at least the median load of
+// the others, so that a server that has stopped reporting doesn't look idle.
+func assumeStaleLoad(servers []*Server) {
+	var fresh []Load
+	stale := 0
+	for _, s := range servers {
+		switch {
+		case s.ReportAge > staleAfter:
+			stale++
+		case s.ReportAge >= 0:
+			fresh = append(fresh, s.others)
+		}
+	}
+	if stale == 0 || len(fresh) == 0 {
+		return
+	}
+	slices.SortFunc(fresh, func(a, b Load) int {
+		return cmp.Compare(a.DecodeTokens+a.PrefillTokens, b.DecodeTokens+b.PrefillTokens)
+	})
+	median := fresh[len(fresh)/2]
+	for _, s := range servers {
+		if s.ReportAge > staleAfter {
+			s.others = s.others.atLeast(median)
+		}
+	}
+}
+
+// ranked is a server with its rendezvous hash.
+type ranked struct {
+	server *Server
+	hash   uint64
+}
+
+// subset picks the servers of a role that this node talks to, by rendezvous
+// hashing of node and server name. It changes only by the servers that come
+// and go.
+func (t *Tracker) subset(v *View, role config.Role) subset {
+	var candidates []ranked
+	for _, s := range v.Servers {
+		if s.usable() && roleOf(s) == role {
+			candidates = append(candidates, ranked{s, t.states[s.Name].rank})
+		}
+	}
+	if len(candidates) > SubsetServers {
+		slices.SortFunc(candidates, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(a.server.Distance, b.server.Distance), cmp.Compare(a.hash, b.hash))
+		})
+		rest := candidates[int(SubsetServers*nearShare):]
+		slices.SortFunc(rest, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+		candidates = candidates[:SubsetServers]
+	}
+	var out subset
+	names := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		state := t.states[c.server.Name]
+		if state.digest == nil && t.blockTokens > 0 {
+			state.digest = &Digest{}
+		}
+		c.server.digest = state.digest
+		out.servers = append(out.servers, c.server)
+		names = append(names, c.server.Name)
+	}
+	out.ring = rendezvous.New(names, xxhash.Sum64String)
+	return out
+}
+
+// roleOf returns the role of a server; a service, which has none, is mixed.
+func roleOf(s *Server) config.Role {
+	if s.Role == "" {
+		return config.RoleMixed
+	}
+	return s.Role
+}
