Add package once: claims in hash ranges with group commit

A call with an idempotency key must run at most once, whatever fails.

Decided: - Every entry carries the token of its claim, so that an operation that was decided again after a conflict or a lost answer recognises its own entry. - After an ambiguous write a read that finds the old revision decides nothing: the write may still be on its way. The batch is written again with the same expected revision; only one of the two can succeed. - A release records the token as void, so that a claim request that arrives after its release is refused. - Results that depend on the head are given only after the head was confirmed by the batch's own compare-and-swap or by a read. - Retention counts time that writers of the range have measured with their monotonic clocks, never wall clocks, so that a wrong clock can't drop a claim. - once/layout holds the number of ranges; a process with another number refuses. - A segment is numbered by the sequence of the head whose entries it has, so that two writers that seal one head write the same value.

Ruled out: segments numbered 0, 1, 2, ...: a writer that was paused while sealing and its successor could write different values under one number.

--- /dev/null
+++ b/once/record.go
@@ -0,0 +1,82 @@
+package once
+
+import (
+	"fmt"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/figweir/figweir/gen/figweir/v1"
+)
+
+const layoutKey = "once/layout"
+
+func headKey(r Range) string { return "once/" + strconv.FormatUint(uint64(r), 10) + "/head" }
+
+func segmentKey(r Range, number uint64) string {
+	return "once/" + strconv.FormatUint(uint64(r), 10) + "/segment/" + strconv.FormatUint(number, 10)
+}
+
+// checkEntry rejects an entry whose fields don't have the expected sizes, so
+// that a damaged record is never read as an absent claim.
+func checkEntry(e *pb.OnceEntry) error {
+	if len(e.Key) != len(Key{}) || len(e.Token) != len(Token{}) {
+		return fmt.Errorf("%w: entry with a key of %d and a token of %d bytes", ErrCorrupt, len(e.Key), len(e.Token))
+	}
+	switch e.Kind {
+	case pb.OnceEntryKind_ONCE_ENTRY_KIND_RELEASE:
+		return nil
+	case pb.OnceEntryKind_ONCE_ENTRY_KIND_CLAIM, pb.OnceEntryKind_ONCE_ENTRY_KIND_DONE, pb.OnceEntryKind_ONCE_ENTRY_KIND_UNKNOWN:
+		if len(e.BodyDigest) != len(Digest{}) {
+			return fmt.Errorf("%w: entry with a body digest of %d bytes", ErrCorrupt, len(e.BodyDigest))
+		}
+		return nil
+	default:
+		return fmt.Errorf("%w: entry of kind %d", ErrCorrupt, e.Kind)
+	}
+}
+
+func checkEntries(entries []*pb.OnceEntry) error {
+	for _, e := range entries {
+		if err := checkEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeHead(value []byte) (*pb.OnceHead, error) {
+	head := &pb.OnceHead{}
+	if err := proto.Unmarshal(value, head); err != nil {
+		return nil, fmt.Errorf("%w: head: %v", ErrCorrupt, err)
+	}
+	if head.Sequence == 0 || len(head.Token) != len(Token{}) {
+		return nil, fmt.Errorf("%w: head without sequence or token", ErrCorrupt)
+	}
+	return head, checkEntries(head.Entries)
+}
+
+func decodeSegment(value []byte, number uint64) (*pb.OnceSegment, error) {
+	segment := &pb.OnceSegment{}
+	if err := proto.Unmarshal(value, segment); err != nil {
+		return nil, fmt.Errorf("%w: segment %d: %v", ErrCorrupt, number, err)
+	}
+	if segment.Number != number {
+		return nil, fmt.Errorf("%w: segment %d is numbered %d", ErrCorrupt, number, segment.Number)
+	}
+	return segment, checkEntries(segment.Entries)
+}
+
+func outcomeToProto(o *Outcome) *pb.Outcome {
+	if o == nil {
+		return nil
+	}
+	return &pb.Outcome{Status: int32(o.Status), ContentType: o.ContentType, Body: o.Body, BodyDigest: o.BodyDigest, Truncated: o.Truncated}
+}
+
+func outcomeFromProto(o *pb.Outcome) *Outcome {
+	if o == nil {
+		return nil
+	}
+	return &Outcome{Status: int(o.Status), ContentType: o.ContentType, Body: o.Body, BodyDigest: o.BodyDigest, Truncated: o.Truncated}
+}
