Add the peer calls of package once

Cause: a node sends its claims to the writer of the range on another node.

Ruled out: taking connect codes at face value. An answer of 404 or 412 by anything between the nodes would pass for "no such claim"; only errors written by the server itself are final, all others mean "no answer" and the claimer voids the claim.

Before: nothing.

Conclusion: OnceServer and OnceClient adapt to once.Handle.

--- /dev/null
+++ b/peer/once.go
@@ -0,0 +1,183 @@
+// Package peer holds the calls between nodes.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/figweir/figweir/gen/figweir/v1"
+	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
+	"github.com/figweir/figweir/once"
+)
+
+// OnceServer serves claims with the range writers of this node.
+type OnceServer struct {
+	locate once.Locator
+}
+
+var _ figweirv1connect.OnceServiceHandler = (*OnceServer)(nil)
+
+// NewOnceServer returns a server that passes requests to the writers that local
+// returns. local must return writers of this process only, so that a request is
+// never passed on in a circle.
+func NewOnceServer(local once.Locator) *OnceServer { return &OnceServer{locate: local} }
+
+// Claim implements figweirv1connect.OnceServiceHandler. The state REFUSED is
+// definite; after an error the claim may or may not be recorded.
+func (s *OnceServer) Claim(ctx context.Context, m *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	key, keyErr := once.ParseID[once.Key](m.Key)
+	body, bodyErr := once.ParseID[once.Digest](m.BodyDigest)
+	token, tokenErr := once.ParseID[once.Token](m.Token)
+	if err := errors.Join(keyErr, bodyErr, tokenErr); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	handle := s.locate(once.Range(m.Range))
+	if handle == nil {
+		return &pb.ClaimResponse{State: pb.ClaimState_CLAIM_STATE_REFUSED}, nil
+	}
+	answer, err := handle.Claim(ctx, once.ClaimRequest{
+		Range: once.Range(m.Range), Key: key, BodyDigest: body, Owner: m.Owner, Token: token,
+	})
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	state, ok := toState[answer.State]
+	if !ok {
+		return nil, connect.NewError(connect.CodeInternal, fmt.Errorf("claim answered with %v", answer.State))
+	}
+	return &pb.ClaimResponse{State: state, Outcome: outcomeToProto(answer.Outcome)}, nil
+}
+
+// Finish implements figweirv1connect.OnceServiceHandler.
+func (s *OnceServer) Finish(ctx context.Context, m *pb.FinishRequest) (*pb.FinishResponse, error) {
+	key, keyErr := once.ParseID[once.Key](m.Key)
+	token, tokenErr := once.ParseID[once.Token](m.Token)
+	if err := errors.Join(keyErr, tokenErr); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	request := once.FinishRequest{Range: once.Range(m.Range), Key: key, Token: token, Settlement: once.Lost}
+	switch {
+	case m.Released && m.Outcome != nil:
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("a released claim has no outcome"))
+	case m.Released:
+		request.Settlement = once.Released
+	case m.Outcome != nil:
+		request.Settlement, request.Outcome = once.Finished, outcomeFromProto(m.Outcome)
+	}
+	handle := s.locate(request.Range)
+	if handle == nil {
+		return nil, toConnect(once.ErrNotRecorded)
+	}
+	if err := handle.Finish(ctx, request); err != nil {
+		return nil, toConnect(err)
+	}
+	return &pb.FinishResponse{}, nil
+}
+
+// OnceClient reaches the range writers of another node.
+type OnceClient struct {
+	client figweirv1connect.OnceServiceClient
+}
+
+var _ once.Handle = (*OnceClient)(nil)
+
+// NewOnceClient returns a client for the peer at baseURL.
+func NewOnceClient(httpClient connect.HTTPClient, baseURL string, options ...connect.ClientOption) *OnceClient {
+	return &OnceClient{client: figweirv1connect.NewOnceServiceClient(httpClient, baseURL, options...)}
+}
+
+// Claim implements once.Handle. Every failure of the transport is reported as an
+// error, so that the claimer voids the claim.
+func (c *OnceClient) Claim(ctx context.Context, request once.ClaimRequest) (once.Answer, error) {
+	m, err := c.client.Claim(ctx, &pb.ClaimRequest{
+		Range: uint32(request.Range), Key: request.Key.String(), BodyDigest: request.BodyDigest.String(),
+		Owner: request.Owner, Token: request.Token.String(),
+	})
+	if err != nil {
+		return once.Answer{}, fromConnect(err)
+	}
+	state, ok := fromState[m.State]
+	if !ok || (state == once.Done) != (m.Outcome != nil) {
+		return once.Answer{}, fmt.Errorf("%w: answer in state %v", once.ErrNoAnswer, m.State)
+	}
+	return once.Answer{State: state, Outcome: outcomeFromProto(m.Outcome)}, nil
+}
+
+// Finish implements once.Handle.
+func (c *OnceClient) Finish(ctx context.Context, request once.FinishRequest) error {
+	_, err := c.client.Finish(ctx, &pb.FinishRequest{
+		Range: uint32(request.Range), Key: request.Key.String(), Token: request.Token.String(),
+		Released: request.Settlement == once.Released, Outcome: outcomeToProto(request.Outcome),
+	})
+	if err != nil {
+		return fromConnect(err)
+	}
+	return nil
+}
+
+var toState = map[once.State]pb.ClaimState{
+	once.Refused:    pb.ClaimState_CLAIM_STATE_REFUSED,
+	once.Granted:    pb.ClaimState_CLAIM_STATE_GRANTED,
+	once.InProgress: pb.ClaimState_CLAIM_STATE_IN_PROGRESS,
+	once.Done:       pb.ClaimState_CLAIM_STATE_DONE,
+	once.Unknown:    pb.ClaimState_CLAIM_STATE_UNKNOWN,
+	once.KeyReused:  pb.ClaimState_CLAIM_STATE_KEY_REUSED,
+}
+
+var fromState = invert(toState)
+
+func invert(m map[once.State]pb.ClaimState) map[pb.ClaimState]once.State {
+	out := make(map[pb.ClaimState]once.State, len(m))
+	for state, message := range m {
+		out[message] = state
+	}
+	return out
+}
+
+// toConnect gives the errors that are final for a settlement codes of their own.
+// A transport never produces these codes by itself for a request of this kind.
+func toConnect(err error) error {
+	switch {
+	case errors.Is(err, once.ErrNotClaimed):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, once.ErrInvalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.Is(err, once.ErrNotRecorded):
+		return connect.NewError(connect.CodeAborted, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
+
+// fromConnect maps an error of a call. Only an error that the server wrote is
+// taken as final; an answer by anything in between is not.
+func fromConnect(err error) error {
+	if connect.IsWireError(err) {
+		switch connect.CodeOf(err) {
+		case connect.CodeFailedPrecondition:
+			return fmt.Errorf("%w: %w", once.ErrNotClaimed, err)
+		case connect.CodeInvalidArgument:
+			return fmt.Errorf("%w: %w", once.ErrInvalid, err)
+		case connect.CodeAborted:
+			return fmt.Errorf("%w: %w", once.ErrNotRecorded, err)
+		}
+	}
+	return fmt.Errorf("%w: %w", once.ErrNoAnswer, err)
+}
+
+func outcomeToProto(o *once.Outcome) *pb.Outcome {
+	if o == nil {
+		return nil
+	}
+	return &pb.Outcome{Status: int32(o.Status), ContentType: o.ContentType, Body: o.Body, BodyDigest: o.BodyDigest, Truncated: o.Truncated}
+}
+
+func outcomeFromProto(o *pb.Outcome) *once.Outcome {
+	if o == nil {
+		return nil
+	}
+	return &once.Outcome{Status: int(o.Status), ContentType: o.ContentType, Body: o.Body, BodyDigest: o.BodyDigest, Truncated: o.Truncated}
+}
