--- /dev/null
+++ b/configsync/harness_test.go
@@ -0,0 +1,323 @@
+package configsync_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/configsync"
+	"github.com/figweir/figweir/membership"
+	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/standin/memstore"
+)
+
+const secret = "shared secret of the test deployment"
+
+// fabric connects the nodes of a test through the real handlers and clients of
+// package peer, in process, and injects faults between them.
+type fabric struct {
+	mem *memstore.Store
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	nodes     map[string]*node // by VM name
+	byAddress map[string]*node
+	lists     []listed // history of the platform's list, oldest first
+	group     map[string]int
+	storeCut  map[string]bool
+	storeDown bool
+	lossRate  float64 // of requests and of replies
+	storeLoss float64 // of answers of the store
+	maxDelay  time.Duration
+
+	calls, bytes atomic.Int64 // calls delivered; bytes of bodies
+}
+
+type listed struct {
+	at  time.Time
+	vms []membership.VM
+}
+
+// node is one VM; its process can be stopped and started again.
+type node struct {
+	vm      membership.VM
+	fabric  *fabric
+	lag     time.Duration // of the platform's list as this node sees it
+	rule    func(configsync.Evidence, time.Duration) configsync.Verdict
+	process atomic.Pointer[process]
+}
+
+type process struct {
+	members *membership.Membership
+	sync    *configsync.Sync
+	mux     *http.ServeMux
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	served  store.Revision // greatest one seen by the monitor
+}
+
+func newFabric(seed uint64) *fabric {
+	f := &fabric{
+		mem: memstore.New(), rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node),
+		byAddress: make(map[string]*node), group: make(map[string]int), storeCut: make(map[string]bool),
+	}
+	f.mem.SetFault(func(memstore.Op, string) memstore.Fault {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return memstore.Fault{Refuse: f.storeDown, LoseAnswer: f.rng.Float64() < f.storeLoss}
+	})
+	return f
+}
+
+// add lists a VM and starts its process.
+func (f *fabric) add(name, domain string) *node {
+	f.mu.Lock()
+	i := len(f.byAddress)
+	n := &node{vm: membership.VM{Name: name, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), FailureDomain: domain}, fabric: f}
+	f.nodes[name] = n
+	f.byAddress[n.vm.Address] = n
+	f.mu.Unlock()
+	return n
+}
+
+// publish makes the present set of VMs the platform's list.
+func (f *fabric) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := listed{at: time.Now()}
+	for _, n := range f.nodes {
+		l.vms = append(l.vms, n.vm)
+	}
+	f.lists = append(f.lists, l)
+}
+
+func (f *fabric) names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// VMs implements membership.Lister with the lag of this node.
+func (n *node) VMs(context.Context) ([]membership.VM, error) {
+	f := n.fabric
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.lists) - 1; i > 0; i-- {
+		if time.Since(f.lists[i].at) >= n.lag {
+			return f.lists[i].vms, nil
+		}
+	}
+	return f.lists[0].vms, nil
+}
+
+var testMembership = membership.Settings{ListLag: 5 * time.Second}
+
+func (n *node) start() {
+	auth := peer.NewAuth(secret)
+	client := caller{n}
+	settings := testMembership
+	settings.Self = n.vm
+	p := &process{mux: http.NewServeMux()}
+	p.members = membership.New(settings, n, peer.NewMembershipClient(client, auth), logr.Discard())
+	p.sync = configsync.New(configsync.Settings{}, p.members, cutStore{n.fabric.mem, n}, config.NewHolder(),
+		peer.NewConfigClient(client, auth), logr.Discard())
+	if n.rule != nil {
+		p.sync.SetRule(n.rule)
+	}
+	p.mux.Handle(peer.NewMembershipHandler(p.members, auth))
+	p.mux.Handle(peer.NewConfigHandler(p.sync, auth))
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.done.Go(func() { p.members.Run(ctx) })
+	p.done.Go(func() { p.sync.Run(ctx) })
+	n.process.Store(p)
+}
+
+func (n *node) stop() {
+	if p := n.process.Swap(nil); p != nil {
+		p.cancel()
+		p.done.Wait()
+	}
+}
+
+func (f *fabric) stop() {
+	f.mu.Lock()
+	all := make([]*node, 0, len(f.byAddress))
+	for _, n := range f.byAddress {
+		all = append(all, n)
+	}
+	f.mu.Unlock()
+	for _, n := range all {
+		n.stop()
+	}
+}
+
+// heal ends every fault but stopped processes.
+func (f *fabric) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.group, f.storeCut = make(map[string]int), make(map[string]bool)
+	f.storeDown, f.lossRate, f.storeLoss, f.maxDelay = false, 0, 0, 0
+}
+
+// way decides what happens to a message: whether it is lost, and its delay.
+func (f *fabric) way(from, to string) (lost bool, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.maxDelay > 0 {
+		delay = time.Duration(f.rng.Int64N(int64(f.maxDelay)))
+	}
+	return f.group[from] != f.group[to] || f.rng.Float64() < f.lossRate, delay
+}
+
+// caller is the HTTP client of a node. A lost message shows as a time-out.
+type caller struct{ from *node }
+
+var errRefused = errors.New("connection refused")
+
+// Do implements connect.HTTPClient.
+func (c caller) Do(request *http.Request) (*http.Response, error) {
+	f := c.from.fabric
+	f.mu.Lock()
+	to := f.byAddress[request.URL.Host]
+	f.mu.Unlock()
+	if err := c.pass(request.Context(), c.from.vm.Name, to.vm.Name); err != nil {
+		return nil, err
+	}
+	p := to.process.Load()
+	if p == nil {
+		return nil, errRefused
+	}
+	recorder := httptest.NewRecorder()
+	p.mux.ServeHTTP(recorder, request)
+	if err := c.pass(request.Context(), to.vm.Name, c.from.vm.Name); err != nil {
+		return nil, err
+	}
+	f.calls.Add(1)
+	f.bytes.Add(max(request.ContentLength, 0) + int64(recorder.Body.Len()))
+	return recorder.Result(), nil
+}
+
+func (c caller) pass(ctx context.Context, from, to string) error {
+	lost, delay := c.from.fabric.way(from, to)
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+// cutStore is the store as one node reaches it.
+type cutStore struct {
+	store.Store
+	node *node
+}
+
+func (s cutStore) cut(ctx context.Context) error {
+	f := s.node.fabric
+	f.mu.Lock()
+	cut := f.storeCut[s.node.vm.Name]
+	f.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.cut(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if err := s.cut(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.Put(ctx, key, value, expected, lease)
+}
+
+// Watch also loses the answer if the node was cut off while it waited.
+func (s cutStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	if err := s.cut(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if cut := s.cut(ctx); cut != nil {
+		return nil, 0, cut
+	}
+	return events, revision, err
+}
+
+// testKey returns the i-th key of the test document.
+func testKey(i int) string { return fmt.Sprintf("fw_k%d_00", i) }
+
+var keySecret = []byte("key secret")
+
+// testDocument has one workspace with as many keys, none withdrawn.
+func testDocument(keys int) *config.Document {
+	w := config.Workspace{Name: "laugavegur", Weight: 1}
+	for i := range keys {
+		w.Keys = append(w.Keys, config.Key{ID: fmt.Sprintf("k%d", i), Digest: config.DigestKey(testKey(i), keySecret)})
+	}
+	return &config.Document{
+		Objectives: config.Objectives{FirstTokenSeconds: 0.54, BetweenTokensSeconds: 0.03, TargetRatio: 0.95},
+		Pools:      []config.Pool{{Name: "saumur-lm", Kind: config.KindEngine, Models: []string{"hem"}, KVBlocks: 4000, KVBlockTokens: 16}},
+		Workspaces: []config.Workspace{w},
+	}
+}
+
+// deploy stores a document, starts n nodes over the failure domains and waits
+// until they are fresh.
+func (f *fabric) deploy(n, domains int, document *config.Document) {
+	if _, err := config.NewRepository(f.mem).Apply(context.Background(), document, 0, "init"); err != nil {
+		panic(err)
+	}
+	for i := range n {
+		f.add(fmt.Sprintf("vm%03d", i), fmt.Sprintf("fd%02d", i%domains))
+	}
+	f.publish()
+	for _, name := range f.names() {
+		f.nodes[name].start()
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// withdraw makes an operator's change through a node: it withdraws the i-th key
+// from the document that was read at base.
+func withdraw(p *process, d *config.Document, base store.Revision, i int, author string) (configsync.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	changed := *d
+	changed.Workspaces = slices.Clone(d.Workspaces)
+	w := &changed.Workspaces[0]
+	w.Keys = slices.Clone(w.Keys)
+	w.Keys[i%len(w.Keys)].Withdrawn = true
+	return p.sync.Apply(ctx, &changed, base, author)
+}
--- /dev/null
+++ b/configsync/revision.go
@@ -0,0 +1,102 @@
+package configsync
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/platform/store"
+)
+
+// revision is an immutable revision with the encoded values of its parts.
+type revision struct {
+	number store.Revision
+	author string
+	parts  map[string]Part   // by name
+	values map[string][]byte // by digest
+}
+
+func newRevision(number store.Revision, author string, values map[string][]byte) *revision {
+	r := &revision{number: number, author: author, parts: make(map[string]Part, len(values)), values: make(map[string][]byte, len(values))}
+	for name, value := range values {
+		digest := config.PartDigest(value)
+		r.parts[name] = Part{Name: name, Digest: digest, Value: value}
+		r.values[digest] = value
+	}
+	return r
+}
+
+// snapshot decodes and checks the revision.
+func (r *revision) snapshot() (*config.Snapshot, error) {
+	values := make(map[string][]byte, len(r.parts))
+	for name, p := range r.parts {
+		values[name] = p.Value
+	}
+	document, err := config.Join(values)
+	if err != nil {
+		return nil, fmt.Errorf("configuration revision %d: %w", r.number, err)
+	}
+	s, err := config.Build(document, r.number)
+	if err != nil {
+		return nil, fmt.Errorf("configuration revision %d: %w", r.number, err)
+	}
+	return s, nil
+}
+
+// list returns the parts in name order, with values only where include holds.
+func (r *revision) list(include func(digest string) bool) []Part {
+	out := make([]Part, 0, len(r.parts))
+	for _, p := range r.parts {
+		if !include(p.Digest) {
+			p.Value = nil
+		}
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b Part) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// digests returns the digests of all values.
+func (r *revision) digests() []string {
+	out := make([]string, 0, len(r.values))
+	for digest := range r.values {
+		out = append(out, digest)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// has reports whether the revision, which may be nil, has a value.
+func (r *revision) has(digest string) bool {
+	if r == nil {
+		return false
+	}
+	_, ok := r.values[digest]
+	return ok
+}
+
+// complete fills in the values of parts from those that base has. It returns
+// the digests that are missing, and an error if a value does not match its
+// digest.
+func complete(parts []Part, base *revision) (values map[string][]byte, missing []string, err error) {
+	values = make(map[string][]byte, len(parts))
+	for _, p := range parts {
+		switch {
+		case len(p.Value) > 0:
+			if config.PartDigest(p.Value) != p.Digest {
+				return nil, nil, fmt.Errorf("configuration part %s: value does not match digest %s", p.Name, p.Digest)
+			}
+			values[p.Name] = p.Value
+		case base.has(p.Digest):
+			values[p.Name] = base.values[p.Digest]
+		default:
+			missing = append(missing, p.Digest)
+		}
+	}
+	return values, missing, nil
+}
