Wire claims, membership, configuration sync and routing into the node

Cause: the node served with placeholders: each node read the store itself, and claims were refused.

Conclusion: claims, configuration and routing run through their packages. Admission, usage, burn and orders are still placeholders.

--- a/demo/check.go
+++ b/demo/check.go
@@ -13,8 +13,10 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/caller"
 	"github.com/figweir/figweir/engine"
 	standin "github.com/figweir/figweir/standin/engine"
+	"github.com/figweir/figweir/standin/service"
 )
 
 // CheckResult counts the requests that Check sent and verified.
@@ -46,6 +48,7 @@
 		record(prefix+"withdrawn key", d.checkGet(ctx, i, "/v1/models", d.WithdrawnKey, http.StatusUnauthorized))
 		record(prefix+"models", d.checkGet(ctx, i, "/v1/models", d.Key, http.StatusOK))
 	}
+	record("call that must run once", d.checkOnce(ctx))
 	return result
 }
 
@@ -75,6 +78,35 @@
 	return nil
 }
 
+// checkOnce repeats one call through every node and checks that it ran once.
+func (d *Deployment) checkOnce(ctx context.Context) error {
+	header := http.Header{caller.HeaderIdempotencyKey: {"demo-booking-1"}}
+	var first []byte
+	for i := range d.Nodes {
+		status, body, err := d.do(ctx, i, http.MethodPost, "/services/"+Service+"/bookings", d.Key, header, []byte(`{"slot":"09:00"}`))
+		if err != nil {
+			return err
+		}
+		if status != http.StatusOK {
+			return fmt.Errorf("status %d: %s", status, body)
+		}
+		if first == nil {
+			first = body
+		}
+		if !bytes.Equal(body, first) {
+			return fmt.Errorf("the repeat answered %s, the first call %s", body, first)
+		}
+	}
+	var answer service.Answer
+	if err := json.Unmarshal(first, &answer); err != nil {
+		return err
+	}
+	if runs := d.Runs.Of("demo-booking-1"); runs != 1 {
+		return fmt.Errorf("the call ran %d times", runs)
+	}
+	return nil
+}
+
 // ChatRequest is one request of Chat.
 type ChatRequest struct {
 	Key    string
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/figweir/figweir/bus"
+	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
+	"github.com/figweir/figweir/peer"
+)
+
+// peerHandler returns the handler of the listener for peers.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewMembershipHandler(n.members, n.auth))
+	mux.Handle(peer.NewConfigHandler(n.sync, n.auth))
+	mux.Handle(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), connect.WithInterceptors(n.auth)))
+	mux.Handle(peer.NewEventHandler(n.receiveEvent, connect.WithInterceptors(n.auth)))
+	return mux
+}
+
+func newEventPublisher(n *Node) *peer.EventPublisher {
+	return peer.NewEventPublisher(n.settings.Name, n.peerHTTP, n.otherNodes, connect.WithInterceptors(n.auth))
+}
+
+// otherNodes returns the live nodes apart from this one.
+func (n *Node) otherNodes() []peer.Peer {
+	var out []peer.Peer
+	for _, m := range n.members.View().Live {
+		if m.Name != n.settings.Name {
+			out = append(out, peer.Peer{Name: m.Name, URL: "http://" + m.Address})
+		}
+	}
+	return out
+}
+
+func (n *Node) receiveEvent(origin, topic string, m *message.Message) error {
+	return n.bus.Deliver(origin, bus.Topic(topic), m)
+}
+
+// handleEvents connects the parts of the node through the bus.
+func (n *Node) handleEvents() {
+	bus.Handle(n.bus, "publish-leaving", bus.TopicServerLeaving, func(_ context.Context, e bus.Event[bus.ServerLeaving]) error {
+		n.members.SetServerLeaving(e.Value.BackendServer, e.Value.Leaving)
+		n.backends.leave(e.Value.BackendServer, e.Value.Leaving)
+		n.log.Info("backend server leaving", "backend_server", e.Value.BackendServer, "leaving", e.Value.Leaving, "origin", e.Origin)
+		return nil
+	})
+	bus.Handle(n.bus, "config-metrics", bus.TopicConfigChanged, func(_ context.Context, e bus.Event[bus.ConfigChanged]) error {
+		n.metrics.ConfigRevision.Set(int64(e.Value.Revision))
+		n.backends.register()
+		return nil
+	})
+}
+
+// announceConfig publishes an event for each revision that comes into force.
+func (n *Node) announceConfig(ctx context.Context) {
+	select {
+	case <-n.bus.Running():
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		changed := n.config.Changed()
+		if snapshot := n.config.Load(); snapshot != nil {
+			event := bus.ConfigChanged{Revision: uint64(snapshot.Revision)}
+			if err := bus.Publish(n.bus, bus.TopicConfigChanged, event); err != nil {
+				n.log.Error(err, "event not published")
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
