Decode settings and configuration strictly and report every fault

Cause: decoding stopped at the first fault and named no place, a name given twice in an object was taken without a word, and the configuration document had no strict decoding at all.

finding.Decode validates against the schema of the Go type, walks the tokens for names given twice and numbers that the type can't hold, and runs the semantic checks on what could be decoded. config.Parse and settings.Parse use it.

Before, without the token walk: decode_test.go:82: 0 != 1 // number of findings --- FAIL: TestDecodeReportsEveryFault (0.00s) Before, without dropping findings that follow from another: decode_test.go:109: 6 != 4 --- FAIL: TestDecodeRunsChecksOnWhatWasDecoded (0.00s) Before, with json.Number in the validator, -timeout 15s: panic: test timed out after 15s, running TestDecodeOfManyFaultsIsCheap After: all pass. A settings file with five mistakes gives five findings.

Conclusion: one function serves both kinds of file. Ports given by name still pass config.CheckAddress, which this change doesn't own.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,14 +3,12 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
-	"github.com/figweir/figweir/config"
+	"github.com/invopop/jsonschema"
+
 	"github.com/figweir/figweir/finding"
 )
 
@@ -22,8 +20,8 @@
 	Listen        Listen   `json:"listen"`
 	Platform      Platform `json:"platform"`
 	Secrets       Secrets  `json:"secrets"`
-	Limits        Limits   `json:"limits"`
-	Log           Log      `json:"log"`
+	Limits        Limits   `json:"limits,omitzero"`
+	Log           Log      `json:"log,omitzero"`
 }
 
 // Listen holds the addresses of the three listeners, as IP:port.
@@ -43,14 +41,17 @@
 	ListLagSeconds float64 `json:"list_lag_s"`
 }
 
-// Secrets are shared by all nodes of a deployment.
+// Secrets are shared by all nodes of a deployment, which therefore must have
+// equal ones.
 type Secrets struct {
 	// KeyDigest keys the digests of workspace keys.
 	KeyDigest string `json:"key_digest"`
-	// Peer authenticates nodes to each other.
-	Peer string `json:"peer"`
-	// Operator authenticates operators.
-	Operator string `json:"operator"`
+	// Peer authenticates nodes to each other. It may be empty only if the
+	// peers' listener is on a loopback address.
+	Peer string `json:"peer,omitempty"`
+	// Operator authenticates operators. It may be empty only if the operators'
+	// listener is on a loopback address.
+	Operator string `json:"operator,omitempty"`
 }
 
 // Limits bound what one node takes from callers.
@@ -86,9 +87,6 @@
 	}
 }
 
-// minSecretBytes is the least length of a secret.
-const minSecretBytes = 16
-
 // Load reads and checks the settings in a file. All problems are reported
 // together as a *finding.Error.
 func Load(file string) (Settings, error) {
@@ -102,87 +100,21 @@
 // Parse decodes and checks settings. Values that are left out get defaults.
 func Parse(file string, raw []byte) (Settings, error) {
 	s := Default()
-	findings := &finding.List{File: file}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		findings.Addf("$", "%v", err)
-		return Settings{}, findings.Err()
-	}
-	Validate(&s, findings)
-	return s, findings.Err()
-}
-
-// Validate adds a finding for every setting that can't be used.
-func Validate(s *Settings, findings *finding.List) {
-	if s.Name == "" {
-		findings.Addf("$.name", "must not be empty")
-	}
-	if s.FailureDomain == "" {
-		findings.Addf("$.failure_domain", "must not be empty")
-	}
-	address(findings, "$.listen.callers", s.Listen.Callers)
-	address(findings, "$.listen.peers", s.Listen.Peers)
-	address(findings, "$.listen.operators", s.Listen.Operators)
-	address(findings, "$.platform.address", s.Platform.Address)
-	secret(findings, "$.secrets.key_digest", s.Secrets.KeyDigest)
-	needsSecret(findings, "$.secrets.peer", s.Secrets.Peer, s.Listen.Peers)
-	needsSecret(findings, "$.secrets.operator", s.Secrets.Operator, s.Listen.Operators)
-	limits(findings, &s.Limits)
-	positive(findings, "$.platform.timeout_s", s.Platform.TimeoutSeconds)
-	if s.Platform.ListLagSeconds < 0 {
-		findings.Addf("$.platform.list_lag_s", "must not be negative")
-	}
-}
-
-func limits(findings *finding.List, l *Limits) {
-	positive(findings, "$.limits.max_connections", float64(l.MaxConnections))
-	positive(findings, "$.limits.max_header_bytes", float64(l.MaxHeaderBytes))
-	positive(findings, "$.limits.max_body_bytes", float64(l.MaxBodyBytes))
-	positive(findings, "$.limits.header_timeout_s", l.HeaderTimeoutSeconds)
-	positive(findings, "$.limits.body_timeout_s", l.BodyTimeoutSeconds)
-	positive(findings, "$.limits.write_timeout_s", l.WriteTimeoutSeconds)
-	positive(findings, "$.limits.idle_timeout_s", l.IdleTimeoutSeconds)
-	positive(findings, "$.limits.request_timeout_s", l.RequestTimeoutSeconds)
-	positive(findings, "$.limits.stop_timeout_s", l.StopTimeoutSeconds)
-	positive(findings, "$.limits.max_attempts", float64(l.MaxAttempts))
-}
-
-func positive(findings *finding.List, path string, v float64) {
-	if v <= 0 {
-		findings.Addf(path, "must be greater than 0")
-	}
-}
-
-func address(findings *finding.List, path, value string) {
-	if err := config.CheckAddress(value); err != nil {
-		findings.Addf(path, "%v", err)
-	}
-}
-
-func secret(findings *finding.List, path, value string) {
-	if len(value) < minSecretBytes {
-		findings.Addf(path, "must have at least %d bytes", minSecretBytes)
-	}
-}
-
-// needsSecret requires a secret unless the listener is on a loopback address.
-func needsSecret(findings *finding.List, path, value, listen string) {
-	if value == "" && IsLoopback(listen) {
-		return
-	}
-	secret(findings, path, value)
-}
-
-// IsLoopback reports whether an IP:port is on a loopback address.
-func IsLoopback(address string) bool {
-	host, _, err := net.SplitHostPort(address)
+	err := finding.Decode(file, raw, &s, func(findings *finding.List) { Validate(&s, findings) })
 	if err != nil {
-		return false
+		return Settings{}, err
 	}
-	ip := net.ParseIP(host)
-	return ip != nil && ip.IsLoopback()
+	return s, nil
 }
 
 // Seconds converts a number of seconds to a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// JSONSchemaExtend makes no limit required, because each has a default.
+func (Limits) JSONSchemaExtend(s *jsonschema.Schema) { s.Required = nil }
+
+// JSONSchemaExtend requires the address only; the rest has defaults.
+func (Platform) JSONSchemaExtend(s *jsonschema.Schema) { s.Required = []string{"address"} }
+
+// JSONSchemaExtend requires nothing.
+func (Log) JSONSchemaExtend(s *jsonschema.Schema) { s.Required = nil }
