Generate a deployment from the answers to a questionnaire

Cause: a new team had to write the configuration, the settings of every node and the keys by hand.

The tags of questionnaire.Answers are the one source of the questions and of the bounds that the answers are checked against.

Ruled out: a separate list of questions (it drifts from the answers); writing over existing files by default (the keys in use would stop working).

--- /dev/null
+++ b/questionnaire/questions.go
@@ -0,0 +1,87 @@
+package questionnaire
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/invopop/jsonschema"
+
+	"github.com/figweir/figweir/finding"
+)
+
+// Type is the JSON type of an answer.
+type Type string
+
+// Question is one question of the questionnaire.
+type Question struct {
+	// Name is the place of the answer, for example "model_pools[].servers".
+	Name    string `json:"name"`
+	Meaning string `json:"meaning"`
+	// Unit is empty where the answer is not a quantity.
+	Unit string `json:"unit,omitempty"`
+	Type Type   `json:"type"`
+	// Required answers have no default.
+	Required bool `json:"required"`
+	// Default is the JSON value that stands for an answer that is left out.
+	Default json.RawMessage `json:"default,omitempty"`
+	Bounds  Bounds          `json:"bounds,omitzero"`
+}
+
+// Bounds say which answers are accepted. Only those that are set apply.
+type Bounds struct {
+	Minimum          json.Number `json:"minimum,omitempty"`
+	ExclusiveMinimum json.Number `json:"exclusive_minimum,omitempty"`
+	Maximum          json.Number `json:"maximum,omitempty"`
+	ExclusiveMaximum json.Number `json:"exclusive_maximum,omitempty"`
+	MinEntries       *uint64     `json:"min_entries,omitempty"`
+	MaxEntries       *uint64     `json:"max_entries,omitempty"`
+	Pattern          string      `json:"pattern,omitempty"`
+	OneOf            []string    `json:"one_of,omitempty"`
+}
+
+// Questions returns all questions in the order of the answers.
+func Questions() []Question {
+	return collect(nil, "", finding.Schema(&Answers{}))
+}
+
+func collect(questions []Question, prefix string, object *jsonschema.Schema) []Question {
+	for pair := object.Properties.Oldest(); pair != nil; pair = pair.Next() {
+		name, schema := prefix+pair.Key, pair.Value
+		questions = append(questions, question(name, schema, slices.Contains(object.Required, pair.Key)))
+		switch {
+		case schema.Type == "object":
+			questions = collect(questions, name+".", schema)
+		case schema.Items != nil && schema.Items.Type == "object":
+			questions = collect(questions, name+"[].", schema.Items)
+		}
+	}
+	return questions
+}
+
+func question(name string, s *jsonschema.Schema, required bool) Question {
+	q := Question{
+		Name: name, Meaning: s.Description, Type: Type(s.Type), Required: required,
+		Bounds: Bounds{
+			Minimum: s.Minimum, ExclusiveMinimum: s.ExclusiveMinimum,
+			Maximum: s.Maximum, ExclusiveMaximum: s.ExclusiveMaximum,
+			MinEntries: s.MinItems, MaxEntries: s.MaxItems, Pattern: s.Pattern,
+		},
+	}
+	if unit, ok := s.Extras["unit"].(string); ok {
+		q.Unit = unit
+	}
+	if s.Default != nil {
+		q.Default, _ = json.Marshal(s.Default)
+	}
+	if s.Items != nil {
+		if s.Items.Pattern != "" {
+			q.Bounds.Pattern = s.Items.Pattern
+		}
+		for _, value := range s.Items.Enum {
+			if text, ok := value.(string); ok {
+				q.Bounds.OneOf = append(q.Bounds.OneOf, text)
+			}
+		}
+	}
+	return q
+}
