Add the operator commands, check and init to the command line

Cause: the configuration could be changed only through raw calls of the operator listener, and files could be checked only by starting a node.

A command reads the configuration, changes it and applies it from the revision that it read.

Ruled out: apply from the revision current at the time (it overwrites changes that the author of the file has not seen); repeating a change whose answer was lost.

Conclusion: the commands work against a node; nodes report every change as stored until they count confirmations.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -35,9 +35,21 @@
 
 // commands is the root of the command line.
 type commands struct {
-	Node    nodeCommand    `cmd:"" help:"Run a node until it is told to stop."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in for a system that figweir talks to."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole small deployment in one process over loopback."`
+	Node      nodeCommand      `cmd:"" help:"Run a node until it is told to stop."`
+	Init      initCommand      `cmd:"" help:"Print the questionnaire, or generate a deployment from its answers."`
+	Check     checkCommand     `cmd:"" help:"Check files and report every finding, or print a JSON Schema."`
+	Apply     applyCommand     `cmd:"" help:"Replace the configuration."`
+	Get       getCommand       `cmd:"" help:"Print the configuration and its revision."`
+	Workspace workspaceCommand `cmd:"" help:"Add, remove and list workspaces."`
+	Key       keyCommand       `cmd:"" help:"Add, withdraw and list the keys of workspaces."`
+	Service   serviceCommand   `cmd:"" help:"Add, remove and list services."`
+	Rule      ruleCommand      `cmd:"" help:"Set, remove and list the rules per failure domain."`
+	Drain     drainCommand     `cmd:"" help:"Give a backend server no new work."`
+	Undrain   undrainCommand   `cmd:"" help:"Give a drained backend server new work again."`
+	Report    reportCommand    `cmd:"" help:"Print a report of a node."`
+	Standin   standinCommand   `cmd:"" help:"Run a stand-in for a system that figweir talks to."`
+	Demo      demoCommand      `cmd:"" help:"Run a whole small deployment in one process over loopback."`
+	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
 // Main runs the command line and returns the exit code.
@@ -61,6 +73,7 @@
 		kong.Name("figweir"),
 		kong.Description("Serves language models and application backend servers from a limited fleet.\n\nExit codes: 0 done, 1 findings or failure, 2 usage."),
 		kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Writers(env.out, env.err),
 		kong.Exit(func(code int) { panic(exitPanic(code)) }),
 	)
--- /dev/null
+++ b/cli/init.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/figweir/figweir/questionnaire"
+)
+
+type initCommand struct {
+	Questions bool   `xor:"what" required:"" help:"Print all questions as JSON, each with meaning, unit, default and bounds."`
+	Answers   string `xor:"what" required:"" type:"path" placeholder:"FILE" help:"Answers, as JSON."`
+	Out       string `type:"path" placeholder:"DIR" help:"Directory to write to."`
+	Force     bool   `help:"Overwrite files. Keys and secrets are made anew, so the old ones stop working."`
+}
+
+// Help implements kong.HelpProvider.
+func (*initCommand) Help() string {
+	return `Writes into DIR: config.json for "apply", nodes/NAME.json for "node", vms.json, engines/NAME.json and services/NAME.json for the stand-ins, and, readable by their owner only, keys.json with the workspace keys, operator.secret and key_digest.secret.
+
+Examples:
+
+    figweir init --questions
+    figweir init --answers examples/small/answers.json --out deployment`
+}
+
+// errOutNeeded means that a command line is not complete.
+var errOutNeeded = errors.New("--answers needs --out DIR")
+
+// Validate checks the combination of flags; kong calls it after parsing.
+func (c *initCommand) Validate() error {
+	if c.Answers != "" && c.Out == "" {
+		return errOutNeeded
+	}
+	return nil
+}
+
+// Run prints the questions or generates a deployment.
+func (c *initCommand) Run(env *environment) error {
+	if c.Questions {
+		return printJSON(env, questionnaire.Questions())
+	}
+	raw, err := readFile(c.Answers)
+	if err != nil {
+		return err
+	}
+	answers, err := questionnaire.Parse(c.Answers, raw)
+	if err != nil {
+		return err
+	}
+	files, err := questionnaire.Generate(answers).Files()
+	if err != nil {
+		return err
+	}
+	err = questionnaire.Write(c.Out, files, c.Force)
+	var exists *questionnaire.ExistsError
+	if errors.As(err, &exists) {
+		return fmt.Errorf("%w; use --force to overwrite them", err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.out, "wrote %d files to %s\n", len(files), c.Out)
+	return nil
+}
+
+func printJSON(env *environment, v any) error {
+	encoder := json.NewEncoder(env.out)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -1,16 +1,16 @@
 package cli
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/questionnaire"
 	"github.com/figweir/figweir/standin/engine"
 	"github.com/figweir/figweir/standin/platform"
 	"github.com/figweir/figweir/standin/service"
@@ -31,49 +31,67 @@
 func (c *standinPlatform) Run(env *environment) error {
 	var vms []fleet.VM
 	if c.VMs != "" {
-		if err := readJSON(c.VMs, &vms); err != nil {
+		raw, err := readFile(c.VMs)
+		if err != nil {
+			return err
+		}
+		if vms, err = parseVMs(c.VMs, raw); err != nil {
 			return err
 		}
 	}
 	return serveStandin(env, "platform", c.Listen, platform.New(vms).Handler())
 }
 
+// Defaults of stand-ins that get neither flags nor settings.
+const (
+	defaultEngineListen  = "127.0.0.1:7501"
+	defaultEngineName    = "engine-1"
+	defaultServiceListen = "127.0.0.1:7601"
+	defaultServiceName   = "service-1"
+)
+
 type standinEngine struct {
-	Listen   string `default:"127.0.0.1:7501" placeholder:"IP:PORT" help:"Address to listen on (${default})."`
-	Name     string `default:"engine-1" help:"Name of the engine (${default})."`
-	Settings string `type:"path" placeholder:"FILE" help:"Constants of the stand-in, as JSON."`
+	Listen   string `placeholder:"IP:PORT" help:"Address to listen on. It goes before that of the settings; without both it is 127.0.0.1:7501."`
+	Name     string `help:"Name of the engine. It goes before that of the settings; without both it is engine-1."`
+	Settings string `type:"path" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
 // Run serves an engine stand-in.
 func (c *standinEngine) Run(env *environment) error {
-	s := engine.DefaultSettings(c.Name)
+	s := questionnaire.EngineStandin{Settings: engine.DefaultSettings(defaultEngineName)}
 	if c.Settings != "" {
-		if err := readJSON(c.Settings, &s); err != nil {
+		raw, err := readFile(c.Settings)
+		if err != nil {
+			return err
+		}
+		if s, err = questionnaire.ParseEngine(c.Settings, raw); err != nil {
 			return err
 		}
 	}
-	return serveStandin(env, s.Name, c.Listen, engine.New(s).Handler())
+	s.Name = cmp.Or(c.Name, s.Name)
+	return serveStandin(env, s.Name, cmp.Or(c.Listen, s.Listen, defaultEngineListen), engine.New(s.Settings).Handler())
 }
 
 type standinService struct {
-	Listen string `default:"127.0.0.1:7601" placeholder:"IP:PORT" help:"Address to listen on (${default})."`
-	Name   string `default:"service-1" help:"Name of the server (${default})."`
+	Listen   string `placeholder:"IP:PORT" help:"Address to listen on. It goes before that of the settings; without both it is 127.0.0.1:7601."`
+	Name     string `help:"Name of the server. It goes before that of the settings; without both it is service-1."`
+	Settings string `type:"path" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
 // Run serves a service stand-in.
 func (c *standinService) Run(env *environment) error {
-	return serveStandin(env, c.Name, c.Listen, service.New(c.Name, service.NewRuns()).Handler())
-}
-
-func readJSON(file string, v any) error {
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(raw, v); err != nil {
-		return fmt.Errorf("%s: %w", file, err)
+	s := questionnaire.ServiceStandin{Name: defaultServiceName}
+	if c.Settings != "" {
+		raw, err := readFile(c.Settings)
+		if err != nil {
+			return err
+		}
+		if s, err = questionnaire.ParseService(c.Settings, raw); err != nil {
+			return err
+		}
 	}
-	return nil
+	name := cmp.Or(c.Name, s.Name)
+	return serveStandin(env, name, cmp.Or(c.Listen, s.Listen, defaultServiceListen), service.New(name, service.NewRuns()).Handler())
 }
 
 // serveStandin serves until the context ends.
