--- /dev/null
+++ b/cli/local_test.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/questionnaire"
+)
+
+// Guards against exit codes that scripts can't rely on, and against a usage
+// error that says nothing.
+func TestExitCodes(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.json")
+	if err := os.WriteFile(broken, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"version", ExitDone, "figweir"},
+		{"--help", ExitDone, "Exit codes: 0 done, 1 findings or failure, 2 usage."},
+		{"check --schema config", ExitDone, `"backend_servers"`},
+		{"check --schema settings", ExitDone, `"key_digest"`},
+		{"init --questions", ExitDone, `"failure_domains"`},
+		{"check --config " + broken, ExitFailed, "line 1, column 2"},
+		{"check --settings no-such-file", ExitFailed, "no such file"},
+		{"", ExitUsage, "expected one of"},
+		{"nonsense", ExitUsage, "unexpected argument"},
+		{"check", ExitUsage, "give at least one file"},
+		{"check --schema nonsense", ExitUsage, "must be one of"},
+		{"init", ExitUsage, "missing flags"},
+		{"init --answers x.json", ExitUsage, "--answers needs --out DIR"},
+		{"init --questions --answers x.json --out y", ExitUsage, "can't be used together"},
+		{"get --operator localhost:1", ExitUsage, "use IP:PORT"},
+		{"key add", ExitUsage, "expected \"<workspace>\""},
+		{"drain server", ExitUsage, "expected \"<name>\""},
+		{"rule set --pool p", ExitUsage, "missing flags"},
+		{"report nonsense", ExitUsage, "unexpected argument"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			got := runCommand(t, strings.Fields(c.args)...)
+			is.Equal(got.code, c.code)
+			is.True(strings.Contains(got.out+got.err, c.want)) // says what is wanted
+		})
+	}
+}
+
+// Guards against a command without help, and against help that fails.
+func TestEveryCommandHasHelp(t *testing.T) {
+	for _, command := range []string{
+		"node", "init", "check", "apply", "get", "workspace add", "workspace remove", "workspace list", "key add", "key withdraw",
+		"key list", "service add", "service remove", "service list", "rule set", "rule remove", "rule list", "drain server",
+		"undrain server", "report burn", "report usage", "report spend", "report blocked", "standin platform", "standin engine",
+		"standin service", "demo", "version",
+	} {
+		t.Run(command, func(t *testing.T) {
+			is := is.New(t)
+			got := runCommand(t, append(strings.Fields(command), "--help")...)
+			is.Equal(got.code, ExitDone)
+			is.True(strings.HasPrefix(got.out, "Usage: figweir "+command))
+			is.Equal(got.err, "")
+		})
+	}
+}
+
+// Guards against generated files that check refuses, and against init that
+// overwrites a deployment unasked.
+func TestInitOutputPassesCheck(t *testing.T) {
+	for _, name := range []string{"faldur", "quispe", "small"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out := filepath.Join(t.TempDir(), "deployment")
+			answers := filepath.Join("..", "examples", name, "answers.json")
+			is.Equal(runCommand(t, "init", "--answers", answers, "--out", out).code, ExitDone)
+			args := []string{"check", "--answers", answers, "--config", filepath.Join(out, "config.json"), "--vms", filepath.Join(out, "vms.json")}
+			for directory, flag := range map[string]string{"nodes": "--settings", "engines": "--engine", "services": "--service"} {
+				files, err := filepath.Glob(filepath.Join(out, directory, "*.json"))
+				is.NoErr(err)
+				is.True(len(files) > 0)
+				for _, file := range files {
+					args = append(args, flag, file)
+				}
+			}
+			is.Equal(runCommand(t, args...), result{code: ExitDone})
+			got := runCommand(t, "init", "--answers", answers, "--out", out)
+			is.Equal(got.code, ExitFailed)
+			is.True(strings.Contains(got.err, "--force"))
+			is.Equal(runCommand(t, "init", "--answers", answers, "--out", out, "--force").code, ExitDone)
+		})
+	}
+}
+
+// Guards against findings of one file that hide those of the next.
+func TestCheckReportsAllFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	var args = []string{"check"}
+	for _, kind := range []string{"settings", "config", "answers", "vms", "engine", "service"} {
+		file := filepath.Join(dir, kind+".json")
+		is.NoErr(os.WriteFile(file, []byte(`"`+kind+`"`), 0o600))
+		args = append(args, "--"+kind, file)
+	}
+	got := runCommand(t, args...)
+	is.Equal(got.code, ExitFailed)
+	is.Equal(strings.Count(got.err, ": $: is of type string, must be of type"), 6)
+}
+
+// Guards against a stand-in that takes settings with a mistake or drops them.
+func TestStandinSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := questionnaire.ParseEngine("e.json", []byte(`{"name":"e-1","listen":"127.0.0.1:1","slots":3}`))
+	is.NoErr(err)
+	is.Equal(s.Slots, 3)
+	is.True(s.PrefillTokensPerSecond > 0) // default kept
+	_, err = questionnaire.ParseEngine("e.json", []byte(`{"name":"e-1","slots":0,"token_ms":-1,"tokens":1}`))
+	is.Equal(strings.Count(err.Error(), "\n"), 2) // three findings
+	_, err = questionnaire.ParseService("s.json", []byte(`{"name":"","listen":"here"}`))
+	is.Equal(strings.Count(err.Error(), "\n"), 1) // two findings
+}
+
+type reportRow struct {
+	Workspace string             `json:"workspace"`
+	Burn      map[string]float64 `json:"burn"`
+	Services  []string           `json:"services"`
+	Note      *string            `json:"note"`
+}
+
+// Guards against report values that the table leaves out or puts in the wrong
+// column, and against JSON that differs from what the node sent.
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	l := startListener(t)
+	l.reports["burn"] = func(context.Context) (any, error) {
+		return struct {
+			At    string      `json:"at"`
+			Node  any         `json:"node"`
+			Rows  []reportRow `json:"rows"`
+			Empty []reportRow `json:"empty"`
+		}{"now", map[string]int{"count": 2}, []reportRow{
+			{"north", map[string]float64{"5m": 1.5, "1h": 0.25}, []string{"a", "b"}, nil},
+			{"south\n", map[string]float64{"1h": 0}, nil, nil},
+		}, []reportRow{}}, nil
+	}
+	l.reports["usage"] = func(context.Context) (any, error) { return []reportRow{{Workspace: "north"}}, nil }
+	got := runCommand(t, "report", "burn")
+	is.Equal(got, result{code: ExitDone, out: "" +
+		"at          now\n" +
+		"node.count  2\n" +
+		"empty       []\n" +
+		"\n" +
+		"rows:\n" +
+		"WORKSPACE  BURN.1H  BURN.5M  SERVICES  NOTE\n" +
+		"north      0.25     1.5      [a b]     -\n" +
+		"south?     0                 -         -\n"})
+	got = runCommand(t, "report", "usage")
+	is.Equal(got, result{code: ExitDone, out: "WORKSPACE  BURN  SERVICES  NOTE\nnorth      -     -         -\n"})
+	got = runCommand(t, "report", "burn", "--json")
+	is.Equal(got.code, ExitDone)
+	is.True(json.Valid([]byte(got.out)))
+	is.True(strings.Contains(got.out, `"5m": 1.5`))
+	got = runCommand(t, "report", "spend")
+	is.Equal(got.code, ExitFailed)
+	is.True(strings.Contains(got.err, "there is no such report"))
+}
--- /dev/null
+++ b/questionnaire/generate_test.go
@@ -0,0 +1,90 @@
+package questionnaire_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/figweir/figweir/questionnaire"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+}
+
+// drawAnswers draws answers whose single values are within their bounds.
+func drawAnswers(t *rapid.T) questionnaire.Answers {
+	names := func(prefix string, most int) []string {
+		list := make([]string, rapid.IntRange(1, most).Draw(t, prefix))
+		for i := range list {
+			list[i] = fmt.Sprintf("%s-%d", prefix, i)
+		}
+		return list
+	}
+	a := questionnaire.Answers{
+		Deployment: "d", FailureDomains: names("domain", 16), EntryVMs: rapid.IntRange(1, 40).Draw(t, "vms"),
+		FirstPort:  rapid.IntRange(1024, 60000).Draw(t, "port"),
+		ModelPools: []questionnaire.ModelPool{}, ServicePools: []questionnaire.ServicePool{},
+	}
+	for _, name := range names("pool", 4) {
+		a.ModelPools = append(a.ModelPools, questionnaire.ModelPool{
+			Name: name, Models: []string{name + "-lm"}, Servers: rapid.IntRange(1, 50).Draw(t, "servers"),
+			MaxServers:  rapid.IntRange(0, 100).Draw(t, "max"),
+			Reclaimable: rapid.IntRange(0, 100).Draw(t, "reclaimable"), ChecksFencing: rapid.Bool().Draw(t, "fencing"),
+		})
+	}
+	for _, name := range names("service", 4) {
+		a.ServicePools = append(a.ServicePools, questionnaire.ServicePool{
+			Name: name, Servers: rapid.IntRange(1, 20).Draw(t, "servers"), Open: rapid.Bool().Draw(t, "open"),
+		})
+	}
+	for _, name := range names("workspace", 20) {
+		a.Workspaces = append(a.Workspaces, questionnaire.Workspace{Name: name, Keys: rapid.IntRange(0, 10).Draw(t, "keys")})
+	}
+	return a
+}
+
+// Guards against answers that pass the questionnaire's checks but give files
+// that the program refuses, addresses that clash, or servers that get lost when
+// they are spread over the failure domains.
+func TestAcceptedAnswersGiveAValidDeployment(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		drawn := drawAnswers(t)
+		raw, err := json.Marshal(drawn)
+		is.NoErr(err)
+		a, err := questionnaire.Parse("a.json", raw)
+		if err != nil {
+			return
+		}
+		accepted++
+		d := questionnaire.Generate(a)
+		checkDeployment(is, d)
+		servers := 0
+		for _, p := range drawn.ModelPools {
+			servers += p.Servers
+		}
+		for _, p := range drawn.ServicePools {
+			servers += p.Servers
+		}
+		is.Equal(len(d.Document.BackendServers), servers)
+		atStart := make(map[[2]string]int)
+		for _, b := range d.Document.BackendServers {
+			atStart[[2]string{b.FailureDomain, b.Pool}]++
+		}
+		for _, r := range d.Document.Rules {
+			n := atStart[[2]string{r.FailureDomain, r.Pool}]
+			is.True(r.MinServers <= n && n <= r.MaxServers) // the start obeys the rule
+		}
+	})
+	if accepted == 0 {
+		t.Fatal("no answers were accepted")
+	}
+	t.Logf("%d answers accepted", accepted)
+}
