--- a/cli/client.go
+++ b/cli/client.go
@@ -39,8 +39,11 @@
 	http    *http.Client
 }
 
+// newOperatorClient returns a client that ignores HTTP_PROXY: a proxy would
+// read the operator secret.
 func newOperatorClient(address, secret string) *operatorClient {
-	return &operatorClient{address: address, secret: secret, http: &http.Client{Timeout: operatorTimeout}}
+	transport := &http.Transport{DisableKeepAlives: true}
+	return &operatorClient{address: address, secret: secret, http: &http.Client{Timeout: operatorTimeout, Transport: transport}}
 }
 
 // readConfig returns the configuration and its revision, which is 0 if there
--- a/cli/init.go
+++ b/cli/init.go
@@ -12,7 +12,7 @@
 	Questions bool   `xor:"what" required:"" help:"Print all questions as JSON, each with meaning, unit, default and bounds."`
 	Answers   string `xor:"what" required:"" type:"path" placeholder:"FILE" help:"Answers, as JSON."`
 	Out       string `type:"path" placeholder:"DIR" help:"Directory to write to."`
-	Force     bool   `help:"Overwrite files. Keys and secrets are made anew, so the old ones stop working."`
+	Force     bool   `help:"Overwrite files. Keys and secrets are made anew, so the old ones stop working. Files that the new deployment does not have stay."`
 }
 
 // Help implements kong.HelpProvider.
--- a/cli/local_test.go
+++ b/cli/local_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -127,6 +128,15 @@
 	is.Equal(strings.Count(err.Error(), "\n"), 1) // two findings
 }
 
+// Guards against an operator secret that is sent to the proxy named in the
+// environment.
+func TestOperatorClientUsesNoProxy(t *testing.T) {
+	is := is.New(t)
+	transport, ok := newOperatorClient("10.0.0.1:7300", testSecret).http.Transport.(*http.Transport)
+	is.True(ok)
+	is.True(transport.Proxy == nil)
+}
+
 type reportRow struct {
 	Workspace string             `json:"workspace"`
 	Burn      map[string]float64 `json:"burn"`
--- a/cli/node.go
+++ b/cli/node.go
@@ -10,6 +10,15 @@
 	Settings string `required:"" type:"path" placeholder:"FILE" help:"Settings of the node, as JSON."`
 }
 
+// Help implements kong.HelpProvider.
+func (*nodeCommand) Help() string {
+	return `SIGTERM and SIGINT stop the node as planned: it takes no new requests and lets the running answers go on to their end, at most for limits.stop_timeout_s. Exit code 0 means that none was cut.
+
+Example:
+
+    figweir node --settings nodes/small-entry-1.json`
+}
+
 // Run runs a node until it gets SIGTERM or SIGINT.
 func (c *nodeCommand) Run(env *environment) error {
 	s, err := settings.Load(c.Settings)
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -27,6 +27,11 @@
 	VMs    string `name:"vms" type:"path" placeholder:"FILE" help:"List of VMs, as JSON."`
 }
 
+// Help implements kong.HelpProvider.
+func (*standinPlatform) Help() string {
+	return "Everything is kept in memory only.\n\nExample:\n\n    figweir standin platform --listen 127.0.0.1:23000 --vms vms.json"
+}
+
 // Run serves the platform stand-in.
 func (c *standinPlatform) Run(env *environment) error {
 	var vms []fleet.VM
@@ -56,6 +61,11 @@
 	Settings string `type:"path" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
+// Help implements kong.HelpProvider.
+func (*standinEngine) Help() string {
+	return "Example:\n\n    figweir standin engine --settings engines/drafts-1.json"
+}
+
 // Run serves an engine stand-in.
 func (c *standinEngine) Run(env *environment) error {
 	s := questionnaire.EngineStandin{Settings: engine.DefaultSettings(defaultEngineName)}
@@ -78,6 +88,11 @@
 	Settings string `type:"path" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
+// Help implements kong.HelpProvider.
+func (*standinService) Help() string {
+	return "Example:\n\n    figweir standin service --settings services/ledger-1.json"
+}
+
 // Run serves a service stand-in.
 func (c *standinService) Run(env *environment) error {
 	s := questionnaire.ServiceStandin{Name: defaultServiceName}
