Limit the reads that repeats of open calls cause

Cause: a batch that changes nothing is confirmed by a read of the head, and only writes were paced. A flood of repeats made one read after the other.

Ruled out: answering repeats from memory. A writer that is behind would report a finished call as in progress until it next commits; the histories show it.

Before: commit_test.go:181: not true: w.Stats().Reads <= 1+11 --- FAIL: TestRepeatReads (1,000 repeats in 1 s with an interval of 100 ms) After: TestRepeatReads passes; all other tests pass.

Conclusion: reads and writes of a head are paced by the same interval. Reads of sealed segments for repeats of finished calls have no such limit yet; several repeats of one segment share a read.

--- a/once/commit.go
+++ b/once/commit.go
@@ -179,7 +179,7 @@
 		return errNotWritten
 	}
 	w.permit = false
-	w.lastWrite = time.Now()
+	w.lastAccess = time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, w.config.StoreTimeout)
 	defer cancel()
 	revision, err := w.store.Put(callCtx, headKey(w.rng), value, w.revision, 0)
--- a/once/commit_test.go
+++ b/once/commit_test.go
@@ -159,3 +159,25 @@
 		})
 	}
 }
+
+// TestRepeatReads guards against a read of the store for each repeat of an open
+// call.
+func TestRepeatReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		config := testConfig()
+		config.MinCommitInterval = 100 * time.Millisecond
+		w := startTest(memstore.New(), config, &goneSet{})
+		defer w.Close()
+		is.Equal(mustClaim(is, w, claimOf(1, "a")).State, Granted)
+		var repeats []<-chan claimResult
+		for range 1000 {
+			repeats = append(repeats, start(w, claimOf(1, "b")))
+			time.Sleep(time.Millisecond)
+		}
+		for _, r := range repeats {
+			is.Equal((<-r).answer.State, InProgress)
+		}
+		is.True(w.Stats().Reads <= 1+11) // the load, and one for each interval
+	})
+}
--- a/once/config.go
+++ b/once/config.go
@@ -17,7 +17,8 @@
 type Config struct {
 	// Ranges is the number of hash ranges, the same on every node.
 	Ranges uint32
-	// MinCommitInterval is the least time between two writes of a range's head.
+	// MinCommitInterval is the least time between two writes of a range's head. A
+	// batch that writes nothing waits as long after the head was last read.
 	MinCommitInterval time.Duration
 	// Retention is how long a claim is kept, in time measured by writers of its
 	// range. A repeat after that is a new call.
--- a/once/load.go
+++ b/once/load.go
@@ -21,6 +21,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, w.config.StoreTimeout)
 	defer cancel()
 	w.stats.reads.Add(1)
+	w.lastAccess = time.Now()
 	entry, err := w.store.Get(callCtx, headKey(w.rng))
 	switch {
 	case errors.Is(err, store.ErrNotFound):
--- a/once/writer.go
+++ b/once/writer.go
@@ -41,8 +41,9 @@
 	loadedTo  uint32
 	headBytes int
 	waiting   []*operation
-	lastWrite time.Time
-	permit    bool
+	// lastAccess is when the head was last read or written.
+	lastAccess time.Time
+	permit     bool
 	// deleted holds dropped segments that are gone from the store.
 	deleted map[uint64]bool
 }
@@ -197,10 +198,11 @@
 	}
 }
 
-// pace waits until the range may be written again. What arrives meanwhile joins
-// the next batch.
+// pace waits until the head may be read or written again. What arrives meanwhile
+// joins the next batch. Reads are limited too, because repeats of open calls need
+// one for each batch.
 func (w *Writer) pace(ctx context.Context) error {
-	if wait := time.Until(w.lastWrite.Add(w.config.MinCommitInterval)); !w.lastWrite.IsZero() && wait > 0 {
+	if wait := time.Until(w.lastAccess.Add(w.config.MinCommitInterval)); !w.lastAccess.IsZero() && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
