Log why a range refuses requests

Cause: a range that can't be read or written, for example because the number of ranges differs from the stored one, refused every claim and gave operators no reason.

Ruled out: a line for each refused request (thousands a second in an outage).

Before: no log. After: one line when the reason changes and one when the range accepts requests again; TestLayout checks it.

Conclusion: Config.Log takes a logr.Logger; the zero value logs nothing.

--- a/once/commit.go
+++ b/once/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -44,6 +45,7 @@
 		fresh := !w.valid
 		if !w.valid {
 			if err := w.refresh(ctx); err != nil {
+				w.note(err)
 				if !doubt {
 					refuseAll(ops)
 					return
@@ -66,6 +68,7 @@
 		err := w.write(ctx, p.entries)
 		switch {
 		case err == nil:
+			w.note(nil)
 			w.answer(p)
 			return
 		case errors.Is(err, store.ErrConflict):
@@ -73,6 +76,7 @@
 			w.valid = false
 		case errors.Is(err, store.ErrUnavailable), errors.Is(err, errNotWritten):
 			w.stats.unavailable.Add(1)
+			w.note(err)
 			if !doubt {
 				refuseAll(ops)
 				return
@@ -81,6 +85,7 @@
 			w.sleep(ctx)
 		default:
 			w.stats.ambiguous.Add(1)
+			w.note(fmt.Errorf("outcome of a write is undecided: %w", err))
 			w.valid = false
 			doubt, doubtRevision = true, w.revision
 			w.undecided.Store(true)
--- a/once/config.go
+++ b/once/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
 	"github.com/figweir/figweir/finding"
@@ -39,6 +40,8 @@
 	Backoff time.Duration
 	// LoadParallel is how many segments are read at a time.
 	LoadParallel int
+	// Log gets a line for each change of a writer's condition, not for requests.
+	Log logr.Logger
 }
 
 // DefaultConfig returns the limits for 16 ranges that together write at most 256
--- a/once/writer.go
+++ b/once/writer.go
@@ -44,6 +44,8 @@
 	// lastAccess is when the head was last read or written.
 	lastAccess time.Time
 	permit     bool
+	// failing is the text of the last error, or empty if the range works.
+	failing string
 	// deleted holds dropped segments that are gone from the store.
 	deleted map[uint64]bool
 }
@@ -79,6 +81,7 @@
 		stopped: make(chan struct{}),
 		deleted: make(map[uint64]bool),
 	}
+	w.config.Log = config.Log.WithValues("range", rng)
 	w.segments = newSegmentReader(s, rng, config.StoreTimeout)
 	go w.run(ctx)
 	return w
@@ -264,6 +267,24 @@
 	return ops
 }
 
+// note logs the error that keeps the range from being written, once for each
+// change. nil means that the range works.
+func (w *Writer) note(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text == w.failing {
+		return
+	}
+	w.failing = text
+	if err != nil {
+		w.config.Log.Error(err, "range refuses requests")
+		return
+	}
+	w.config.Log.Info("range accepts requests again")
+}
+
 // refuseWaiting refuses every operation that no batch has taken.
 func (w *Writer) refuseWaiting() {
 	for _, op := range w.waiting {
--- a/once/writer_test.go
+++ b/once/writer_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/platform/store"
@@ -183,7 +185,8 @@
 }
 
 // TestLayout guards against two processes with different numbers of ranges, for
-// which one key has two ranges and could be claimed twice.
+// which one key has two ranges and could be claimed twice, and against a range
+// that refuses without a line in the log or with one for each request.
 func TestLayout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -194,9 +197,15 @@
 		config.Ranges = 2
 		c := claimOf(1, "a")
 		c.Range = RangeOf(c.Key, 2)
+		var lines []string
+		config.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
 		other := StartWriter(mem, c.Range, config, NewBudget(1e6), &goneSet{})
-		defer other.Close()
-		is.Equal(mustClaim(is, other, c).State, Refused)
+		for range 3 {
+			is.Equal(mustClaim(is, other, c).State, Refused)
+		}
+		other.Close()
+		is.Equal(len(lines), 1)
+		is.True(strings.Contains(lines[0], ErrLayout.Error()))
 	})
 }
 
