Limit reads of outcomes and never say "not run" of a finished call

Ruled out: keeping outcomes in memory (2 KB for each call, 24 h long); a state of its own for "finished, but not readable", since Done without an outcome says the same.

The model of the histories allows a missing outcome for that reason, but no wrong one; the state machine requires the outcome once all faults are over.

Conclusion: Refused is about one request.

--- a/once/claimer.go
+++ b/once/claimer.go
@@ -27,7 +27,7 @@
 	State State
 	// Claim is set if the state is Granted.
 	Claim *Claim
-	// Outcome is set if the state is Done.
+	// Outcome is set if the state is Done and the outcome could be read.
 	Outcome *Outcome
 	// Cause is set if the state is Refused. It is for the log.
 	Cause error
--- a/once/commit.go
+++ b/once/commit.go
@@ -78,7 +78,7 @@
 			w.stats.unavailable.Add(1)
 			w.note(err)
 			if !doubt {
-				refuseAll(ops)
+				w.refusePlan(p)
 				return
 			}
 			w.valid = false
@@ -140,24 +140,45 @@
 // answer gives the results of a plan whose head is confirmed.
 func (w *Writer) answer(p plan) {
 	for i, op := range p.ops {
-		d := p.decisions[i]
-		switch {
-		case !d.sealed:
-			op.answer(d.result)
-		case d.record.ordinal < w.head.FirstOrdinal:
-			op.refuse() // Its segment was dropped by this very write.
-		default:
-			go w.answerSealed(op, w.segmentNumber(d.record.ordinal), int(d.record.slot))
-		}
+		w.give(op, p.decisions[i])
 	}
 	w.waiting = append(p.deferred, w.waiting...)
 }
 
+// refusePlan refuses a plan of which nothing was written, except for results that
+// hold in any case.
+func (w *Writer) refusePlan(p plan) {
+	for i, op := range p.ops {
+		if d := p.decisions[i]; d.final {
+			w.give(op, d)
+			continue
+		}
+		op.refuse()
+	}
+	refuseAll(p.deferred)
+}
+
+// give answers an operation with its decision.
+func (w *Writer) give(op *operation, d decision) {
+	switch {
+	case !d.sealed:
+		op.answer(d.result)
+	case d.record.ordinal < w.head.FirstOrdinal:
+		op.answer(outcomeNotRead) // Its segment was dropped by this very write.
+	default:
+		go w.answerSealed(op, w.segmentNumber(d.record.ordinal), int(d.record.slot))
+	}
+}
+
+// outcomeNotRead answers a repeat of a finished call whose outcome can't be read
+// at the moment. A refusal would say that the call did not run.
+var outcomeNotRead = result{answer: Answer{State: Done}}
+
 // answerSealed answers a claim with the outcome that a segment holds.
 func (w *Writer) answerSealed(op *operation, number uint64, slot int) {
 	outcome, err := w.segments.outcome(op.ctx, number, slot)
 	if err != nil {
-		op.refuse()
+		op.answer(outcomeNotRead)
 		return
 	}
 	op.answer(result{answer: Answer{State: Done, Outcome: outcome}})
--- a/once/config.go
+++ b/once/config.go
@@ -40,6 +40,9 @@
 	Backoff time.Duration
 	// LoadParallel is how many segments are read at a time.
 	LoadParallel int
+	// OutcomeReads is how many segments a second may be read for repeats of
+	// finished calls. Repeats beyond it are answered Done without the outcome.
+	OutcomeReads float64
 	// Log gets a line for each change of a writer's condition, not for requests.
 	Log logr.Logger
 }
@@ -59,6 +62,7 @@
 		StoreTimeout:      2 * time.Second,
 		Backoff:           50 * time.Millisecond,
 		LoadParallel:      8,
+		OutcomeReads:      20,
 	}
 }
 
@@ -80,6 +84,7 @@
 	positive("store_timeout", c.StoreTimeout > 0)
 	positive("backoff", c.Backoff > 0)
 	positive("load_parallel", c.LoadParallel > 0)
+	positive("outcome_reads", c.OutcomeReads > 0)
 	if c.MinCommitInterval < 0 {
 		list.Addf(path+".min_commit_interval", "must not be negative")
 	}
--- a/once/segment.go
+++ b/once/segment.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/platform/store"
@@ -24,13 +25,16 @@
 	timeout time.Duration
 	reads   atomic.Int64
 	flights singleflight.Group
+	// outcomes limits the reads that repeats of finished calls cause.
+	outcomes *rate.Limiter
 
 	mu    sync.Mutex
 	cache []*pb.OnceSegment
 }
 
-func newSegmentReader(s store.Store, rng Range, timeout time.Duration) *segmentReader {
-	return &segmentReader{store: s, rng: rng, timeout: timeout}
+func newSegmentReader(s store.Store, rng Range, config Config) *segmentReader {
+	limiter := rate.NewLimiter(rate.Limit(config.OutcomeReads), max(1, int(config.OutcomeReads/4)))
+	return &segmentReader{store: s, rng: rng, timeout: config.StoreTimeout, outcomes: limiter}
 }
 
 // read returns a segment from the store.
@@ -51,13 +55,7 @@
 	segment := s.cached(number)
 	if segment == nil {
 		key := segmentKey(s.rng, number)
-		flight := s.flights.DoChan(key, func() (any, error) {
-			segment, err := s.read(context.WithoutCancel(ctx), number)
-			if err == nil {
-				s.keep(segment)
-			}
-			return segment, err
-		})
+		flight := s.flights.DoChan(key, func() (any, error) { return s.readOutcomes(ctx, number) })
 		select {
 		case r := <-flight:
 			if r.Err != nil {
@@ -74,6 +72,21 @@
 	return outcomeFromProto(segment.Entries[slot].Outcome), nil
 }
 
+// readOutcomes reads a segment for all callers that wait for it, and keeps it.
+func (s *segmentReader) readOutcomes(ctx context.Context, number uint64) (*pb.OnceSegment, error) {
+	waitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.timeout)
+	defer cancel()
+	if err := s.outcomes.Wait(waitCtx); err != nil {
+		return nil, err
+	}
+	segment, err := s.read(waitCtx, number)
+	if err != nil {
+		return nil, err
+	}
+	s.keep(segment)
+	return segment, nil
+}
+
 func (s *segmentReader) cached(number uint64) *pb.OnceSegment {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/once/types.go
+++ b/once/types.go
@@ -120,13 +120,15 @@
 
 // The answers to a claim. Only Granted allows the call to be sent.
 const (
-	// Refused means that nothing may be sent: the claim is not recorded.
+	// Refused means that nothing may be sent: the claim is not recorded. It says
+	// nothing of earlier requests with the same key.
 	Refused State = iota
 	// Granted means that the claim is recorded and the call may be sent once.
 	Granted
 	// InProgress means that another claim of a live owner is open.
 	InProgress
-	// Done means that the outcome is recorded.
+	// Done means that the call has run and its outcome is recorded. The outcome is
+	// absent if it can't be read at the moment; the caller may ask again.
 	Done
 	// Unknown means that the call may have been sent and no outcome will come.
 	Unknown
--- a/once/writer.go
+++ b/once/writer.go
@@ -82,7 +82,7 @@
 		deleted: make(map[uint64]bool),
 	}
 	w.config.Log = config.Log.WithValues("range", rng)
-	w.segments = newSegmentReader(s, rng, config.StoreTimeout)
+	w.segments = newSegmentReader(s, rng, config)
 	go w.run(ctx)
 	return w
 }
--- a/peer/once.go
+++ b/peer/once.go
@@ -100,7 +100,7 @@
 		return once.Answer{}, fromConnect(err)
 	}
 	state, ok := fromState[m.State]
-	if !ok || (state == once.Done) != (m.Outcome != nil) {
+	if !ok || state != once.Done && m.Outcome != nil {
 		return once.Answer{}, fmt.Errorf("%w: answer in state %v", once.ErrNoAnswer, m.State)
 	}
 	return once.Answer{State: state, Outcome: outcomeFromProto(m.Outcome)}, nil
