Move the store with faults into a stand-in package

Cause: the store as one process sees it (refused, lost and late calls, pauses and kills at any call) was part of a test file of package once. Other proofs need the same, and memstore can't tell processes apart.

Ruled out: more hooks in standin/memstore, which belongs to another area.

Conclusion: once/faultstore can move next to standin/memstore when another package uses it.

--- a/once/cluster_test.go
+++ b/once/cluster_test.go
@@ -8,30 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/once/faultstore"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
-// fault is what happens to one call of a node to the store or to a peer.
-type fault string
-
-const (
-	refuse      fault = "refuse"       // not applied, ErrUnavailable
-	loseRequest fault = "lose request" // not applied, outcome unknown
-	loseAnswer  fault = "lose answer"  // applied, outcome unknown
-	deliverLate fault = "deliver late" // outcome unknown, applied after a second
-	pauseBefore fault = "pause before" // until the node is resumed
-	pauseAfter  fault = "pause after"
-	killBefore  fault = "kill before"
-	killAfter   fault = "kill after"
-)
-
-var allFaults = []fault{refuse, loseRequest, loseAnswer, deliverLate, pauseBefore, pauseAfter, killBefore, killAfter}
-
-// lateBy is longer than a claim may take, so that what is delivered late meets
-// the release of its claim.
-const lateBy = time.Second
-
 // cluster is a number of nodes around one store.
 type cluster struct {
 	mem   *memstore.Store
@@ -53,14 +33,13 @@
 	writers *Writers
 	claimer *Claimer
 
-	mu     sync.Mutex
-	dead   bool
-	resume chan struct{}
+	faultstore.Process
+	mu sync.Mutex
 	// writerOf is the node that this node takes for the writer of each range.
 	writerOf map[Range]int
-	store    []fault // one for each next call to the store; "" is none
-	link     []fault // one for each next call to a peer
-	claim    []fault // one for each next point between a grant and its settlement
+	// The faults of the next calls to the store and to peers, and of the next
+	// points between a grant and its settlement.
+	store, link, claim faultstore.Script
 }
 
 func newCluster(nodes int) *cluster {
@@ -77,8 +56,10 @@
 // start replaces a node by a new incarnation.
 func (c *cluster) start(i, incarnation int) {
 	n := &node{cluster: c, owner: fmt.Sprintf("n%d.%d", i, incarnation), writerOf: make(map[Range]int)}
+	n.Ended = c.ended
+	view := &faultstore.Store{Store: c.mem, Process: &n.Process, Script: &n.store}
 	n.writers = NewWriters(c.cfg.Ranges, func(r Range) *Writer {
-		return StartWriter(&nodeStore{Store: c.mem, node: n}, r, c.cfg, NewBudget(1e6), &c.gone)
+		return StartWriter(view, r, c.cfg, NewBudget(1e6), &c.gone)
 	})
 	n.claimer = NewClaimer(n.owner, c.ccfg, func(r Range) Handle {
 		n.mu.Lock()
@@ -101,90 +82,21 @@
 	return c.nodes[i]
 }
 
-// next takes the fault of the next call.
-func (n *node) next(list *[]fault) fault {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(*list) == 0 {
-		return ""
-	}
-	f := (*list)[0]
-	*list = (*list)[1:]
-	return f
-}
-
-func (n *node) arm(list *[]fault, skip int, f fault) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	*list = append(make([]fault, skip), f)
-}
-
-func (n *node) isDead() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.dead
-}
-
-// kill ends the incarnation: from now on none of its calls has an effect.
-func (n *node) kill() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.dead = true
-}
-
-// point applies a pause or a kill. A dead node never goes on.
-func (n *node) point(now bool, pause, kill bool) {
-	if now && kill {
-		n.kill()
-	}
-	if now && pause {
-		n.mu.Lock()
-		if n.resume == nil {
-			n.resume = make(chan struct{})
-		}
-		resume := n.resume
-		n.mu.Unlock()
-		select {
-		case <-resume:
-		case <-n.cluster.ended:
-		}
-	}
-	if n.isDead() {
-		<-n.cluster.ended
-	}
-}
-
-func (n *node) before(f fault) {
-	n.point(f == pauseBefore || f == killBefore, f == pauseBefore, f == killBefore)
-}
-func (n *node) after(f fault) {
-	n.point(f == pauseAfter || f == killAfter, f == pauseAfter, f == killAfter)
-}
-
-func (n *node) resumeAll() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.resume != nil {
-		close(n.resume)
-		n.resume = nil
-	}
-}
-
 // heal ends all faults, and replaces dead nodes.
 func (c *cluster) heal() {
 	c.mem.SetFault(nil)
 	for i := range c.nodes {
 		n := c.at(i)
-		n.mu.Lock()
-		n.store, n.link, n.claim = nil, nil, nil
-		n.mu.Unlock()
-		n.resumeAll()
-		if n.isDead() {
+		n.store.Set()
+		n.link.Set()
+		n.claim.Set()
+		n.Resume()
+		if n.Dead() {
 			c.start(i, 1000)
 		}
 	}
 	for _, n := range c.all {
-		c.gone.set(n.owner, n.isDead())
+		c.gone.set(n.owner, n.Dead())
 	}
 }
 
@@ -197,71 +109,6 @@
 	}
 }
 
-// nodeStore is the store as one node sees it.
-type nodeStore struct {
-	store.Store
-	node *node
-}
-
-func (s *nodeStore) do(write bool, act func() error) error {
-	f := s.node.next(&s.node.store)
-	s.node.before(f)
-	select {
-	case <-s.node.cluster.ended:
-		return store.ErrUnavailable
-	default:
-	}
-	lost := store.ErrUnavailable
-	if write {
-		lost = store.ErrAmbiguous
-	}
-	switch f {
-	case refuse:
-		return store.ErrUnavailable
-	case loseRequest:
-		return lost
-	case deliverLate:
-		if write {
-			go func() {
-				time.Sleep(lateBy)
-				_ = act()
-			}()
-		}
-		return lost
-	}
-	err := act()
-	s.node.after(f)
-	if f == loseAnswer {
-		return lost
-	}
-	return err
-}
-
-func (s *nodeStore) Get(ctx context.Context, key string) (entry store.Entry, err error) {
-	err = s.do(false, func() (err error) {
-		entry, err = s.Store.Get(context.WithoutCancel(ctx), key)
-		return err
-	})
-	return entry, err
-}
-
-func (s *nodeStore) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
-	var revision store.Revision
-	err := s.do(true, func() error {
-		r, err := s.Store.Put(context.WithoutCancel(ctx), key, value, expected, lease)
-		revision = r
-		return err
-	})
-	if err != nil {
-		return 0, err
-	}
-	return revision, nil
-}
-
-func (s *nodeStore) Delete(ctx context.Context, key string, expected store.Revision) error {
-	return s.do(true, func() error { return s.Store.Delete(context.WithoutCancel(ctx), key, expected) })
-}
-
 // link is the writer of a range on another node, reached over a network.
 type link struct {
 	from, to *node
@@ -271,24 +118,24 @@
 var errLink = errors.New("no answer from the peer")
 
 func (l *link) do(ctx context.Context, call func(context.Context, Handle) error) error {
-	f := l.from.next(&l.from.link)
+	f := l.from.link.Next()
 	handle := l.to.writers.Handle(l.rng)
-	if f == deliverLate {
+	if f == faultstore.DeliverLate {
 		go func() {
-			time.Sleep(lateBy)
+			time.Sleep(faultstore.LateBy)
 			lateCtx, cancel := timed()
 			defer cancel()
-			if !l.to.isDead() {
+			if !l.to.Dead() {
 				_ = call(lateCtx, handle)
 			}
 		}()
 	}
-	if l.to.isDead() || handle == nil || slices.Contains([]fault{refuse, loseRequest, deliverLate, killBefore}, f) {
+	if l.to.Dead() || handle == nil || slices.Contains([]faultstore.Fault{faultstore.Refuse, faultstore.LoseRequest, faultstore.DeliverLate, faultstore.KillBefore}, f) {
 		<-ctx.Done()
 		return errLink
 	}
 	err := call(ctx, handle)
-	if l.to.isDead() || slices.Contains([]fault{loseAnswer, killAfter}, f) {
+	if l.to.Dead() || slices.Contains([]faultstore.Fault{faultstore.LoseAnswer, faultstore.KillAfter}, f) {
 		<-ctx.Done()
 		return errLink
 	}
--- a/once/history_test.go
+++ b/once/history_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/once/faultstore"
 )
 
 // historySeeds are the seeds of the recorded histories.
@@ -189,7 +191,7 @@
 // an outdated answer by a writer that is behind, a claim or settlement that is
 // lost or takes effect twice, or a "not recorded" that is recorded after all.
 func TestHistories(t *testing.T) {
-	faults := []fault{refuse, loseRequest, loseAnswer, deliverLate, pauseBefore, pauseAfter}
+	faults := faultstore.All[:6] // without kills
 	for _, seed := range historySeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			var r recorder
@@ -197,10 +199,13 @@
 				c := newCluster(3)
 				rng := rand.New(rand.NewPCG(seed, 0))
 				for _, n := range c.nodes {
+					var atStore, atLink []faultstore.Fault
 					for range 4000 {
-						n.store = append(n.store, slices.Concat(make([]fault, 9*len(faults)), faults)[rng.IntN(10*len(faults))])
-						n.link = append(n.link, slices.Concat(make([]fault, 9*4), faults[:4])[rng.IntN(10*4)])
+						atStore = append(atStore, slices.Concat(make([]faultstore.Fault, 9*len(faults)), faults)[rng.IntN(10*len(faults))])
+						atLink = append(atLink, slices.Concat(make([]faultstore.Fault, 9*4), faults[:4])[rng.IntN(10*4)])
 					}
+					n.store.Set(atStore...)
+					n.link.Set(atLink...)
 				}
 				var clients sync.WaitGroup
 				for client := range 6 {
@@ -210,7 +215,7 @@
 				go func() {
 					for range ticker.C {
 						for _, n := range c.nodes {
-							n.resumeAll()
+							n.Resume()
 						}
 						select {
 						case <-c.ended:
--- a/once/machine_test.go
+++ b/once/machine_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/figweir/figweir/once/faultstore"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -104,15 +105,15 @@
 	ctx, cancel := timed()
 	defer cancel()
 	d := n.claimer.Claim(ctx, Call{Key: testKey(a.key), BodyDigest: testBody(a.body)})
-	if n.isDead() {
+	if n.Dead() {
 		return // The caller's connection broke.
 	}
 	if d.State != Granted {
 		o.update(func() { a.answered, a.state, a.outcome = true, d.State, d.Outcome })
 		return
 	}
-	f := n.next(&n.claim)
-	if n.before(f); n.isDead() {
+	f := n.claim.Next()
+	if n.Before(f); n.Dead() {
 		return
 	}
 	if todo == giveBack {
@@ -121,7 +122,7 @@
 		return
 	}
 	o.update(func() { a.ran = true })
-	if n.after(f); n.isDead() {
+	if n.After(f); n.Dead() {
 		return
 	}
 	outcome := answerOf(a)
@@ -154,7 +155,7 @@
 func (m *machine) startCalls(t *rapid.T) {
 	for range rapid.IntRange(1, 4).Draw(t, "calls") {
 		_, n := m.drawNode(t)
-		if n.isDead() {
+		if n.Dead() {
 			continue
 		}
 		a := &attempt{
@@ -170,15 +171,15 @@
 
 func (m *machine) armFault(t *rapid.T) {
 	_, n := m.drawNode(t)
-	f := rapid.SampledFrom(allFaults).Draw(t, "fault")
+	f := rapid.SampledFrom(faultstore.All).Draw(t, "fault")
 	skip := rapid.IntRange(0, 3).Draw(t, "skip")
 	switch rapid.IntRange(0, 4).Draw(t, "place") {
 	case 0:
-		n.arm(&n.link, skip, f)
+		n.link.Set(append(make([]faultstore.Fault, skip), f)...)
 	case 1:
-		n.arm(&n.claim, skip%2, f)
+		n.claim.Set(append(make([]faultstore.Fault, skip%2), f)...)
 	default:
-		n.arm(&n.store, skip, f)
+		n.store.Set(append(make([]faultstore.Fault, skip), f)...)
 	}
 }
 
@@ -211,8 +212,8 @@
 		}),
 		"resume or restart": wait(func(t *rapid.T) {
 			i, n := m.drawNode(t)
-			n.resumeAll()
-			if n.isDead() {
+			n.Resume()
+			if n.Dead() {
 				m.start(i, m.count+2)
 			}
 		}),
