--- a/once/config.go
+++ b/once/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
 	"github.com/figweir/figweir/finding"
@@ -17,7 +18,8 @@
 type Config struct {
 	// Ranges is the number of hash ranges, the same on every node.
 	Ranges uint32
-	// MinCommitInterval is the least time between two writes of a range's head.
+	// MinCommitInterval is the least time between two writes of a range's head. A
+	// batch that writes nothing waits as long after the head was last read.
 	MinCommitInterval time.Duration
 	// Retention is how long a claim is kept, in time measured by writers of its
 	// range. A repeat after that is a new call.
@@ -38,6 +40,11 @@
 	Backoff time.Duration
 	// LoadParallel is how many segments are read at a time.
 	LoadParallel int
+	// OutcomeReads is how many segments a second may be read for repeats of
+	// finished calls. Repeats beyond it are answered Done without the outcome.
+	OutcomeReads float64
+	// Log gets a line for each change of a writer's condition, not for requests.
+	Log logr.Logger
 }
 
 // DefaultConfig returns the limits for 16 ranges that together write at most 256
@@ -55,6 +62,7 @@
 		StoreTimeout:      2 * time.Second,
 		Backoff:           50 * time.Millisecond,
 		LoadParallel:      8,
+		OutcomeReads:      20,
 	}
 }
 
@@ -76,6 +84,7 @@
 	positive("store_timeout", c.StoreTimeout > 0)
 	positive("backoff", c.Backoff > 0)
 	positive("load_parallel", c.LoadParallel > 0)
+	positive("outcome_reads", c.OutcomeReads > 0)
 	if c.MinCommitInterval < 0 {
 		list.Addf(path+".min_commit_interval", "must not be negative")
 	}
--- a/once/writer.go
+++ b/once/writer.go
@@ -41,8 +41,11 @@
 	loadedTo  uint32
 	headBytes int
 	waiting   []*operation
-	lastWrite time.Time
-	permit    bool
+	// lastAccess is when the head was last read or written.
+	lastAccess time.Time
+	permit     bool
+	// failing is the text of the last error, or empty if the range works.
+	failing string
 	// deleted holds dropped segments that are gone from the store.
 	deleted map[uint64]bool
 }
@@ -78,7 +81,8 @@
 		stopped: make(chan struct{}),
 		deleted: make(map[uint64]bool),
 	}
-	w.segments = newSegmentReader(s, rng, config.StoreTimeout)
+	w.config.Log = config.Log.WithValues("range", rng)
+	w.segments = newSegmentReader(s, rng, config)
 	go w.run(ctx)
 	return w
 }
@@ -197,10 +201,11 @@
 	}
 }
 
-// pace waits until the range may be written again. What arrives meanwhile joins
-// the next batch.
+// pace waits until the head may be read or written again. What arrives meanwhile
+// joins the next batch. Reads are limited too, because repeats of open calls need
+// one for each batch.
 func (w *Writer) pace(ctx context.Context) error {
-	if wait := time.Until(w.lastWrite.Add(w.config.MinCommitInterval)); !w.lastWrite.IsZero() && wait > 0 {
+	if wait := time.Until(w.lastAccess.Add(w.config.MinCommitInterval)); !w.lastAccess.IsZero() && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -262,6 +267,24 @@
 	return ops
 }
 
+// note logs the error that keeps the range from being written, once for each
+// change. nil means that the range works.
+func (w *Writer) note(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text == w.failing {
+		return
+	}
+	w.failing = text
+	if err != nil {
+		w.config.Log.Error(err, "range refuses requests")
+		return
+	}
+	w.config.Log.Info("range accepts requests again")
+}
+
 // refuseWaiting refuses every operation that no batch has taken.
 func (w *Writer) refuseWaiting() {
 	for _, op := range w.waiting {
--- a/once/writer_test.go
+++ b/once/writer_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/platform/store"
@@ -164,15 +166,17 @@
 		defer w.Close()
 		is.Equal(mustClaim(is, w, claimOf(100, "a")).State, Granted)
 		is.Equal(mustClaim(is, w, claimOf(0, "a")).State, InProgress)
-		time.Sleep(59 * time.Minute)
+		time.Sleep(30 * time.Minute)
+		for n := 30; n < 60; n++ {
+			is.Equal(mustClaim(is, w, claimOf(n, "a")).State, Granted)
+		}
+		time.Sleep(29 * time.Minute)
 		is.Equal(mustClaim(is, w, claimOf(101, "a")).State, Granted)
 		is.Equal(mustClaim(is, w, claimOf(0, "a")).State, InProgress)
 		time.Sleep(2 * time.Minute)
 		is.Equal(mustClaim(is, w, claimOf(102, "a")).State, Granted)
-		is.Equal(mustClaim(is, w, claimOf(0, "a")).State, Granted)
-		for n := range 8 {
-			is.Equal(mustClaim(is, w, claimOf(200+n, "a")).State, Granted)
-		}
+		is.Equal(mustClaim(is, w, claimOf(0, "a")).State, Granted) // its segment was dropped
+		is.Equal(mustClaim(is, w, claimOf(40, "a")).State, InProgress)
 		time.Sleep(time.Second)
 		is.True(w.Stats().Deleted >= 2)
 		_, err := mem.Get(t.Context(), segmentKey(0, 4))
@@ -181,7 +185,8 @@
 }
 
 // TestLayout guards against two processes with different numbers of ranges, for
-// which one key has two ranges and could be claimed twice.
+// which one key has two ranges and could be claimed twice, and against a range
+// that refuses without a line in the log or with one for each request.
 func TestLayout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -192,9 +197,15 @@
 		config.Ranges = 2
 		c := claimOf(1, "a")
 		c.Range = RangeOf(c.Key, 2)
+		var lines []string
+		config.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
 		other := StartWriter(mem, c.Range, config, NewBudget(1e6), &goneSet{})
-		defer other.Close()
-		is.Equal(mustClaim(is, other, c).State, Refused)
+		for range 3 {
+			is.Equal(mustClaim(is, other, c).State, Refused)
+		}
+		other.Close()
+		is.Equal(len(lines), 1)
+		is.True(strings.Contains(lines[0], ErrLayout.Error()))
 	})
 }
 
