admit: bound the streams that are admitted

The size of a decode batch decides the time between tokens. A bound on decode tokens doesn't bound it, since short answers make more streams of the same tokens: 3,600 tokens are 36 streams of 100 or 18 of 200. Work has a field Streams, which is bounded like the others and has no price.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -155,7 +155,7 @@
 
 // Used returns the admitted work that is not yet done.
 func (c *Controller) Used() Work {
-	return Work{c.used[0].Load(), c.used[1].Load(), c.used[2].Load()}
+	return Work{c.used[0].Load(), c.used[1].Load(), c.used[2].Load(), c.used[3].Load()}
 }
 
 // Admit waits until the request may start. The error is a *RefusedError. The
--- a/admit/work.go
+++ b/admit/work.go
@@ -19,13 +19,16 @@
 	DecodeTokens int64
 	// KVBlocks are the KV blocks that the request holds while it runs.
 	KVBlocks int64
+	// Streams is 1 for an answer that takes a place in a decode batch, whose
+	// size decides the time between tokens. It has no price.
+	Streams int64
 }
 
 // resources is the number of fields of Work.
-const resources = 3
+const resources = 4
 
 func (w Work) vector() [resources]int64 {
-	return [resources]int64{w.PrefillTokens, w.DecodeTokens, w.KVBlocks}
+	return [resources]int64{w.PrefillTokens, w.DecodeTokens, w.KVBlocks, w.Streams}
 }
 
 // Prices turn work into engine-seconds, the unit of fair shares.
