route, admit: count pairs on both servers, refuse late requests when idle

And Offer checked the deadline only when it had to queue, so that a request whose own time exceeds its deadline was admitted while there was room. Both have a test that failed before.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -194,6 +194,10 @@
 	is.Equal(len(waiting), 7) // 2 s at 4 engine-seconds a second
 	c.SetCapacity(start, admit.Capacity{Outstanding: admit.Work{KVBlocks: 40}, EngineSecondsPerSecond: 2})
 	is.Equal(c.Waiting(), 3)
+	// A free controller refuses as well if the request itself takes too long.
+	_, err := controller(4, admit.Options{}).Offer(start, admit.Request{Work: unit, Service: 5 * time.Second, Deadline: start.Add(4 * time.Second)}, nil)
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.RetryAfter, time.Second)
 	is.True(errors.As(waiting[6].Err(), &refused))
 	is.Equal(refused.Reason, admit.ReasonDeadline)
 }
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -191,6 +191,9 @@
 	if c.stopped.Load() {
 		return nil, &RefusedError{r.Workspace, ReasonStopping, retryAfterStopping}
 	}
+	if late := now.Add(r.Service).Sub(r.Deadline); !r.Deadline.IsZero() && late > 0 {
+		return nil, &RefusedError{r.Workspace, ReasonDeadline, min(maxRetryAfter, max(late, minRetryAfter))}
+	}
 	w := c.workspace(r.Workspace)
 	t := &Ticket{controller: c, workspace: w, need: r.Work.vector(), seconds: c.options.Prices.EngineSeconds(r.Work), decided: decided}
 	w.mu.Lock()
--- a/route/load.go
+++ b/route/load.go
@@ -8,7 +8,8 @@
 // Load is the work that a backend server holds. All fields are amounts at one
 // moment, not rates.
 type Load struct {
-	// Streams is the number of answers in progress.
+	// Streams is the number of requests in progress. A request on a pair counts
+	// on the prefill server until its first token.
 	Streams int64
 	// PrefillTokens are prompt tokens that are not yet processed and not cached.
 	PrefillTokens int64
@@ -123,7 +124,7 @@
 	}
 	f.decodeTokens.Store(int64(r.OutputTokens))
 	f.decode.own.add(Load{Streams: 1, DecodeTokens: int64(r.OutputTokens), KVBlocks: f.kvBlocks})
-	f.prefill.own.add(Load{PrefillTokens: f.prefillTokens})
+	f.prefill.own.add(Load{Streams: f.prefillStreams(), PrefillTokens: f.prefillTokens})
 	return f
 }
 
@@ -153,10 +154,18 @@
 
 func (f *Flight) endPrefill() {
 	if !f.prefilled.Swap(true) {
-		f.prefill.own.prefillTokens.Add(-f.prefillTokens)
+		f.prefill.own.add(Load{Streams: -f.prefillStreams(), PrefillTokens: -f.prefillTokens})
 	}
 }
 
+// prefillStreams is what the request counts on the prefill server of a pair.
+func (f *Flight) prefillStreams() int64 {
+	if f.prefill == f.decode {
+		return 0
+	}
+	return 1
+}
+
 func kvBlocks(r *Request, blockTokens int) int64 {
 	if blockTokens <= 0 {
 		return 0
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -158,6 +158,30 @@
 	is.Equal(s.OwnLoad(), route.Load{})
 }
 
+// TestPairCountsOnBothServers guards against prefill servers that always look
+// idle to least outstanding requests, so that one of them gets all prompts.
+func TestPairCountsOnBothServers(t *testing.T) {
+	is := is.New(t)
+	tracker := route.NewTracker("pool", "node", 16)
+	tracker.Register(start, engines(6, split))
+	used := make(map[string]bool)
+	r := &route.Request{PromptTokens: 160, OutputTokens: 16}
+	var flights []*route.Flight
+	for range 2 {
+		c, err := route.LeastOutstanding{}.Pick(tracker.View(), r)
+		is.NoErr(err)
+		used[c.Prefill.Name] = true
+		flights = append(flights, c.Begin(r, 16))
+	}
+	is.Equal(len(used), 2)
+	for _, f := range flights {
+		f.End()
+	}
+	for _, s := range tracker.View().Servers {
+		is.Equal(s.OwnLoad(), route.Load{})
+	}
+}
+
 // TestStaleReportIsNotIdle guards against a server that has stopped reporting
 // looking idle and drawing all requests.
 func TestStaleReportIsNotIdle(t *testing.T) {
