--- a/route/route_test.go
+++ b/route/route_test.go
@@ -158,6 +158,30 @@
 	is.Equal(s.OwnLoad(), route.Load{})
 }
 
+// TestPairCountsOnBothServers guards against prefill servers that always look
+// idle to least outstanding requests, so that one of them gets all prompts.
+func TestPairCountsOnBothServers(t *testing.T) {
+	is := is.New(t)
+	tracker := route.NewTracker("pool", "node", 16)
+	tracker.Register(start, engines(6, split))
+	used := make(map[string]bool)
+	r := &route.Request{PromptTokens: 160, OutputTokens: 16}
+	var flights []*route.Flight
+	for range 2 {
+		c, err := route.LeastOutstanding{}.Pick(tracker.View(), r)
+		is.NoErr(err)
+		used[c.Prefill.Name] = true
+		flights = append(flights, c.Begin(r, 16))
+	}
+	is.Equal(len(used), 2)
+	for _, f := range flights {
+		f.End()
+	}
+	for _, s := range tracker.View().Servers {
+		is.Equal(s.OwnLoad(), route.Load{})
+	}
+}
+
 // TestStaleReportIsNotIdle guards against a server that has stopped reporting
 // looking idle and drawing all requests.
 func TestStaleReportIsNotIdle(t *testing.T) {
@@ -184,10 +208,24 @@
 	is.Equal(d.Cached(start.Add(time.Minute), blocks), 3)
 	is.Equal(d.Cached(start.Add(5*time.Minute), blocks), 0)
 	d.Add(start, blocks...)
-	d.Remove(blocks[1])
+	d.Remove(blocks[1], blocks[2])
 	is.Equal(d.Cached(start, blocks), 1)
 }
 
+// TestDigestToleratesReplacedSlot guards against one block that was replaced by
+// another in the table hiding the whole cached prefix behind it.
+func TestDigestToleratesReplacedSlot(t *testing.T) {
+	is := is.New(t)
+	d := &route.Digest{}
+	var blocks []uint64
+	for i := range 40 {
+		blocks = append(blocks, uint64(i+1)<<40|uint64(i))
+	}
+	d.Add(start, blocks[:30]...)
+	d.Add(start, 99<<40|10) // takes the slot of blocks[10]
+	is.Equal(d.Cached(start, blocks), 30)
+}
+
 // TestSubsetIsBoundedAndStable guards against a node that talks to the whole
 // fleet, and against a subset that is reshuffled when one server goes.
 func TestSubsetIsBoundedAndStable(t *testing.T) {
