--- a/configsync/harness_test.go
+++ b/configsync/harness_test.go
@@ -64,7 +64,6 @@
 	mux     *http.ServeMux
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
-	served  store.Revision // greatest one seen by the monitor
 }
 
 func newFabric(seed uint64) *fabric {
--- /dev/null
+++ b/peer/auth_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/configsync"
+	"github.com/figweir/figweir/membership"
+)
+
+// echo records what it was sent and answers with fixed messages.
+type echo struct {
+	request *membership.Request
+	push    *configsync.PushRequest
+	pull    *configsync.PullRequest
+}
+
+var (
+	testState   = membership.NodeState{Name: "vm1", Incarnation: "0a", Heartbeat: 7, Leaving: true, Revision: 9, Informed: true, SuspectedBy: []string{"vm2"}}
+	testRequest = &membership.Request{
+		Self: testState, Changes: []membership.NodeState{testState}, NoticesDigest: 3, ListHash: 4, WantReach: true,
+		Notices: []membership.ServerNotice{{Name: "laugar-17", Version: 2, Leaving: true}},
+	}
+	testReply = &membership.Reply{
+		Self: testState, Changes: []membership.NodeState{testState}, StoreRead: membership.ReadAge{Known: true, Age: 1500 * time.Microsecond},
+		Notices: []membership.ServerNotice{}, Reach: &membership.Reach{Ages: []byte{1, 255}, NameHashes: []uint64{5, 6}},
+	}
+	testParts = []configsync.Part{{Name: "base", Digest: "d1", Value: []byte("{}")}, {Name: "workspaces-01", Digest: "d2"}}
+)
+
+func (e *echo) Handle(_ context.Context, r *membership.Request) (*membership.Reply, error) {
+	e.request = r
+	return testReply, nil
+}
+
+func (e *echo) HandlePush(_ context.Context, r *configsync.PushRequest) (*configsync.PushReply, error) {
+	e.push = r
+	return &configsync.PushReply{Revision: 5, Missing: []string{"d2"}}, nil
+}
+
+func (e *echo) HandlePull(_ context.Context, r *configsync.PullRequest) (*configsync.PullReply, error) {
+	e.pull = r
+	return &configsync.PullReply{Revision: 6, Author: "a", Parts: testParts}, nil
+}
+
+// serve listens on loopback with both services behind a secret.
+func serve(t *testing.T, secret string) (*echo, membership.VM) {
+	e, mux := &echo{}, http.NewServeMux()
+	mux.Handle(NewMembershipHandler(e, NewAuth(secret)))
+	mux.Handle(NewConfigHandler(e, NewAuth(secret)))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = Protocols()
+	server.Start()
+	t.Cleanup(server.Close)
+	return e, membership.VM{Name: "vm1", Address: server.Listener.Addr().String()}
+}
+
+// TestSecretIsRequired guards against a peer call that is answered without the
+// right secret, on any of the services.
+func TestSecretIsRequired(t *testing.T) {
+	is := is.New(t)
+	e, vm := serve(t, "right")
+	ctx := context.Background()
+	client := NewHTTPClient()
+	defer client.CloseIdleConnections()
+	for _, secret := range []string{"", "wrong", "right ", "righ"} {
+		_, err := NewMembershipClient(client, NewAuth(secret)).Heartbeat(ctx, vm, testRequest)
+		is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
+		configs := NewConfigClient(client, NewAuth(secret))
+		_, err = configs.Push(ctx, vm, &configsync.PushRequest{})
+		is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
+		_, err = configs.Pull(ctx, vm, &configsync.PullRequest{})
+		is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
+	}
+	is.True(e.request == nil && e.push == nil && e.pull == nil)
+}
+
+// TestMessagesArriveWhole guards against a field that a conversion leaves out,
+// and against an age that is rounded down on its way.
+func TestMessagesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	e, vm := serve(t, "right")
+	ctx := context.Background()
+	client := NewHTTPClient()
+	defer client.CloseIdleConnections()
+	reply, err := NewMembershipClient(client, NewAuth("right")).Heartbeat(ctx, vm, testRequest)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(e.request, testRequest))
+	want := *testReply
+	want.StoreRead.Age = 2 * time.Millisecond
+	is.True(reflect.DeepEqual(reply, &want))
+
+	configs := NewConfigClient(client, NewAuth("right"))
+	push := &configsync.PushRequest{Revision: 5, Author: "a", Parts: testParts}
+	pushed, err := configs.Push(ctx, vm, push)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(e.push, push))
+	is.Equal(pushed, &configsync.PushReply{Revision: 5, Missing: []string{"d2"}})
+	pull := &configsync.PullRequest{KnownRevision: 4, KnownDigests: []string{"d1"}}
+	pulled, err := configs.Pull(ctx, vm, pull)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(e.pull, pull))
+	is.Equal(pulled, &configsync.PullReply{Revision: 6, Author: "a", Parts: testParts})
+}
