Move the in-process network of the tests to standin/memnet

Cause: the network with its faults is a stand-in like memstore, and other packages need the same for their proofs.

Ruled out: one copy in each package's tests.

Before: part of configsync's test harness.

Conclusion: same behaviour, reusable.

--- a/configsync/harness_test.go
+++ b/configsync/harness_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,6 +17,7 @@
 	"github.com/figweir/figweir/membership"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/standin/memnet"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -28,6 +27,7 @@
 // package peer, in process, and injects faults between them.
 type fabric struct {
 	mem *memstore.Store
+	net *memnet.Network
 
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -40,8 +40,6 @@
 	lossRate  float64 // of requests and of replies
 	storeLoss float64 // of answers of the store
 	maxDelay  time.Duration
-
-	calls, bytes atomic.Int64 // calls delivered; bytes of bodies
 }
 
 type listed struct {
@@ -68,7 +66,7 @@
 
 func newFabric(seed uint64) *fabric {
 	f := &fabric{
-		mem: memstore.New(), rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node),
+		mem: memstore.New(), net: memnet.New(seed), rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node),
 		byAddress: make(map[string]*node), group: make(map[string]int), storeCut: make(map[string]bool),
 	}
 	f.mem.SetFault(func(memstore.Op, string) memstore.Fault {
@@ -129,7 +127,7 @@
 
 func (n *node) start() {
 	auth := peer.NewAuth(secret)
-	client := caller{n}
+	client := n.fabric.net.Client(n.vm.Address)
 	settings := testMembership
 	settings.Self = n.vm
 	p := &process{mux: http.NewServeMux()}
@@ -146,9 +144,11 @@
 	p.done.Go(func() { p.members.Run(ctx) })
 	p.done.Go(func() { p.sync.Run(ctx) })
 	n.process.Store(p)
+	n.fabric.net.Listen(n.vm.Address, p.mux)
 }
 
 func (n *node) stop() {
+	n.fabric.net.Listen(n.vm.Address, nil)
 	if p := n.process.Swap(nil); p != nil {
 		p.cancel()
 		p.done.Wait()
@@ -169,65 +169,27 @@
 
 // heal ends every fault but stopped processes.
 func (f *fabric) heal() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.group, f.storeCut = make(map[string]int), make(map[string]bool)
-	f.storeDown, f.lossRate, f.storeLoss, f.maxDelay = false, 0, 0, 0
+	f.change(func() {
+		f.group, f.storeCut = make(map[string]int), make(map[string]bool)
+		f.storeDown, f.lossRate, f.storeLoss, f.maxDelay = false, 0, 0, 0
+	})
 }
 
-// way decides what happens to a message: whether it is lost, and its delay.
-func (f *fabric) way(from, to string) (lost bool, delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.maxDelay > 0 {
-		delay = time.Duration(f.rng.Int64N(int64(f.maxDelay)))
+// setNetwork replaces the network's faults with those of the fabric.
+func (f *fabric) setNetwork() {
+	side := make(map[string]int)
+	for _, n := range f.byAddress {
+		side[n.vm.Address] = f.group[n.vm.Name]
 	}
-	return f.group[from] != f.group[to] || f.rng.Float64() < f.lossRate, delay
+	f.net.SetFaults(memnet.Faults{Loss: f.lossRate, MaxDelay: f.maxDelay, Side: side})
 }
 
-// caller is the HTTP client of a node. A lost message shows as a time-out.
-type caller struct{ from *node }
-
-var errRefused = errors.New("connection refused")
-
-// Do implements connect.HTTPClient.
-func (c caller) Do(request *http.Request) (*http.Response, error) {
-	f := c.from.fabric
+// change changes the faults.
+func (f *fabric) change(change func()) {
 	f.mu.Lock()
-	to := f.byAddress[request.URL.Host]
-	f.mu.Unlock()
-	if err := c.pass(request.Context(), c.from.vm.Name, to.vm.Name); err != nil {
-		return nil, err
-	}
-	p := to.process.Load()
-	if p == nil {
-		return nil, errRefused
-	}
-	recorder := httptest.NewRecorder()
-	p.mux.ServeHTTP(recorder, request)
-	if err := c.pass(request.Context(), to.vm.Name, c.from.vm.Name); err != nil {
-		return nil, err
-	}
-	f.calls.Add(1)
-	f.bytes.Add(max(request.ContentLength, 0) + int64(recorder.Body.Len()))
-	return recorder.Result(), nil
-}
-
-func (c caller) pass(ctx context.Context, from, to string) error {
-	lost, delay := c.from.fabric.way(from, to)
-	if lost {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	if delay == 0 {
-		return nil
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(delay):
-		return nil
-	}
+	defer f.mu.Unlock()
+	change()
+	f.setNetwork()
 }
 
 // cutStore is the store as one node reaches it.
--- a/configsync/machine_test.go
+++ b/configsync/machine_test.go
@@ -153,9 +153,7 @@
 		return time.Duration(rapid.IntRange(low, high).Draw(rt, "ms")) * time.Millisecond
 	}
 	locked := func(change func(f *fabric)) {
-		m.f.mu.Lock()
-		defer m.f.mu.Unlock()
-		change(m.f)
+		m.f.change(func() { change(m.f) })
 	}
 	race := func(rt *rapid.T, operators int) {
 		d, version, err := config.NewRepository(m.f.mem).Load(context.Background())
--- a/configsync/outage_test.go
+++ b/configsync/outage_test.go
@@ -40,9 +40,7 @@
 		_, err = before.Authenticate(testKey(0), keySecret)
 		is.NoErr(err)
 
-		f.mu.Lock()
-		f.group["vm003"], f.storeCut["vm003"] = 1, true
-		f.mu.Unlock()
+		f.split(true, "vm003")
 		d, version, err := config.NewRepository(f.mem).Load(context.Background())
 		is.NoErr(err)
 		result, err := withdraw(f.nodes["vm000"].process.Load(), d, version.Revision, 0, "operator")
@@ -76,13 +74,13 @@
 // split puts the named nodes on one side of a partition and cuts them off from
 // the store if asked; the others are on the other side.
 func (f *fabric) split(storeCut bool, names ...string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.group = make(map[string]int)
-	for _, name := range names {
-		f.group[name] = 1
-		f.storeCut[name] = storeCut
-	}
+	f.change(func() {
+		f.group = make(map[string]int)
+		for _, name := range names {
+			f.group[name] = 1
+			f.storeCut[name] = storeCut
+		}
+	})
 }
 
 // TestChangeByMinorityIsOnlyStored guards against reporting a change as
@@ -147,9 +145,7 @@
 		defer f.stop()
 		f.deploy(5, 2, testDocument(2))
 		f.split(true, "vm002", "vm003", "vm004")
-		f.mu.Lock()
-		f.storeCut["vm001"] = true
-		f.mu.Unlock()
+		f.change(func() { f.storeCut["vm001"] = true })
 		time.Sleep(3 * time.Second)
 		d, version := operatorReads(t, f)
 		results := make(chan configsync.Result, 1)
@@ -159,9 +155,7 @@
 			results <- result
 		}()
 		time.Sleep(10 * time.Millisecond)
-		f.mu.Lock()
-		f.storeDown = true
-		f.mu.Unlock()
+		f.change(func() { f.storeDown = true })
 		time.Sleep(990 * time.Millisecond)
 		is.True(f.nodes["vm001"].process.Load().sync.Revision() > version.Revision) // it has acknowledged the change
 		f.nodes["vm001"].stop()
@@ -218,9 +212,7 @@
 				for _, name := range f.names() {
 					f.nodes[name].process.Load().sync.SetRule(r.rule)
 				}
-				f.mu.Lock()
-				outage.begin(f)
-				f.mu.Unlock()
+				f.change(func() { outage.begin(f) })
 				served, samples, withdrawn, status := measureOutage(t, f)
 				share := float64(served) / float64(samples)
 				t.Logf("%-45s | %-11s | served %.1f%% | withdrawn key served %.1f%% | change %s", outage.name, r.name,
