Bound the connections for heartbeats and the traffic in an outage of the store

Before: heartbeats to all nodes, reach in each reply when it may be needed. After: heartbeats to at most 64 nodes picked by rendezvous hashing, reach in every second reply above 128 nodes.

--- /dev/null
+++ b/configsync/race_test.go
@@ -0,0 +1,42 @@
+package configsync_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/standin/memstore"
+)
+
+// TestAppliedChangeIsNotReportedAsRace guards against an operator who is told
+// that another change came first although their own took effect: the store lost
+// its answer, and a second operator built on it before the first read back.
+func TestAppliedChangeIsNotReportedAsRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFabric(7)
+		defer f.stop()
+		f.deploy(3, 1, testDocument(3))
+		d, version := operatorReads(t, f)
+		inside := false
+		f.mem.SetFault(func(op memstore.Op, key string) memstore.Fault {
+			if op != memstore.OpPut || key != config.HeadKey || inside {
+				return memstore.Fault{}
+			}
+			inside = true
+			return memstore.Fault{LoseAnswer: true, After: func() {
+				first, firstVersion := operatorReads(t, f)
+				is.Equal(firstVersion.Head.Author, "first") // it took effect
+				_, err := config.NewRepository(f.mem).Apply(context.Background(), first, firstVersion.Revision, "second")
+				is.NoErr(err)
+			}}
+		})
+		_, err := withdraw(f.nodes["vm000"].process.Load(), d, version.Revision, 0, "first")
+		var race *config.RaceError
+		is.True(!errors.As(err, &race)) // the change was applied, so no race was lost
+	})
+}
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -160,3 +162,26 @@
 	l.hash = digest.Sum64()
 	return l
 }
+
+// peersOf returns the nodes that the named one sends heartbeats to: all others,
+// or in a large deployment those that rendezvous hashing picks for it, so that
+// a changed list changes few of them and every node is picked by about as many.
+func (l *vmList) peersOf(self string) []string {
+	seed := xxhash.Sum64String(self)
+	var others []int
+	for i, name := range l.names {
+		if name != self {
+			others = append(others, i)
+		}
+	}
+	if len(others) > maxPeers {
+		score := func(i int) uint64 { return mix(seed ^ bits.RotateLeft64(l.hashes[i], 32)) }
+		slices.SortFunc(others, func(a, b int) int { return cmp.Compare(score(b), score(a)) })
+		others = others[:maxPeers]
+	}
+	out := make([]string, len(others))
+	for i, index := range others {
+		out[i] = l.names[index]
+	}
+	return out
+}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -36,18 +36,27 @@
 		return VM{}, nil, false
 	}
 	m.heartbeat++
-	read := ageOf(now, m.evidence.read.at)
 	return to, &Request{
 		Self:          m.selfLocked(),
 		Changes:       m.table.changes(now),
 		Notices:       m.notices.recent(now, false),
 		NoticesDigest: m.notices.digest,
 		ListHash:      list.hash,
-		WantReach: len(list.names) <= reachAlways || !m.informed || !read.Known ||
-			read.Age > m.settings.EvidenceWindow/2,
+		WantReach:     m.wantReachLocked(len(list.names), now),
 	}, true
 }
 
+// wantReachLocked decides whether the next reply should carry reach, which is
+// the largest part of a reply in a large deployment.
+func (m *Membership) wantReachLocked(listed int, now time.Time) bool {
+	if listed <= reachAlways {
+		return true
+	}
+	read := ageOf(now, m.evidence.read.at)
+	needed := !m.informed || !read.Known || read.Age > m.settings.EvidenceWindow/2
+	return needed && m.heartbeat%reachEvery == 0
+}
+
 // nextLocked returns the next listed node in a random order that covers all
 // nodes before it repeats one.
 func (m *Membership) nextLocked(list *vmList) (VM, bool) {
@@ -59,11 +68,7 @@
 				return vm, true
 			}
 		}
-		for _, name := range list.names {
-			if name != m.settings.Self.Name {
-				m.order = append(m.order, name)
-			}
-		}
+		m.order = list.peersOf(m.settings.Self.Name)
 		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 	}
 	return VM{}, false
--- a/peer/http.go
+++ b/peer/http.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// idleTimeout keeps connections over several heartbeats of a round through
-	// a large deployment.
-	idleTimeout = 90 * time.Second
-	dialPause   = 2 * time.Second
+	// idleTimeout keeps connections between two heartbeats to the same node,
+	// which are at most 8 s apart, and soon frees those of an operator's change,
+	// which asks every node.
+	idleTimeout = 20 * time.Second
+	// headerTimeout ends a call to a node that has stopped answering.
+	headerTimeout = 2 * time.Second
 )
 
 // NewHTTPClient returns a client for calls between nodes: HTTP/2 without TLS,
@@ -21,7 +23,7 @@
 	return &http.Client{Transport: &http.Transport{
 		Protocols:             Protocols(),
 		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: dialPause,
+		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
 	}}
 }
--- /dev/null
+++ b/peer/wire_test.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/figweir/figweir/membership"
+)
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, &l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkHeartbeatOnLoopback measures one exchange of heartbeats over
+// HTTP/2 with its headers, both with and without reach for 490 VMs.
+func BenchmarkHeartbeatOnLoopback(b *testing.B) {
+	self := membership.NodeState{Name: "vm017", Incarnation: "0000019ae1b2c3d4", Heartbeat: 100000, Revision: 100000, Informed: true}
+	for name, reach := range map[string]*membership.Reach{"plain": nil, "reach-490": {Ages: make([]byte, 490)}} {
+		b.Run(name, func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			counting := &countingListener{Listener: listener}
+			mux := http.NewServeMux()
+			mux.Handle(NewMembershipHandler(fixedReply{&membership.Reply{Self: self, StoreRead: membership.ReadAge{Known: true}, Reach: reach}}, NewAuth("right")))
+			server := &http.Server{Handler: mux, Protocols: Protocols()}
+			go func() { _ = server.Serve(counting) }()
+			defer func() { _ = server.Close() }()
+			client := NewMembershipClient(NewHTTPClient(), NewAuth("right"))
+			vm := membership.VM{Name: "vm017", Address: listener.Addr().String()}
+			request := &membership.Request{Self: self, NoticesDigest: 1 << 60, ListHash: 1 << 61, WantReach: reach != nil}
+			exchanges := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := client.Heartbeat(context.Background(), vm, request); err != nil {
+					b.Fatal(err)
+				}
+				exchanges++
+			}
+			b.ReportMetric(float64(counting.bytes.Load())/float64(exchanges), "wire-B/op")
+		})
+	}
+}
+
+type fixedReply struct{ reply *membership.Reply }
+
+func (f fixedReply) Handle(context.Context, *membership.Request) (*membership.Reply, error) {
+	return f.reply, nil
+}
