Add usage, burn, billing client and their peer transport

Ruled out: a per-window high-water mark of reported windows in a record of its own (each record carries the list of windows not known to be reported, which costs no extra write); keeping the bytes of a write with an unknown outcome and repeating them (the create-only write already lets only one record exist, and whatever the store has is adopted).

Before: nothing.

Conclusion: a first usable version.

--- a/gen/figweir/v1/figweirv1connect/usage.connect.go
+++ b/gen/figweir/v1/figweirv1connect/usage.connect.go
@@ -43,7 +43,7 @@
 type UsageServiceClient interface {
 	// Mirror stores running totals of another node.
 	Mirror(context.Context, *v1.MirrorUsageRequest) (*v1.MirrorUsageResponse, error)
-	// Collect returns all totals of a window that the node knows, own and mirrored.
+	// Collect returns the totals that the node knows, own and mirrored.
 	Collect(context.Context, *v1.CollectUsageRequest) (*v1.CollectUsageResponse, error)
 }
 
@@ -101,7 +101,7 @@
 type UsageServiceHandler interface {
 	// Mirror stores running totals of another node.
 	Mirror(context.Context, *v1.MirrorUsageRequest) (*v1.MirrorUsageResponse, error)
-	// Collect returns all totals of a window that the node knows, own and mirrored.
+	// Collect returns the totals that the node knows, own and mirrored.
 	Collect(context.Context, *v1.CollectUsageRequest) (*v1.CollectUsageResponse, error)
 }
 
--- /dev/null
+++ b/peer/burn.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/figweir/figweir/burn"
+	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
+	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
+)
+
+// BurnHandler serves BurnService from a recorder.
+type BurnHandler struct {
+	recorder *burn.Recorder
+}
+
+var _ figweirv1connect.BurnServiceHandler = (*BurnHandler)(nil)
+
+// NewBurnHandler returns a handler that reads from recorder.
+func NewBurnHandler(recorder *burn.Recorder) *BurnHandler { return &BurnHandler{recorder: recorder} }
+
+// Collect implements BurnService.
+func (h *BurnHandler) Collect(context.Context, *figweirv1.CollectBurnRequest) (*figweirv1.CollectBurnResponse, error) {
+	series := h.recorder.Series(time.Now())
+	response := &figweirv1.CollectBurnResponse{Series: make([]*figweirv1.BurnSeries, len(series))}
+	for i, s := range series {
+		out := &figweirv1.BurnSeries{Workspace: s.Workspace, Service: s.Service}
+		for w, c := range s.Counts {
+			out.Windows = append(out.Windows, &figweirv1.BurnWindow{
+				Seconds: uint32(burn.Windows[w].Seconds()), Good: c.Good, Bad: c.Bad,
+			})
+		}
+		response.Series[i] = out
+	}
+	return response, nil
+}
+
+// CollectBurn returns the series of the node at baseURL. Windows that this
+// version doesn't know are left out.
+func CollectBurn(ctx context.Context, httpClient connect.HTTPClient, baseURL string, options ...connect.ClientOption) ([]burn.Series, error) {
+	client := figweirv1connect.NewBurnServiceClient(httpClient, baseURL, options...)
+	response, err := client.Collect(ctx, &figweirv1.CollectBurnRequest{})
+	if err != nil {
+		return nil, err
+	}
+	series := make([]burn.Series, len(response.GetSeries()))
+	for i, in := range response.GetSeries() {
+		series[i] = burn.Series{Workspace: in.GetWorkspace(), Service: in.GetService()}
+		for _, window := range in.GetWindows() {
+			for w, length := range burn.Windows {
+				if uint32(length.Seconds()) == window.GetSeconds() {
+					series[i].Counts[w] = burn.Counts{Good: window.GetGood(), Bad: window.GetBad()}
+				}
+			}
+		}
+	}
+	return series, nil
+}
--- /dev/null
+++ b/usage/report.go
@@ -0,0 +1,60 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/figweir/figweir/platform/billing"
+)
+
+// Target names the billing interface for one window of one shard, as the
+// Barrier knows it.
+func Target(shard uint32, window int64) string {
+	return fmt.Sprintf("billing/%d/%d", shard, window)
+}
+
+// reportAll reports every sealed window that has no definite answer yet, the
+// oldest first. A window that can't be reported doesn't hold up the others,
+// because each is a target of its own; but once billing is found unavailable,
+// the rest is left for the next step.
+func (o *Owner) reportAll(ctx context.Context, now time.Time) error {
+	var errs []error
+	for _, window := range slices.Sorted(maps.Keys(o.unreported)) {
+		if err := o.report(ctx, window, now); err != nil {
+			errs = append(errs, fmt.Errorf("report window %d of shard %d: %w", window, o.options.Shard, err))
+			if errors.Is(err, billing.ErrUnavailable) {
+				break
+			}
+		}
+		o.trimRecords()
+	}
+	return errors.Join(errs...)
+}
+
+func (o *Owner) report(ctx context.Context, window int64, now time.Time) error {
+	record, err := o.read(ctx, window)
+	if err != nil {
+		return err
+	}
+	report := record.Report()
+	err = o.options.Barrier.Do(ctx, Target(o.options.Shard, window), report.ID, func(ctx context.Context, token uint64) error {
+		return o.options.Reporter.Report(ctx, token, report)
+	})
+	if err != nil {
+		return err
+	}
+	delete(o.unreported, window)
+	o.reported[window] = true
+	late := now.After(time.Unix(window+o.seconds(), 0).Add(o.options.Grace + o.options.LateAfter))
+	o.count(func(s *OwnerStats) {
+		s.Reported++
+		if late {
+			s.LateReports++
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,221 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/standin/memstore"
+)
+
+// TestOwnersAgreeOnFirstWindow guards against two owners that start a shard at
+// once from different views and count the usage of the first windows twice.
+func TestOwnersAgreeOnFirstWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.nodes[0].recorder.Add("vogar", Figures{Calls: 1})
+		w.nodes[0].recorder.flush()
+		time.Sleep(3*testWindow + testGrace)
+		// Process 0 sees the usage and is paused at its first write; process 1
+		// sees nothing and goes on.
+		puts := 0
+		w.store.SetFault(func(op memstore.Op, _ string) memstore.Fault {
+			if puts++; op != memstore.OpPut || puts > 5 {
+				return memstore.Fault{}
+			}
+			return memstore.Fault{Before: func() {
+				w.store.SetFault(nil)
+				w.cut = [testSlots]bool{true, true, true, true, true}
+				w.inCharge = 1
+				_, _ = w.step(w.processes[1])
+				w.cut = [testSlots]bool{}
+			}}
+		})
+		_, _ = w.step(w.processes[0])
+		for range 3 {
+			time.Sleep(testWindow)
+			w.startProcess(w.inCharge)
+			_, err := w.step(w.processes[w.inCharge])
+			is.NoErr(err)
+		}
+		is.Equal(w.failed, "")
+		is.Equal(w.reported()["vogar"], Figures{Calls: 1}) // reported once
+	})
+}
+
+// TestLedgerBound guards against a ledger that grows without limit, and against
+// one that drops a total to make room for another.
+func TestLedgerBound(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("self", 2)
+	total := func(incarnation, workspace string) Total {
+		return Total{Incarnation: incarnation, Workspace: workspace, Window: 10, Figures: Figures{Calls: 1}}
+	}
+	is.NoErr(l.Mirror([]Total{total("a", "x"), total("a", "y")}))
+	is.True(errors.Is(l.Mirror([]Total{total("a", "z")}), ErrLedgerFull))
+	is.NoErr(l.Mirror([]Total{total("self", "z")})) // own totals are always taken
+	is.NoErr(l.Mirror([]Total{total("a", "x")}))    // known totals too
+	is.Equal(len(l.Collect(CollectRequest{Window: 10, Shards: 1}).Totals), 3)
+	is.Equal(l.Stats().Refused, uint64(1))
+
+	// Dropping sealed totals makes room.
+	version := l.Collect(CollectRequest{Window: 10, Shards: 1}).Version
+	is.NoErr(l.Mirror([]Total{{Incarnation: "a", Workspace: "y", Window: 10, Figures: Figures{Calls: 2}}}))
+	left := l.Collect(CollectRequest{Window: 10, Shards: 1, Incarnation: "self", SealedWindow: 10, SealedVersion: version})
+	is.Equal(len(left.Totals), 1) // the total that changed since is kept
+	is.Equal(left.Totals[0].Calls, uint64(2))
+	is.NoErr(l.Mirror([]Total{total("b", "x")}))
+}
+
+// TestCursorOfAnotherIncarnation guards against a restarted node that leaves
+// out, or drops, totals because a request speaks of its predecessor.
+func TestCursorOfAnotherIncarnation(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("second", 10)
+	is.NoErr(l.Mirror([]Total{{Incarnation: "second", Workspace: "x", Window: 10, Figures: Figures{Calls: 1}}}))
+	req := CollectRequest{
+		Window: 20, Shards: 1, Incarnation: "first",
+		AfterWindow: 10, AfterVersion: 99, SealedWindow: 10, SealedVersion: 99,
+	}
+	is.Equal(len(l.Collect(req).Totals), 1)
+	is.Equal(len(l.Collect(req).Totals), 1)
+}
+
+// TestRankMirrors guards against mirrors in the node's own failure domain, and
+// against two mirrors in one domain while there are others.
+func TestRankMirrors(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	for slot, n := range w.nodes {
+		ranked := pickerOf{w, slot}.Mirrors()
+		for _, p := range ranked {
+			is.True(p.FailureDomain != domainOf(slot))
+		}
+		chosen := n.recorder.choose()
+		is.Equal(len(chosen), wantedMirrors)
+		is.True(chosen[0].FailureDomain != chosen[1].FailureDomain)
+	}
+}
+
+// TestConcurrentAdditions guards against additions that are lost between
+// concurrent requests, batches and the change of the window, and against
+// goroutines that keep running. Every total must be mirrored when Wait returns.
+func TestConcurrentAdditions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		r := w.nodes[0].recorder
+		ctx, cancel := context.WithCancel(t.Context())
+		var running, requests sync.WaitGroup
+		running.Go(func() { r.Run(ctx) })
+		for i := range 50 {
+			requests.Go(func() {
+				for range 20 {
+					ticket := r.Add(workspaces[i%len(workspaces)], Figures{Calls: 1, OutputTokens: 2})
+					mirrors, err := r.Wait(ctx, ticket)
+					is.NoErr(err)
+					is.Equal(mirrors, wantedMirrors)
+					time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+				}
+			})
+		}
+		requests.Wait()
+		cancel()
+		running.Wait()
+		is.Equal(r.Stats().AtRisk, Figures{})
+		copies := make(map[string]Figures)
+		for _, n := range w.nodes {
+			for key, e := range n.ledger.entries {
+				if key.incarnation == r.options.Ledger.incarnation {
+					copies[n.ledger.incarnation] = copies[n.ledger.incarnation].Plus(e.figures)
+				}
+			}
+		}
+		is.Equal(len(copies), 1+wantedMirrors)
+		for _, sum := range copies {
+			is.Equal(sum, Figures{Calls: 1000, OutputTokens: 2000})
+		}
+	})
+}
+
+// TestBatchesAreByTime guards against one mirror message for each request.
+func TestBatchesAreByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		r := w.nodes[0].recorder
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		var last Ticket
+		for range 100 {
+			last = r.Add("vogar", Figures{Calls: 1})
+		}
+		_, err := r.Wait(ctx, last)
+		is.NoErr(err)
+		is.Equal(r.Stats().SentTotals, uint64(wantedMirrors))
+	})
+}
+
+// TestWaitWithoutMirrors guards against an answer that is held back because no
+// mirror can be reached, and against such usage that is not counted.
+func TestWaitWithoutMirrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.cut[0] = true
+		r := w.nodes[0].recorder
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.Run(ctx)
+		mirrors, err := r.Wait(ctx, r.Add("vogar", Figures{Calls: 1, PromptTokens: 7}))
+		is.NoErr(err)
+		is.Equal(mirrors, 0)
+		is.Equal(r.Stats().AtRisk, Figures{Calls: 1, PromptTokens: 7})
+		is.Equal(r.Stats().Unmirrored, Figures{Calls: 1, PromptTokens: 7})
+		// Once mirrors can be reached again, nothing is at risk.
+		w.cut[0] = false
+		time.Sleep(DefaultBackoff + 2*DefaultRecheck)
+		synctest.Wait()
+		is.Equal(r.Stats().AtRisk, Figures{})
+		is.Equal(r.Stats().Unmirrored, Figures{Calls: 1, PromptTokens: 7})
+	})
+}
+
+// TestOutageSealsInOrder guards against windows that are skipped because nobody
+// could seal them while the store was down.
+func TestOutageSealsInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		p := w.processes[0]
+		w.store.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+		for range 6 {
+			w.nodes[1].recorder.Add("vogar", Figures{Calls: 1})
+			w.nodes[1].recorder.flush()
+			time.Sleep(testWindow)
+			_, err := w.step(p)
+			is.True(err != nil)
+		}
+		time.Sleep(testWindow)
+		w.store.SetFault(nil)
+		_, err := w.step(p)
+		is.NoErr(err)
+		shard := ShardOf("vogar", testShards)
+		for window := range int64(6) {
+			first := p.owners[shard].firstWindow
+			report, ok := w.reports[fmt.Sprint(shard, "/", first+window*10)]
+			is.True(ok)
+			is.Equal(len(report.Figures), 1)
+			is.Equal(report.Figures[0].Calls, uint64(1))
+		}
+		is.True(p.owners[shard].Stats().LateReports > 0)
+	})
+}
