--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -164,10 +164,11 @@
 	for {
 		old := slot.Load()
 		held, counts := unpack(old, number)
-		if held > number {
+		empty := counts == Counts{}
+		if held > number && !empty {
 			return
 		}
-		if held < number {
+		if held != number {
 			counts = Counts{}
 		}
 		if good {
