Test usage with paused writes, rolling kills and real threads

Cause: with the first machine, four mechanisms could be switched off without a failing test (re-mirroring to a restarted mirror, reading back after a lost answer, the origin record, dropping totals only once they are sealed).

Ruled out: more random steps alone (600 cases of the old machine still passed).

After: the machine counts faults by writes, pauses a write whose answer is then lost, mirrors late and follows how many copies of each incarnation are left; a second property kills nodes one after the other; one test runs additions and batches on real threads. Under -race, a test wrote the network's state while a recorder ran; it now takes a lock.

--- a/usage/machine_test.go
+++ b/usage/machine_test.go
@@ -62,6 +62,26 @@
 	})
 }
 
+// TestCopiesSurviveRollingKills guards against mirrors that are taken to hold
+// totals that they lost in a restart: nodes are killed one after the other, and
+// the rest mirrors again in between.
+func TestCopiesSurviveRollingKills(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rapid.SyncTest(rt, func(rt *rapid.T) {
+			m := newMachine()
+			rt.Repeat(map[string]func(*rapid.T){
+				"":       m.check,
+				"call":   m.call,
+				"kill":   m.kill,
+				"gossip": func(*rapid.T) { m.w.gossip() },
+				"idle":   m.recheck,
+			})
+			m.settle(rt)
+			m.compare(rt)
+		})
+	})
+}
+
 var workspaces = []string{"vogar", "keflavik", "surco", "callao"}
 
 func (m *machine) drawFigures(rt *rapid.T) Figures {
@@ -201,7 +221,8 @@
 	p := m.process(rt)
 	other := m.w.processes[1-p.index]
 	at := rapid.IntRange(0, 6).Draw(rt, "call")
-	kind := rapid.SampledFrom([]string{"refuse", "lose", "kill before", "kill after", "pause", "late write", "pause report", "kill report"}).Draw(rt, "kind")
+	writes := rapid.Bool().Draw(rt, "count writes only")
+	kind := rapid.SampledFrom([]string{"refuse", "lose", "kill before", "kill after", "pause", "pause and lose", "late write", "pause report", "kill report"}).Draw(rt, "kind")
 	takeOver := func() {
 		m.w.store.SetFault(nil)
 		m.w.inCharge = other.index
@@ -215,7 +236,7 @@
 	case "kill report":
 		m.w.pauseReport = func() { panic(killed{}) }
 	default:
-		m.w.store.SetFault(faultAt(at, kind, takeOver))
+		m.w.store.SetFault(faultAt(at, writes, kind, takeOver))
 	}
 	_, _ = m.w.step(p)
 	m.w.store.SetFault(nil)
@@ -223,10 +244,14 @@
 	m.w.store.delayNext = false
 }
 
-func faultAt(at int, kind string, takeOver func()) memstore.FaultFunc {
+// faultAt faults one call of all calls, or of the writes among them.
+func faultAt(at int, writes bool, kind string, takeOver func()) memstore.FaultFunc {
 	n := -1
 	die := func() { panic(killed{}) }
-	return func(memstore.Op, string) memstore.Fault {
+	return func(op memstore.Op, _ string) memstore.Fault {
+		if writes && op != memstore.OpPut {
+			return memstore.Fault{}
+		}
 		if n++; n != at {
 			return memstore.Fault{}
 		}
@@ -239,6 +264,8 @@
 			return memstore.Fault{Before: die}
 		case "kill after":
 			return memstore.Fault{After: die}
+		case "pause and lose":
+			return memstore.Fault{Before: takeOver, LoseAnswer: true}
 		default:
 			return memstore.Fault{Before: takeOver}
 		}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -33,7 +33,6 @@
 			return memstore.Fault{Before: func() {
 				w.store.SetFault(nil)
 				w.cut = [testSlots]bool{true, true, true, true, true}
-				w.inCharge = 1
 				_, _ = w.step(w.processes[1])
 				w.cut = [testSlots]bool{}
 			}}
@@ -41,6 +40,7 @@
 		_, _ = w.step(w.processes[0])
 		for range 3 {
 			time.Sleep(testWindow)
+			w.inCharge = 1 - w.inCharge
 			w.startProcess(w.inCharge)
 			_, err := w.step(w.processes[w.inCharge])
 			is.NoErr(err)
@@ -145,6 +145,48 @@
 	})
 }
 
+// TestAdditionsRaceBatches guards against a Wait that returns before the
+// mirrors hold the addition, and against an addition that is left behind because
+// its cell was being read. It runs on real threads.
+func TestAdditionsRaceBatches(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	r := w.nodes[0].recorder
+	r.options.BatchDelay = time.Microsecond
+	ctx, cancel := context.WithCancel(t.Context())
+	var running, requests sync.WaitGroup
+	running.Go(func() { r.Run(ctx) })
+	const perRequester = 2000
+	for g := range 8 {
+		requests.Go(func() {
+			for i := range perRequester {
+				// Two requesters share each workspace.
+				workspace := fmt.Sprint(g/2, "-", i)
+				ticket := r.Add(workspace, Figures{Calls: 1})
+				if i%10 != 0 {
+					continue
+				}
+				if _, err := r.Wait(ctx, ticket); err != nil {
+					t.Error(err)
+				}
+				if n := w.copies(r.options.Ledger.incarnation, workspace); n < 1+wantedMirrors {
+					t.Errorf("%s has %d copies after Wait", workspace, n)
+				}
+			}
+		})
+	}
+	requests.Wait()
+	cancel()
+	running.Wait()
+	var sum Figures
+	for key, e := range w.nodes[0].ledger.entries {
+		if key.incarnation == r.options.Ledger.incarnation {
+			sum = sum.Plus(e.figures)
+		}
+	}
+	is.Equal(sum.Calls, uint64(8*perRequester))
+}
+
 // TestBatchesAreByTime guards against one mirror message for each request.
 func TestBatchesAreByTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -181,7 +223,9 @@
 		is.Equal(r.Stats().AtRisk, Figures{Calls: 1, PromptTokens: 7})
 		is.Equal(r.Stats().Unmirrored, Figures{Calls: 1, PromptTokens: 7})
 		// Once mirrors can be reached again, nothing is at risk.
+		w.netMu.Lock()
 		w.cut[0] = false
+		w.netMu.Unlock()
 		time.Sleep(DefaultBackoff + 2*DefaultRecheck)
 		synctest.Wait()
 		is.Equal(r.Stats().AtRisk, Figures{})
--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"reflect"
+	"sync"
 	"time"
 
 	"pgregory.net/rapid"
@@ -18,7 +19,7 @@
 func init() {
 	// The same cases on every run; flags on the command line override this.
 	_ = flag.Set("rapid.seed", "20260204")
-	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.checks", "400")
 }
 
 const (
@@ -50,11 +51,34 @@
 	return false
 }
 
+// copies counts the nodes that have a total of the workspace.
+func (w *world) copies(incarnation, workspace string) (n int) {
+	for _, node := range w.nodes {
+		node.ledger.mu.Lock()
+		for e := node.ledger.own.Back(); e != nil; e = e.Prev() {
+			if e.Value.(*ledgerEntry).workspace == workspace {
+				n++
+				break
+			}
+		}
+		for e := node.ledger.others.Back(); e != nil; e = e.Prev() {
+			if key := e.Value.(*ledgerEntry).ledgerKey; key.workspace == workspace && key.incarnation == incarnation {
+				n++
+				break
+			}
+		}
+		node.ledger.mu.Unlock()
+	}
+	return n
+}
+
 // world is a set of nodes, two processes that may own the shards, the store and
 // billing. Everything runs in one goroutine but for parallel sends.
 type world struct {
 	store *lateStore
 	nodes [testSlots]*testNode
+	// netMu guards cut for tests that run a recorder's own goroutine.
+	netMu sync.Mutex
 	cut   [testSlots]bool
 	// loseMirror makes mirror calls to a slot take effect and fail.
 	loseMirror [testSlots]bool
@@ -166,6 +190,8 @@
 	if _, err := fmt.Sscan(peer.ID, &slot); err != nil {
 		return 0, err
 	}
+	t.w.netMu.Lock()
+	defer t.w.netMu.Unlock()
 	if t.w.cut[slot] || t.slot >= 0 && t.w.cut[t.slot] {
 		return 0, errCut
 	}
