--- a/peer/burn.go
+++ b/peer/burn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,6 +22,13 @@
 // NewBurnHandler returns a handler that reads from recorder.
 func NewBurnHandler(recorder *burn.Recorder) *BurnHandler { return &BurnHandler{recorder: recorder} }
 
+// NewBurnServiceHandler returns the path and the HTTP handler of BurnService on a
+// recorder.
+func NewBurnServiceHandler(recorder *burn.Recorder, options ...connect.HandlerOption) (string, http.Handler) {
+	options = append([]connect.HandlerOption{connect.WithCompressMinBytes(compressMinBytes)}, options...)
+	return figweirv1connect.NewBurnServiceHandler(NewBurnHandler(recorder), options...)
+}
+
 // Collect implements BurnService.
 func (h *BurnHandler) Collect(context.Context, *figweirv1.CollectBurnRequest) (*figweirv1.CollectBurnResponse, error) {
 	series := h.recorder.Series(time.Now())
--- a/peer/usage.go
+++ b/peer/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,9 @@
 // forgotten now and then.
 const maxUsageClients = 1024
 
+// compressMinBytes is the size below which gzip makes a message longer.
+const compressMinBytes = 512
+
 // UsageHandler serves UsageService from a ledger.
 type UsageHandler struct {
 	ledger *usage.Ledger
@@ -27,6 +31,13 @@
 // NewUsageHandler returns a handler that stores to and reads from ledger.
 func NewUsageHandler(ledger *usage.Ledger) *UsageHandler { return &UsageHandler{ledger: ledger} }
 
+// NewUsageServiceHandler returns the path and the HTTP handler of UsageService on
+// a ledger.
+func NewUsageServiceHandler(ledger *usage.Ledger, options ...connect.HandlerOption) (string, http.Handler) {
+	options = append([]connect.HandlerOption{connect.WithCompressMinBytes(compressMinBytes)}, options...)
+	return figweirv1connect.NewUsageServiceHandler(NewUsageHandler(ledger), options...)
+}
+
 // Mirror implements UsageService. A full ledger answers resource_exhausted, and
 // the sender must not count on any of its totals.
 func (h *UsageHandler) Mirror(_ context.Context, req *figweirv1.MirrorUsageRequest) (*figweirv1.MirrorUsageResponse, error) {
@@ -73,8 +84,10 @@
 )
 
 // NewUsageClient returns a client that finds the address of a peer by baseURL,
-// which must give the same result for the same peer id.
+// which must give the same result for the same peer id. Large messages are
+// compressed.
 func NewUsageClient(httpClient connect.HTTPClient, baseURL func(usage.Peer) string, options ...connect.ClientOption) *UsageClient {
+	options = append([]connect.ClientOption{connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes)}, options...)
 	return &UsageClient{
 		http: httpClient, baseURL: baseURL, options: options,
 		clients: make(map[string]figweirv1connect.UsageServiceClient),
--- a/peer/usage_test.go
+++ b/peer/usage_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/burn"
-	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/usage"
 )
@@ -21,8 +20,8 @@
 func usageListener(t *testing.T, ledger *usage.Ledger, recorder *burn.Recorder) *httptest.Server {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(figweirv1connect.NewUsageServiceHandler(peer.NewUsageHandler(ledger)))
-	mux.Handle(figweirv1connect.NewBurnServiceHandler(peer.NewBurnHandler(recorder)))
+	mux.Handle(peer.NewUsageServiceHandler(ledger))
+	mux.Handle(peer.NewBurnServiceHandler(recorder))
 	listener := httptest.NewServer(mux)
 	t.Cleanup(listener.Close)
 	return listener
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -196,6 +196,17 @@
 	return totals, l.version
 }
 
+// mirrored returns all totals of other nodes.
+func (l *Ledger) mirrored() []Total {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	totals := make([]Total, 0, l.others.Len())
+	for element := l.others.Front(); element != nil; element = element.Next() {
+		totals = append(totals, element.Value.(*ledgerEntry).total())
+	}
+	return totals
+}
+
 // markSafe records that two mirrors hold all own totals up to version to and
 // that this was known before for those up to version from.
 func (l *Ledger) markSafe(from, to uint64) {
--- a/usage/machine_test.go
+++ b/usage/machine_test.go
@@ -45,6 +45,7 @@
 				"call":       m.call,
 				"callKilled": m.callKilled,
 				"kill":       m.kill,
+				"stop":       m.restart,
 				"cut":        m.cut,
 				"recheck":    m.recheck,
 				"time":       m.time,
@@ -73,6 +74,7 @@
 				"":       m.check,
 				"call":   m.call,
 				"kill":   m.kill,
+				"stop":   m.restart,
 				"gossip": func(*rapid.T) { m.w.gossip() },
 				"idle":   m.recheck,
 			})
@@ -182,6 +184,42 @@
 	m.w.start(slot)
 }
 
+// restart is a planned stop with a hand-over, and a start with empty memory.
+// Copies are lost only if the peers that took over had them already.
+func (m *machine) restart(rt *rapid.T) {
+	slot := rapid.IntRange(0, testSlots-1).Draw(rt, "slot")
+	r := m.w.nodes[slot].recorder
+	if !m.mayKill(slot) || m.w.cut[slot] {
+		return
+	}
+	r.flush()
+	before := m.copies()
+	if r.HandOver(context.Background()) < wantedMirrors {
+		return
+	}
+	m.lost = m.lost.Plus(r.Stats().AtRisk)
+	m.w.start(slot)
+	after := m.copies()
+	for incarnation := range m.spare {
+		if after[incarnation] < before[incarnation] {
+			m.spare[incarnation]--
+		}
+	}
+}
+
+// copies counts the nodes that hold something of each incarnation.
+func (m *machine) copies() map[string]int {
+	copies := make(map[string]int)
+	for incarnation := range m.spare {
+		for _, n := range m.w.nodes {
+			if n.holds(incarnation) {
+				copies[incarnation]++
+			}
+		}
+	}
+	return copies
+}
+
 func (m *machine) cut(rt *rapid.T) {
 	slot := rapid.IntRange(0, testSlots-1).Draw(rt, "slot")
 	if rapid.Bool().Draw(rt, "answers only") {
--- a/usage/mirror.go
+++ b/usage/mirror.go
@@ -152,6 +152,20 @@
 	return held
 }
 
+// HandOver sends the totals that this node mirrors for others to two peers, so
+// that a planned stop does not cost a copy of the usage of a node that is gone.
+// It is called after Run has returned, and returns how many peers took all of
+// them.
+func (r *Recorder) HandOver(ctx context.Context) (took int) {
+	totals := r.options.Ledger.mirrored()
+	for _, p := range r.choose() {
+		if _, err := r.send(ctx, p, totals); err == nil {
+			took++
+		}
+	}
+	return took
+}
+
 // holders returns the states of all listed peers that have taken totals. One
 // that can't be reached now still counts, until it is no longer listed or is
 // listed with another incarnation.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -50,6 +50,30 @@
 	})
 }
 
+// TestPlannedStopsKeepUsage guards against a rolling restart that stops, one
+// after the other, all mirrors of a node that is gone.
+func TestPlannedStopsKeepUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.nodes[0].recorder.Add("vogar", Figures{Calls: 1})
+		w.nodes[0].recorder.flush()
+		w.start(0)
+		w.gossip()
+		for slot := 1; slot < testSlots; slot++ {
+			r := w.nodes[slot].recorder
+			r.flush()
+			is.Equal(r.HandOver(t.Context()), wantedMirrors)
+			w.start(slot)
+			w.gossip()
+		}
+		time.Sleep(2*testWindow + testGrace)
+		_, err := w.step(w.processes[0])
+		is.NoErr(err)
+		is.Equal(w.reported()["vogar"], Figures{Calls: 1})
+	})
+}
+
 // TestLedgerBound guards against a ledger that grows without limit, and against
 // one that drops a total to make room for another.
 func TestLedgerBound(t *testing.T) {
