--- /dev/null
+++ b/authority/errors.go
@@ -0,0 +1,91 @@
+package authority
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrRecordTooLarge means that a change would make the journal record larger
+// than half of store.MaxValueBytes. Nothing was written.
+var ErrRecordTooLarge = errors.New("authority: journal record too large")
+
+// NotHolderError means that this process may not act for the duty. The order
+// was not sent.
+type NotHolderError struct {
+	Duty string
+}
+
+// Error implements error.
+func (e *NotHolderError) Error() string {
+	return fmt.Sprintf("authority: this process does not hold duty %s; the order was not sent", e.Duty)
+}
+
+// BlockedError means that an open intent of another process blocks the target.
+// The order was not sent.
+type BlockedError struct {
+	Duty   string
+	Intent Intent
+}
+
+// Error implements error.
+func (e *BlockedError) Error() string {
+	return fmt.Sprintf("authority: target %s of duty %s is blocked by order %s of process %s at %s, open since %s; the order was not sent",
+		e.Intent.Target.Name, e.Duty, e.Intent.OrderID, e.Intent.Writer.Incarnation, e.Intent.Writer.Address, e.Intent.Opened().Format(time.RFC3339Nano))
+}
+
+// BusyError means that an earlier order of this process to the target is in
+// progress, or that a copy of it may still arrive. The order was not sent.
+type BusyError struct {
+	Duty   string
+	Target string
+}
+
+// Error implements error.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("authority: an earlier order of this process to target %s of duty %s is not closed; the order was not sent", e.Target, e.Duty)
+}
+
+// ReplacedError means that the journal holds an intent for a later generation
+// of the target, so the caller's registration is out of date. The order was
+// not sent.
+type ReplacedError struct {
+	Target            Target
+	CurrentGeneration uint64
+}
+
+// Error implements error.
+func (e *ReplacedError) Error() string {
+	return fmt.Sprintf("authority: target %s of generation %d was replaced by generation %d; the order was not sent", e.Target.Name, e.Target.Generation, e.CurrentGeneration)
+}
+
+// UnknownError means that the order was sent at least once and that it is not
+// known whether the target took it.
+type UnknownError struct {
+	Intent Intent
+	// Err is the last answer.
+	Err error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("authority: outcome of order %s to target %s unknown: %v", e.Intent.OrderID, e.Intent.Target.Name, e.Err)
+}
+
+// Unwrap returns the last answer.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// RefusedError means that the target certainly did not take the order.
+type RefusedError struct {
+	Err error
+}
+
+// Refused marks an error of a Send function as definite: the target did not
+// take this copy and will not.
+func Refused(err error) error { return &RefusedError{Err: err} }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "authority: order refused: " + e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *RefusedError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/authority/former.go
@@ -0,0 +1,64 @@
+package authority
+
+import (
+	"context"
+	"time"
+
+	"github.com/figweir/figweir/platform/store"
+)
+
+// CloseFormer closes the intents that earlier incarnations at the address of
+// process have left in any journal, and returns their number. It waits until
+// one connection time-out has passed since started, the time at which the
+// process had bound its address, and repeats what the store refuses until ctx
+// ends. It costs one list call for each start of a process, and one write for
+// each journal with such an intent.
+func CloseFormer(ctx context.Context, s store.Store, process Process, clock Clock, started time.Time, options JournalOptions) (int, error) {
+	if wait := started.Add(options.ConnectionTimeout).Sub(clock.Now()); wait > 0 {
+		if err := clock.Sleep(ctx, wait); err != nil {
+			return 0, err
+		}
+	}
+	total := 0
+	for {
+		closed, err := closeFormerOnce(ctx, s, process, options)
+		total += closed
+		if err == nil {
+			return total, nil
+		}
+		if err := clock.Sleep(ctx, options.SweepEvery); err != nil {
+			return total, err
+		}
+	}
+}
+
+func closeFormerOnce(ctx context.Context, s store.Store, process Process, options JournalOptions) (int, error) {
+	listCtx, cancel := context.WithTimeout(ctx, options.StoreTimeout)
+	defer cancel()
+	entries, _, err := s.List(listCtx, journalPrefix)
+	if err != nil {
+		return 0, err
+	}
+	former := func(i Intent) bool { return formerIncarnation(i.Writer, process) }
+	total := 0
+	for _, entry := range entries {
+		r, err := decodeRecord(entry)
+		if err != nil {
+			return total, err
+		}
+		if len(r.remove(former)) == 0 {
+			continue
+		}
+		var closed []Intent
+		w := newRecordWriter(s, entry.Key, options.StoreTimeout, &counters{}, nil)
+		err = w.commit(ctx, func(r *record) (bool, error) {
+			closed = r.remove(former)
+			return len(closed) > 0, nil
+		})
+		if err != nil {
+			return total, err
+		}
+		total += len(closed)
+	}
+	return total, nil
+}
