authority: drive the state machine by faults around an open order

Now the holder's order meets a fault, the holder may be taken away while the order is open, and everyone then tries the same target. New faults: a write that lands after its sender has given up, a clock that stands still while its process is paused, an outdated registration.

Found: the oracle paused itself at a gated clock (the earlier hang); a holder whose record was taken over by a process with a stopped clock failed its next order with NotHolderError although it held the duty.

--- a/authority/journal.go
+++ b/authority/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -103,13 +104,13 @@
 		return j.busy(target)
 	}
 	defer j.release(target.Name)
-	if err := j.takeOver(ctx, term); err != nil {
-		return err
+	intent, err := j.prepare(ctx, term, target, order)
+	var lost *NotHolderError
+	if errors.As(err, &lost) && j.duty.MayAct(term) {
+		// An earlier holder whose clock stood still has taken the journal over
+		// for a moment.
+		intent, err = j.prepare(ctx, term, target, order)
 	}
-	if err := j.secure(ctx, term, target); err != nil {
-		return err
-	}
-	intent, err := j.open(ctx, Intent{OrderID: uuid.NewString(), Target: target, Order: order, Writer: j.process})
 	if err != nil {
 		return err
 	}
@@ -121,6 +122,17 @@
 	return nil
 }
 
+// prepare opens the intent of an order as soon as the target may get it.
+func (j *Journal) prepare(ctx context.Context, term uint64, target Target, order Order) (Intent, error) {
+	if err := j.takeOver(ctx, term); err != nil {
+		return Intent{}, err
+	}
+	if err := j.secure(ctx, term, target); err != nil {
+		return Intent{}, err
+	}
+	return j.open(ctx, Intent{OrderID: uuid.NewString(), Target: target, Order: order, Writer: j.process})
+}
+
 // Claim returns nil when no order of another process can change the target any
 // more while this process holds the duty, so that its state can be read and
 // planned on. It fences a target that checks fencing tokens if that is needed.
--- a/authority/procstore_test.go
+++ b/authority/procstore_test.go
@@ -34,6 +34,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if late := p.takeLateWrite(); late > 0 {
+		// The write is on its way while its sender has given up.
+		time.AfterFunc(late, func() { _, _ = p.w.store.Put(context.Background(), key, value, expected, lease) })
+		return 0, p.after(fault, store.ErrAmbiguous, store.ErrAmbiguous)
+	}
 	revision, err := p.w.store.Put(ctx, key, value, expected, lease)
 	return revision, p.after(fault, err, store.ErrAmbiguous)
 }
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -43,6 +43,9 @@
 	store   *memstore.Store
 	lease   LeaseOptions
 	journal JournalOptions
+	// suspends says that a paused process's clock stands still, as that of a
+	// suspended VM.
+	suspends bool
 
 	mu       sync.Mutex
 	procs    []*proc
@@ -117,7 +120,7 @@
 	last    uint64
 	writer  *proc
 	epoch   uint64
-	claimed *proc
+	claimed uint64 // the epoch of the last successful claim
 	taken   map[*call]bool
 }
 
@@ -165,8 +168,8 @@
 		t.w.failf("%s took order %d from %s and from %s", t.Name, token, t.writer.Address, p.Address)
 	case epoch < t.epoch:
 		t.w.failf("%s took an order of epoch %d after one of epoch %d", t.Name, epoch, t.epoch)
-	case t.claimed != nil && t.claimed != p && epoch < t.claimed.journalEpoch():
-		t.w.failf("%s, claimed by %s, took an old order of %s", t.Name, t.claimed.Address, p.Address)
+	case epoch < t.claimed:
+		t.w.failf("%s, claimed in epoch %d, took an order of epoch %d", t.Name, t.claimed, epoch)
 	}
 	t.last, t.writer, t.epoch = token, p, epoch
 	if c != nil {
@@ -195,8 +198,12 @@
 	dead       bool
 	cut        bool
 	wake       chan struct{} // not nil while paused
+	waiting    int
+	pausedAt   time.Time
+	stopped    time.Duration // how far the clock is behind
 	armed      map[point]bool
 	storeFault map[memstore.Op]memstore.Fault
+	lateWrite  time.Duration // of the next write, 0 if it is in time
 	sendFaults []sendFault
 	copyDelay  time.Duration
 	calls      []*call
@@ -223,6 +230,13 @@
 	return p
 }
 
+// believes is Duty.Term for the oracle: it passes no gate.
+func (p *proc) believes() bool {
+	p.lease.mu.Lock()
+	defer p.lease.mu.Unlock()
+	return p.duty.held && p.now().Before(p.lease.until)
+}
+
 func (p *proc) journalEpoch() uint64 {
 	p.journal.mu.Lock()
 	defer p.journal.mu.Unlock()
@@ -240,8 +254,12 @@
 	}
 	for p.wake != nil {
 		wake := p.wake
+		p.waiting++
+		turn := p.waiting
 		p.mu.Unlock()
 		<-wake
+		// Goroutines go on one after the other, so that a run can be repeated.
+		time.Sleep(time.Duration(turn) * time.Microsecond)
 		p.mu.Lock()
 	}
 	return !p.dead
@@ -249,7 +267,7 @@
 
 func (p *proc) pauseLocked() {
 	if p.wake == nil {
-		p.wake = make(chan struct{})
+		p.wake, p.pausedAt = make(chan struct{}), time.Now()
 	}
 }
 
@@ -264,7 +282,10 @@
 	defer p.mu.Unlock()
 	if p.wake != nil {
 		close(p.wake)
-		p.wake = nil
+		p.wake, p.waiting = nil, 0
+		if p.w.suspends {
+			p.stopped += time.Since(p.pausedAt)
+		}
 	}
 }
 
@@ -286,7 +307,13 @@
 // Now implements Clock.
 func (p *proc) Now() time.Time {
 	p.gate(atClock)
-	return time.Now()
+	return p.now()
+}
+
+func (p *proc) now() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Add(-p.stopped)
 }
 
 // Sleep implements Clock.
@@ -327,7 +354,7 @@
 // send is the network between a process and a target.
 func (p *proc) send(t Target, to *target, c *call) Send {
 	return func(_ context.Context, token uint64) error {
-		if _, held := p.duty.Term(); !held && !p.paused() {
+		if !p.believes() && !p.paused() {
 			p.w.failf("%s sent order %d without authority", p.Address, token)
 		}
 		epoch := p.journalEpoch()
@@ -355,6 +382,14 @@
 	}
 }
 
+func (p *proc) takeLateWrite() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := p.lateWrite
+	p.lateWrite = 0
+	return late
+}
+
 func (p *proc) nextSend() (sendFault, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -403,9 +438,7 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if t.claimed == nil || t.claimed.journalEpoch() < p.journalEpoch() {
-			t.claimed = p
-		}
+		t.claimed = max(t.claimed, p.journalEpoch())
 	})
 }
 
