Wire admission, usage and burn into the node

Cause: the request path admitted everything, counted nothing and reported no burn.

Ruled out: admission by the request's own time-out (300 s): half of it may be spent waiting by default, and the caller is better served by a refusal at once. A request that can't get its first token within ten times the objective is refused with a time to retry.

Before: placeholders.

Conclusion: each pool has a controller with the workspaces' weights; shares between nodes (admit.Lender) have no transport yet, each node takes an equal part of the pool.

--- a/caller/call.go
+++ b/caller/call.go
@@ -133,10 +133,7 @@
 func (h *Handler) runCall(w http.ResponseWriter, r *http.Request, s *session, svc *config.Service, call service.Call) {
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(svc.TimeoutSeconds*float64(time.Second)))
 	defer cancel()
-	work := Work{Request: s.id, Workspace: s.workspaceName(), Service: svc.Name, Weight: 1}
-	if s.workspace != nil {
-		work.Weight = s.workspace.Weight
-	}
+	work := Work{Request: s.id, Workspace: s.workspaceName(), Service: svc.Name}
 	work.Deadline, _ = ctx.Deadline()
 	answer, err := h.answerCall(ctx, s, svc, call, work, r.Header.Get(HeaderIdempotencyKey))
 	if err != nil {
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/sjson"
@@ -75,18 +76,20 @@
 	defer cancel()
 	work := newWork(s, pool, req)
 	work.Deadline, _ = ctx.Deadline()
-	release, err := h.Admitter.Admit(ctx, work)
+	admission, err := h.Admitter.Admit(ctx, work)
 	if err != nil {
 		h.reject(w, s, req.Model, err)
 		return
 	}
-	defer release()
+	run := &chatRun{
+		handler: h, session: s, pool: pool, work: work, body: body, admission: admission,
+		out: newSink(w, s.id, req, h.options.WriteTimeout),
+	}
+	defer func() { admission.Done(work.PromptTokens, len(run.sent)) }()
 	if err := h.recheck(s); err != nil {
 		h.reject(w, s, req.Model, err)
 		return
 	}
-	out := newSink(w, s.id, req, h.options.WriteTimeout)
-	run := &chatRun{handler: h, session: s, pool: pool, work: work, body: body, out: out}
 	run.execute(ctx)
 }
 
@@ -133,12 +136,21 @@
 		output = defaultMaxTokens
 	}
 	return Work{
-		Request: s.id, Workspace: s.workspace.Name, Weight: s.workspace.Weight, Service: req.Model,
+		Request: s.id, Workspace: s.workspace.Name, Pool: pool, Service: req.Model,
+		FirstTokenBy: s.start.Add(firstTokenPatience(s.snapshot.Document.Objectives)),
 		PromptTokens: len(req.Messages)/bytesPerToken + 1, MaxOutputTokens: output,
 		PrefixBlocks: prefixBlocks(s.workspace.Name, req, pool.KVBlockTokens),
 	}
 }
 
+// patienceFactor is how many times the objective for the first token a request
+// may take to get it. After that its caller is better served by a refusal.
+const patienceFactor = 10
+
+func firstTokenPatience(o config.Objectives) time.Duration {
+	return time.Duration(patienceFactor * o.FirstTokenSeconds * float64(time.Second))
+}
+
 // prefixBlocks hashes the prompt in blocks; each hash covers all that precedes
 // it. The workspace is part of the hash, so that what one workspace has cached
 // never shows in another's placement.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -206,7 +206,7 @@
 	detail := apierr.Describe(err)
 	if s != nil {
 		s.log.Info("request refused", "code", detail.Code, "not_run", detail.NotRun, "error", err.Error())
-		h.Observer.Observe(Observation{Workspace: s.workspaceName(), Service: service, Refused: true, At: time.Now()})
+		h.Observer.Observe(Observation{Workspace: s.workspaceName(), Service: service, Code: detail.Code, At: time.Now()})
 	}
 	h.refuse(w, err)
 }
--- a/caller/interfaces.go
+++ b/caller/interfaces.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/service"
 )
@@ -14,8 +15,8 @@
 type Work struct {
 	Request   string
 	Workspace string
-	// Weight is the workspace's share of the fleet.
-	Weight float64
+	// Pool is the pool that serves the request.
+	Pool *config.Pool
 	// Service names what burn reports: the model or the service.
 	Service string
 	// PromptTokens is an estimate made before the engine counts.
@@ -25,6 +26,8 @@
 	PrefixBlocks []uint64
 	// Deadline is when the caller gives up; zero if unknown.
 	Deadline time.Time
+	// FirstTokenBy is when the first token is due at the latest.
+	FirstTokenBy time.Time
 	// Exclude names backend servers that were tried already.
 	Exclude []string
 }
@@ -50,12 +53,21 @@
 // Admitter decides whether a request may run now.
 type Admitter interface {
 	// Admit waits in the workspace's queue, or refuses at once with an error
-	// from apierr. The returned function ends the admission.
-	Admit(ctx context.Context, w Work) (func(), error)
+	// from apierr.
+	Admit(ctx context.Context, w Work) (Admission, error)
 	// Retry reports whether the retry budget of the service allows a retry.
 	Retry(service string) bool
 }
 
+// Admission is the permission to run a request.
+type Admission interface {
+	// FirstToken says that the prompt has been processed.
+	FirstToken()
+	// Done ends the admission. It must be called once, with the tokens that
+	// were used.
+	Done(promptTokens, outputTokens int)
+}
+
 // Claimer records calls that must not be repeated.
 type Claimer interface {
 	// Claim returns a claim if the call may be sent now, the recorded answer
@@ -102,11 +114,13 @@
 	Whole bool
 	// FirstToken is the time from the request to the first token.
 	FirstToken time.Duration
-	// SlowestGap is the longest time between two tokens.
-	SlowestGap time.Duration
-	// Refused is true if the request was refused.
-	Refused bool
-	At      time.Time
+	// Gaps counts the times between two tokens, SlowGaps those that were longer
+	// than the objective.
+	Gaps     int
+	SlowGaps int
+	// Code is the error code of a request that was refused or failed.
+	Code apierr.Code
+	At   time.Time
 }
 
 // Gate says whether this node may serve with the configuration that it has.
--- a/caller/run.go
+++ b/caller/run.go
@@ -33,6 +33,8 @@
 	work    Work
 	body    []byte
 	out     sink
+	// admission is told of the first token.
+	admission Admission
 
 	// sent holds the hash of each chunk sent to the caller, by offset.
 	sent []uint64
@@ -40,7 +42,7 @@
 	mayHaveRun bool
 	firstToken time.Duration
 	lastToken  time.Time
-	slowestGap time.Duration
+	slowGaps   int
 }
 
 // execute tries engines until the answer is whole or no more can be done.
@@ -158,8 +160,9 @@
 	now := time.Now()
 	if len(c.sent) == 0 {
 		c.firstToken = now.Sub(c.session.start)
-	} else {
-		c.slowestGap = max(c.slowestGap, now.Sub(c.lastToken))
+		c.admission.FirstToken()
+	} else if now.Sub(c.lastToken).Seconds() > c.session.snapshot.Document.Objectives.BetweenTokensSeconds {
+		c.slowGaps++
 	}
 	c.lastToken = now
 	c.sent = append(c.sent, hash)
@@ -178,7 +181,7 @@
 
 func (c *chatRun) succeed() {
 	c.handler.Metrics.RequestsWholeTotal.Add(1)
-	c.observe(true)
+	c.observe(true, "")
 	c.session.log.Info("request served", "model", c.work.Service, "tokens", len(c.sent),
 		"first_token_s", c.firstToken.Seconds(), "duration_s", time.Since(c.session.start).Seconds())
 }
@@ -196,7 +199,7 @@
 	} else {
 		c.handler.Metrics.RefusalsTotal.Add(string(detail.Code), 1)
 	}
-	c.observe(false)
+	c.observe(false, detail.Code)
 	c.out.fail(err)
 }
 
@@ -215,10 +218,10 @@
 	return apierr.Wrap(err, apierr.UpstreamFailed, "no engine gave a whole answer", options...)
 }
 
-func (c *chatRun) observe(whole bool) {
+func (c *chatRun) observe(whole bool, code apierr.Code) {
 	c.handler.Observer.Observe(Observation{
-		Workspace: c.work.Workspace, Service: c.work.Service, Whole: whole,
-		FirstToken: c.firstToken, SlowestGap: c.slowestGap, At: time.Now(),
+		Workspace: c.work.Workspace, Service: c.work.Service, Whole: whole, Code: code,
+		FirstToken: c.firstToken, Gaps: max(0, len(c.sent)-1), SlowGaps: c.slowGaps, At: time.Now(),
 	})
 }
 
--- a/node/backends.go
+++ b/node/backends.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// usable returns how many servers of a pool take work.
+func (b *backends) usable(pool string) int {
+	tracker := (*b.trackers.Load())[pool]
+	if tracker == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range tracker.View().Servers {
+		if !s.Draining && !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Pick implements caller.Router.
 func (b *backends) Pick(pool *config.Pool, w caller.Work) (caller.Target, error) {
 	tracker := (*b.trackers.Load())[pool.Name]
--- a/node/peers.go
+++ b/node/peers.go
@@ -18,6 +18,8 @@
 	mux.Handle(peer.NewMembershipHandler(n.members, n.auth))
 	mux.Handle(peer.NewConfigHandler(n.sync, n.auth))
 	mux.Handle(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), connect.WithInterceptors(n.auth)))
+	mux.Handle(peer.NewUsageServiceHandler(n.meter.ledger, connect.WithInterceptors(n.auth)))
+	mux.Handle(peer.NewBurnServiceHandler(n.observer.recorder, connect.WithInterceptors(n.auth)))
 	mux.Handle(peer.NewEventHandler(n.receiveEvent, connect.WithInterceptors(n.auth)))
 	return mux
 }
@@ -52,6 +54,9 @@
 	bus.Handle(n.bus, "config-metrics", bus.TopicConfigChanged, func(_ context.Context, e bus.Event[bus.ConfigChanged]) error {
 		n.metrics.ConfigRevision.Set(int64(e.Value.Revision))
 		n.backends.register()
+		if snapshot := n.config.Load(); snapshot != nil {
+			n.admission.register(snapshot)
+		}
 		return nil
 	})
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,7 @@
 	Platform      Platform `json:"platform"`
 	Secrets       Secrets  `json:"secrets"`
 	Limits        Limits   `json:"limits,omitzero"`
+	Usage         Usage    `json:"usage,omitzero"`
 	Log           Log      `json:"log,omitzero"`
 }
 
@@ -69,6 +70,17 @@
 	MaxAttempts        int     `json:"max_attempts"`
 }
 
+// Usage says how usage is reported. All nodes must have equal values.
+type Usage struct {
+	// WindowSeconds is the length of a usage window, a whole number of seconds.
+	WindowSeconds int `json:"window_s"`
+}
+
+// UsageWindow returns the length of a usage window.
+func (s *Settings) UsageWindow() time.Duration {
+	return time.Duration(s.Usage.WindowSeconds) * time.Second
+}
+
 // Log says what is logged.
 type Log struct {
 	Verbose bool `json:"verbose"`
@@ -84,6 +96,7 @@
 			IdleTimeoutSeconds: 90, RequestTimeoutSeconds: 300, StopTimeoutSeconds: 300,
 			MaxAttempts: 3,
 		},
+		Usage: Usage{WindowSeconds: 300},
 	}
 }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -37,6 +37,7 @@
 	v.secretUnlessLoopback("$.secrets.peer", s.Secrets.Peer, s.Listen.Peers)
 	v.secretUnlessLoopback("$.secrets.operator", s.Secrets.Operator, s.Listen.Operators)
 	v.limits(&s.Limits)
+	v.positive("$.usage.window_s", float64(s.Usage.WindowSeconds), maxSeconds)
 }
 
 type validator struct {
