Decide lost answers of configuration changes by the recent heads

A head that was still at the base after a lost answer was reported as not changed, although the write could still be on its way.

Ruled out: a store revision range read (the store keeps no history for reads).

After: a head lists the 16 heads before it; the writer finds its token there, or is told that the outcome is unknown where the list doesn't reach back to its base.

Conclusion: a RaceError is now definite.

--- a/config/repository.go
+++ b/config/repository.go
@@ -37,8 +37,20 @@
 	Author string `json:"author"`
 	// Parts maps the name of a part to the digest of its value.
 	Parts map[string]string `json:"parts"`
+	// Recent lists the heads before this one, the latest first.
+	Recent []AppliedHead `json:"recent,omitempty"`
 }
 
+// AppliedHead identifies a head that was in force before.
+type AppliedHead struct {
+	Token    string         `json:"token"`
+	Revision store.Revision `json:"revision"`
+}
+
+// maxRecent bounds Head.Recent. A writer whose answer was lost finds its change
+// there if others have built on it before it reads back.
+const maxRecent = 16
+
 // Version is a revision of the configuration that was read or written.
 type Version struct {
 	Revision store.Revision
@@ -199,31 +211,34 @@
 	if err != nil {
 		return Version{}, err
 	}
-	head := Head{Token: uuid.NewString(), Author: author, Parts: make(map[string]string, len(parts))}
-	previous := r.previousParts(ctx)
+	previous, err := r.Head(ctx)
+	if err != nil && !errors.Is(err, ErrNoConfiguration) {
+		return Version{}, fmt.Errorf("%w: %s", store.ErrUnavailable, err.Error())
+	}
+	if previous.Revision != baseRevision {
+		return Version{}, &RaceError{Base: baseRevision, Current: previous.Revision, Author: previous.Head.Author}
+	}
+	head := Head{Token: uuid.NewString(), Author: author, Parts: make(map[string]string, len(parts)), Recent: previous.recent()}
 	for name, value := range parts {
 		digest := PartDigest(value)
 		head.Parts[name] = digest
-		if previous[name] == digest {
+		if previous.Head.Parts[name] == digest {
 			continue
 		}
 		if err := r.putPart(ctx, name, digest, value); err != nil {
 			return Version{}, err
 		}
 	}
-	version, err := r.swapHead(ctx, head, baseRevision)
-	if err != nil {
-		return Version{}, err
-	}
-	return version, nil
+	return r.swapHead(ctx, head, baseRevision)
 }
 
-func (r *Repository) previousParts(ctx context.Context) map[string]string {
-	version, err := r.Head(ctx)
-	if err != nil {
+// recent returns what a head that follows this version lists as Recent.
+func (v Version) recent() []AppliedHead {
+	if v.Revision == 0 {
 		return nil
 	}
-	return version.Head.Parts
+	recent := append([]AppliedHead{{Token: v.Head.Token, Revision: v.Revision}}, v.Head.Recent...)
+	return recent[:min(len(recent), maxRecent)]
 }
 
 // putPart writes an immutable part. A conflict means that the same content is
@@ -257,13 +272,32 @@
 	if readErr != nil {
 		return Version{}, err
 	}
-	if current.Head.Token == head.Token {
-		return current, nil
+	lost := &RaceError{Base: baseRevision, Current: current.Revision, Author: current.Head.Author}
+	if errors.Is(err, store.ErrConflict) {
+		return Version{}, lost
+	}
+	return decide(head, baseRevision, current, lost)
+}
+
+// decide finds out what became of a head whose write had no answer, from the
+// head that is there now and those that it lists as recent.
+func decide(head Head, baseRevision store.Revision, current Version, lost *RaceError) (Version, error) {
+	if current.Revision == baseRevision {
+		// The write may still be on its way.
+		return Version{}, store.ErrAmbiguous
+	}
+	// The list is complete if it reaches back to the base.
+	complete := baseRevision == 0 && len(current.Head.Recent) < maxRecent
+	for _, h := range append([]AppliedHead{{current.Head.Token, current.Revision}}, current.Head.Recent...) {
+		if h.Token == head.Token {
+			return Version{Revision: h.Revision, Head: head}, nil
+		}
+		complete = complete || h.Revision == baseRevision
 	}
-	if errors.Is(err, store.ErrAmbiguous) && current.Revision == baseRevision {
-		return Version{}, store.ErrUnavailable
+	if !complete {
+		return Version{}, store.ErrAmbiguous
 	}
-	return Version{}, &RaceError{Base: baseRevision, Current: current.Revision, Author: current.Head.Author}
+	return Version{}, lost
 }
 
 func partKey(name, digest string) string { return partPrefix + name + "/" + digest }
--- /dev/null
+++ b/config/repository_test.go
@@ -0,0 +1,93 @@
+package config_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/standin/memstore"
+)
+
+func document(weight float64) *config.Document {
+	return &config.Document{
+		Objectives: config.Objectives{FirstTokenSeconds: 1, BetweenTokensSeconds: 1, TargetRatio: 0.9},
+		Workspaces: []config.Workspace{{Name: "a", Weight: weight}},
+	}
+}
+
+// onHeadPut runs f on the next write of the head and loses its answer.
+func onHeadPut(s *memstore.Store, refuse bool, f func()) {
+	done := false
+	s.SetFault(func(op memstore.Op, key string) memstore.Fault {
+		if done || op != memstore.OpPut || key != config.HeadKey {
+			return memstore.Fault{}
+		}
+		done = true
+		if refuse {
+			return memstore.Fault{Before: f, Refuse: true}
+		}
+		return memstore.Fault{LoseAnswer: true, After: f}
+	})
+}
+
+// Guards against a lost answer that is taken for a failure, for a race that
+// was lost, or for a change that others have replaced since.
+func TestApplyDecidesLostAnswers(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New()
+	r := config.NewRepository(s)
+	first, err := r.Apply(t.Context(), document(1), 0, "first")
+	is.NoErr(err)
+
+	onHeadPut(s, false, func() {})
+	second, err := r.Apply(t.Context(), document(2), first.Revision, "second")
+	is.NoErr(err) // the change took effect
+
+	var other config.Version
+	onHeadPut(s, false, func() {
+		current, err := r.Head(t.Context())
+		is.NoErr(err)
+		other, err = r.Apply(t.Context(), document(4), current.Revision, "other")
+		is.NoErr(err)
+	})
+	third, err := r.Apply(t.Context(), document(3), second.Revision, "third")
+	is.NoErr(err) // it took effect before another change replaced it
+	is.True(third.Revision > second.Revision && third.Revision < other.Revision)
+}
+
+// Guards against an operator's change that is merged with, or replaces, one
+// that the operator has not seen.
+func TestApplyTellsWhoWonARace(t *testing.T) {
+	is := is.New(t)
+	s := memstore.New()
+	r := config.NewRepository(s)
+	first, err := r.Apply(t.Context(), document(1), 0, "first")
+	is.NoErr(err)
+	won, err := r.Apply(t.Context(), document(2), first.Revision, "winner")
+	is.NoErr(err)
+	_, err = r.Apply(t.Context(), document(3), first.Revision, "loser")
+	var race *config.RaceError
+	is.True(errors.As(err, &race))
+	is.Equal(*race, config.RaceError{Base: first.Revision, Current: won.Revision, Author: "winner"})
+	onHeadPut(s, true, func() {})
+	_, err = r.Apply(t.Context(), document(3), won.Revision, "loser")
+	is.True(errors.Is(err, store.ErrUnavailable)) // nothing was changed
+}
+
+// Guards against a revision that goes back or is published twice.
+func TestHolderNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	h := config.NewHolder()
+	for _, step := range []struct {
+		revision store.Revision
+		swapped  bool
+	}{{5, true}, {4, false}, {5, false}, {6, true}} {
+		snapshot, err := config.Build(document(1), step.revision)
+		is.NoErr(err)
+		is.Equal(h.Swap(snapshot), step.swapped)
+	}
+	is.Equal(h.Load().Revision, store.Revision(6))
+}
