Process prompts on other engines and read cache events

Cause: the routing policy chooses pairs of a prefill and a decode engine, which the request path ignored, and its record of cached prefixes knew only this node's own requests.

Ruled out: carrying the KV cache through the node; the decode engine is told the address of the prefill engine and imports the cache itself, and processes the prompt if that fails.

Before: a prefill engine would have got streams.

--- a/caller/interfaces.go
+++ b/caller/interfaces.go
@@ -37,6 +37,9 @@
 	Name          string
 	Address       string
 	FailureDomain string
+	// PrefillAddress is the address of the engine that processes the prompt, if
+	// that is another one.
+	PrefillAddress string
 	// Release ends the reservation of the server. It must be called once.
 	Release func()
 	// Generated tells the decision layer of tokens received.
--- a/caller/run.go
+++ b/caller/run.go
@@ -89,7 +89,10 @@
 // attempt runs the request on one engine and resumes its stream if it breaks.
 func (c *chatRun) attempt(ctx context.Context, target Target, n int) error {
 	h := c.handler
-	a := engine.Attempt{Request: c.session.id, ID: c.session.id + "." + strconv.Itoa(n), Body: c.body}
+	a := engine.Attempt{
+		Request: c.session.id, ID: c.session.id + "." + strconv.Itoa(n), Body: c.body,
+		PrefillServer: target.PrefillAddress, PrefixBlocks: c.work.PrefixBlocks,
+	}
 	log := c.session.log.WithValues(logging.Attempt, a.ID, logging.BackendServer, target.Name, logging.FailureDomain, target.FailureDomain)
 	h.Metrics.AttemptsTotal.Add(1)
 	if n > 1 {
--- a/engine/client.go
+++ b/engine/client.go
@@ -20,6 +20,11 @@
 	Priority int
 	// Body is the request in the chat-completions format with "stream" set.
 	Body []byte
+	// PrefillServer is the address of another engine that processes the prompt,
+	// or empty.
+	PrefillServer string
+	// PrefixBlocks are the hashes of the prompt's leading KV blocks.
+	PrefixBlocks []uint64
 }
 
 // Client calls engines over HTTP.
@@ -77,6 +82,12 @@
 	}
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
+	if a.PrefillServer != "" {
+		req.Header.Set(HeaderPrefillServer, a.PrefillServer)
+	}
+	if len(a.PrefixBlocks) > 0 {
+		req.Header.Set(HeaderPrefixBlocks, FormatBlocks(a.PrefixBlocks))
+	}
 	return c.open(req, a, 0)
 }
 
@@ -149,24 +160,39 @@
 
 // Load returns the load report of the engine at address.
 func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	var r LoadReport
+	if err := c.read(ctx, "http://"+address+"/v1/load", &r); err != nil {
+		return LoadReport{}, fmt.Errorf("load report: %w", err)
+	}
+	r.Received = time.Now()
+	return r, nil
+}
+
+// CacheEvents returns the cache events of the engine at address that follow
+// the given sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	url := "http://" + address + "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
+	if err := c.read(ctx, url, &events); err != nil {
+		return nil, fmt.Errorf("cache events: %w", err)
+	}
+	return events, nil
+}
+
+func (c *Client) read(ctx context.Context, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return LoadReport{}, err
+		return err
 	}
 	resp, err := c.calls.Do(req)
 	if err != nil {
-		return LoadReport{}, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return LoadReport{}, fmt.Errorf("load report: status %d", resp.StatusCode)
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
-	var r LoadReport
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxCallBytes)).Decode(&r); err != nil {
-		return LoadReport{}, fmt.Errorf("load report: %w", err)
-	}
-	r.Received = time.Now()
-	return r, nil
+	return json.NewDecoder(io.LimitReader(resp.Body, maxCallBytes)).Decode(v)
 }
 
 // Order sends an order to the engine at address.
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -20,6 +20,12 @@
 	HeaderPriority = "X-Priority"
 	// HeaderOffset is the number of chunks that the client already has.
 	HeaderOffset = "X-Stream-Offset"
+	// HeaderPrefillServer is the address of the engine that processes the
+	// prompt and exports its KV cache to the engine that gets the request.
+	HeaderPrefillServer = "X-Prefill-Server"
+	// HeaderPrefixBlocks lists the hashes of the prompt's leading KV blocks, in
+	// hexadecimal, separated by commas. Cache events refer to them.
+	HeaderPrefixBlocks = "X-Prefix-Blocks"
 )
 
 // doneData is the payload of the last event of a stream.
@@ -130,6 +136,40 @@
 	Received time.Time `json:"-"`
 }
 
+// CacheEvent says that an engine has cached or evicted blocks. Events arrive
+// late and with gaps in their sequence.
+type CacheEvent struct {
+	Sequence uint64   `json:"sequence"`
+	Added    []uint64 `json:"added,omitempty"`
+	Removed  []uint64 `json:"removed,omitempty"`
+}
+
+// FormatBlocks encodes block hashes for HeaderPrefixBlocks.
+func FormatBlocks(blocks []uint64) string {
+	var b strings.Builder
+	for i, hash := range blocks {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(hash, 16))
+	}
+	return b.String()
+}
+
+// ParseBlocks decodes HeaderPrefixBlocks. It stops at the first block that is
+// malformed.
+func ParseBlocks(s string) []uint64 {
+	var out []uint64
+	for part := range strings.SplitSeq(s, ",") {
+		hash, err := strconv.ParseUint(part, 16, 64)
+		if err != nil {
+			break
+		}
+		out = append(out, hash)
+	}
+	return out
+}
+
 // OrderKind is what an order changes.
 type OrderKind string
 
--- a/node/backends.go
+++ b/node/backends.go
@@ -49,6 +49,8 @@
 	failures int
 	leaving  bool
 	role     config.Role
+	// cacheSequence is the last cache event that was taken into account.
+	cacheSequence uint64
 }
 
 func newBackends(n *Node) *backends {
@@ -154,11 +156,15 @@
 		digest.Add(request.Now, w.PrefixBlocks...)
 	}
 	server := choice.Decode
-	return caller.Target{
+	target := caller.Target{
 		Name: server.Name, Address: server.Address, FailureDomain: server.FailureDomain,
 		Release:   flight.End,
 		Generated: func(int) { flight.Token() },
-	}, nil
+	}
+	if choice.Pair() {
+		target.PrefillAddress = choice.Prefill.Address
+	}
+	return target, nil
 }
 
 func pickError(err error) error {
@@ -264,6 +270,7 @@
 
 	if fresh {
 		tracker.Observe(server.Name, loadReport(report))
+		b.readCacheEvents(ctx, tracker, server, p)
 	}
 	if roleChanged {
 		b.register()
@@ -277,6 +284,32 @@
 	}
 }
 
+// readCacheEvents updates what is known of the prefixes cached on an engine. A
+// gap in the sequence leaves entries that are wrong; they age.
+func (b *backends) readCacheEvents(ctx context.Context, tracker *route.Tracker, server *config.BackendServer, p *polledServer) {
+	known := tracker.View().Server(server.Name)
+	if known == nil || known.Digest() == nil {
+		return
+	}
+	b.mu.Lock()
+	after := p.cacheSequence
+	b.mu.Unlock()
+	events, err := b.node.engines.CacheEvents(ctx, server.Address, after)
+	if err != nil {
+		b.node.log.V(1).Info("cache events not read", "backend_server", server.Name, "error", err.Error())
+		return
+	}
+	now := time.Now()
+	for _, e := range events {
+		known.Digest().Add(now, e.Added...)
+		known.Digest().Remove(e.Removed...)
+		after = max(after, e.Sequence)
+	}
+	b.mu.Lock()
+	p.cacheSequence = after
+	b.mu.Unlock()
+}
+
 func loadReport(r engine.LoadReport) route.Report {
 	return route.Report{MeasuredAt: r.Received, Load: route.Load{
 		Streams: int64(r.Running + r.Queued), PrefillTokens: int64(r.QueuedPrefillTokens),
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -61,6 +61,8 @@
 	LagMillis int `json:"lag_ms,omitempty"`
 	// RefuseStreams answers new streams with status 503.
 	RefuseStreams bool `json:"refuse_streams,omitempty"`
+	// DropCacheEvents leaves out every nth cache event.
+	DropCacheEvents int `json:"drop_cache_events,omitempty"`
 }
 
 // Server is one engine.
@@ -85,6 +87,9 @@
 	highest  uint64
 	slotFree *sync.Cond
 	served   map[string]int
+	cache    prefixCache
+	// prefills counts prompts processed for other engines.
+	prefills int
 }
 
 type report struct {
@@ -145,6 +150,8 @@
 	r.Get("/v1/streams/{attempt}", s.resume)
 	r.Delete("/v1/streams/{attempt}", s.cancel)
 	r.Get("/v1/load", s.load)
+	r.Get("/v1/cache-events", s.cacheEvents)
+	r.Post("/v1/prefill", s.prefill)
 	r.Post("/v1/orders", s.order)
 	r.Put("/v1/faults", s.putFaults)
 	r.Put("/v1/leaving", func(w http.ResponseWriter, r *http.Request) {
@@ -193,8 +200,11 @@
 	}
 	attempt := r.Header.Get(client.HeaderAttempt)
 	st := newStream(s, attempt, req)
+	st.prefillServer = r.Header.Get(client.HeaderPrefillServer)
+	st.blocks = client.ParseBlocks(r.Header.Get(client.HeaderPrefixBlocks))
+	st.body = raw
 	s.mu.Lock()
-	if s.faults.RefuseStreams || s.away {
+	if s.faults.RefuseStreams || s.away || s.role == config.RolePrefill {
 		s.mu.Unlock()
 		http.Error(w, "engine takes no streams now", http.StatusServiceUnavailable)
 		return
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -28,6 +28,11 @@
 	prompt  int
 	total   int
 	hash    uint64
+	// prefillServer, blocks and body are set for streams with a prompt that
+	// another engine processes, or that may be cached.
+	prefillServer string
+	blocks        []uint64
+	body          []byte
 
 	mu      sync.Mutex
 	ready   int
@@ -73,8 +78,8 @@
 	s.mu.Unlock()
 	defer st.release(blocks)
 
-	if speed := s.settings.PrefillTokensPerSecond; speed > 0 {
-		time.Sleep(time.Duration(st.prompt) * time.Second / time.Duration(speed))
+	if st.prefillServer == "" || !st.importKV() {
+		s.process(st.prompt, st.blocks)
 	}
 	for n := 0; n < st.total; n++ {
 		time.Sleep(time.Duration(s.settings.TokenMillis) * time.Millisecond)
