Report burn, usage and spending on the operator listener

Cause: the report commands answered that there is no such report.

Ruled out: prices in the spend report; the configuration has none, so it gives server seconds by pool, failure domain and class beside good and bad requests.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -28,14 +28,14 @@
 	InFlight *expvar.Int
 	// ConfigRevision is the revision of the configuration in force.
 	ConfigRevision *expvar.Int
-	// ConfigRejectedTotal counts revisions that could not be used.
-	ConfigRejectedTotal *expvar.Int
+	// GoodTotal and BadTotal count requests by model or service: good ones were
+	// whole and met the objectives.
+	GoodTotal *expvar.Map
+	BadTotal  *expvar.Map
 	// KeysWithdrawnTotal counts streams ended because their key was withdrawn.
 	KeysWithdrawnTotal *expvar.Int
 	// StoreCallsTotal counts calls to the platform's store by mechanism.
 	StoreCallsTotal *expvar.Map
-	// LoadReportAgeSeconds is the age of the oldest load report in use.
-	LoadReportAgeSeconds *expvar.Float
 }
 
 // New returns an empty set.
@@ -51,11 +51,10 @@
 	s.ChunksDroppedTotal = s.newMap("chunks_dropped_total")
 	s.InFlight = s.newInt("in_flight")
 	s.ConfigRevision = s.newInt("config_revision")
-	s.ConfigRejectedTotal = s.newInt("config_rejected_total")
+	s.GoodTotal = s.newMap("good_total")
+	s.BadTotal = s.newMap("bad_total")
 	s.KeysWithdrawnTotal = s.newInt("keys_withdrawn_total")
 	s.StoreCallsTotal = s.newMap("store_calls_total")
-	s.LoadReportAgeSeconds = new(expvar.Float)
-	s.vars.Set("load_report_age_seconds", s.LoadReportAgeSeconds)
 	return s
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	admission  *admission
 	meter      *meter
 	observer   *observer
+	spending   *spending
 	callers    *caller.Handler
 	listeners  *listeners
 	draining   atomic.Bool
@@ -92,6 +93,7 @@
 	n.admission = newAdmission(n)
 	n.meter = newMeter(n)
 	n.observer = newObserver(n)
+	n.spending = newSpending(time.Now())
 	n.callers = caller.New(n.callerDependencies(), callerOptions(s.Limits))
 	n.handleEvents()
 	n.listeners.handle(n.callers, n.peerHandler(), n.operatorHandler())
@@ -129,7 +131,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{"burn": n.observer.report},
+		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{"burn": n.observer.report, "usage": n.usageReport, "spend": n.spendReport},
 	}
 	return h.Router()
 }
@@ -181,6 +183,7 @@
 	for _, run := range []func(context.Context){n.members.Run, n.sync.Run, n.backends.run, n.claims.run, n.admission.run, n.meter.run, n.announceConfig} {
 		wait.Go(func() { run(background) })
 	}
+	wait.Go(func() { n.spending.run(background, n.config) })
 	failed := n.listeners.serve()
 	n.log.Info("node started", "process", n.process, "callers", n.CallerAddress(),
 		"peers", n.VM().Address, "operators", n.OperatorAddress())
--- /dev/null
+++ b/node/reports.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/usage"
+)
+
+// reportedWindows is how many of the latest windows the usage report shows.
+const reportedWindows = 12
+
+// spendInterval is how often server seconds are added up.
+const spendInterval = time.Second
+
+// UsageRow is the usage of one workspace in one window as it was sealed.
+type UsageRow struct {
+	WindowStart time.Time `json:"window_start"`
+	Workspace   string    `json:"workspace"`
+	usage.Figures
+	// CorrectionOf is set for usage of an earlier window that arrived late.
+	CorrectionOf *time.Time `json:"correction_of,omitempty"`
+}
+
+// UsageReport lists the latest sealed windows, the newest first.
+type UsageReport struct {
+	Windows []UsageRow `json:"windows"`
+}
+
+// usageReport reads the sealed windows from the store.
+func (n *Node) usageReport(ctx context.Context) (any, error) {
+	entries, _, err := n.store.List(ctx, "usage/")
+	if err != nil {
+		return nil, err
+	}
+	report := UsageReport{Windows: []UsageRow{}}
+	length := n.settings.UsageWindow()
+	oldest := usage.WindowStart(time.Now(), length) - reportedWindows*int64(length/time.Second)
+	for _, entry := range entries {
+		var record usage.Record
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			return nil, fmt.Errorf("%s: %w", entry.Key, err)
+		}
+		if record.Window < oldest {
+			continue
+		}
+		report.add(record)
+	}
+	slices.SortFunc(report.Windows, func(a, b UsageRow) int {
+		return cmp.Or(b.WindowStart.Compare(a.WindowStart), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return report, nil
+}
+
+func (r *UsageReport) add(record usage.Record) {
+	sealed := record.Report()
+	start := time.Unix(sealed.Window, 0).UTC()
+	for _, f := range sealed.Figures {
+		r.Windows = append(r.Windows, UsageRow{WindowStart: start, Workspace: f.Workspace,
+			Figures: usage.Figures{Calls: f.Calls, PromptTokens: f.PromptTokens, OutputTokens: f.OutputTokens}})
+	}
+	for _, c := range sealed.Corrections {
+		of := time.Unix(c.Window, 0).UTC()
+		r.Windows = append(r.Windows, UsageRow{WindowStart: start, Workspace: c.Workspace, CorrectionOf: &of,
+			Figures: usage.Figures{Calls: c.Calls, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens}})
+	}
+}
+
+// SpendRow compares the backend servers of a pool with what they served.
+type SpendRow struct {
+	Pool          string               `json:"pool"`
+	FailureDomain string               `json:"failure_domain"`
+	Class         config.CapacityClass `json:"class"`
+	// Servers is the number of registered servers now.
+	Servers int `json:"servers"`
+	// ServerSeconds is how long they have been registered since this node
+	// started, added up.
+	ServerSeconds float64 `json:"server_seconds"`
+}
+
+// ServedRow is what this node served of one model or service since it started.
+type ServedRow struct {
+	Service string `json:"service"`
+	Good    int64  `json:"good"`
+	Bad     int64  `json:"bad"`
+}
+
+// SpendReport is the view of one node.
+type SpendReport struct {
+	Node    string      `json:"node"`
+	Since   time.Time   `json:"since"`
+	Servers []SpendRow  `json:"servers"`
+	Served  []ServedRow `json:"served"`
+}
+
+// spending adds up server seconds.
+type spending struct {
+	mu      sync.Mutex
+	since   time.Time
+	last    time.Time
+	servers map[spendKey]*SpendRow
+}
+
+type spendKey struct {
+	pool, failureDomain string
+	class               config.CapacityClass
+}
+
+func newSpending(now time.Time) *spending {
+	return &spending{since: now, last: now, servers: make(map[spendKey]*SpendRow)}
+}
+
+// tick adds the time since the last call for all registered servers.
+func (s *spending) tick(now time.Time, snapshot *config.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	elapsed := now.Sub(s.last).Seconds()
+	s.last = now
+	for _, row := range s.servers {
+		row.Servers = 0
+	}
+	for i := range snapshot.Document.BackendServers {
+		b := &snapshot.Document.BackendServers[i]
+		class := cmp.Or(b.Class, config.ClassStandard)
+		key := spendKey{b.Pool, b.FailureDomain, class}
+		row := s.servers[key]
+		if row == nil {
+			row = &SpendRow{Pool: b.Pool, FailureDomain: b.FailureDomain, Class: class}
+			s.servers[key] = row
+		}
+		row.Servers++
+		row.ServerSeconds += elapsed
+	}
+}
+
+// run adds up until ctx ends.
+func (s *spending) run(ctx context.Context, holder *config.Holder) {
+	for ctx.Err() == nil {
+		if snapshot := holder.Load(); snapshot != nil {
+			s.tick(time.Now(), snapshot)
+		}
+		sleep(ctx, spendInterval)
+	}
+}
+
+func (n *Node) spendReport(context.Context) (any, error) {
+	if snapshot := n.config.Load(); snapshot != nil {
+		n.spending.tick(time.Now(), snapshot)
+	}
+	report := n.spending.report(n.settings.Name)
+	counts := func(m *expvar.Map, set func(row *ServedRow, count int64)) {
+		m.Do(func(kv expvar.KeyValue) {
+			i := slices.IndexFunc(report.Served, func(r ServedRow) bool { return r.Service == kv.Key })
+			if i < 0 {
+				report.Served = append(report.Served, ServedRow{Service: kv.Key})
+				i = len(report.Served) - 1
+			}
+			set(&report.Served[i], kv.Value.(*expvar.Int).Value())
+		})
+	}
+	counts(n.metrics.GoodTotal, func(row *ServedRow, count int64) { row.Good = count })
+	counts(n.metrics.BadTotal, func(row *ServedRow, count int64) { row.Bad = count })
+	return report, nil
+}
+
+func (s *spending) report(node string) SpendReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := SpendReport{Node: node, Since: s.since.UTC(), Servers: []SpendRow{}, Served: []ServedRow{}}
+	for _, row := range s.servers {
+		report.Servers = append(report.Servers, *row)
+	}
+	slices.SortFunc(report.Servers, func(a, b SpendRow) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Class, b.Class))
+	})
+	return report
+}
--- a/node/usage.go
+++ b/node/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"connectrpc.com/connect"
@@ -91,10 +92,23 @@
 type observer struct {
 	node     *Node
 	recorder *burn.Recorder
+	// goodTotal and badTotal count requests by model or service.
+	goodTotal, badTotal *expvar.Map
 }
 
 func newObserver(n *Node) *observer {
-	return &observer{node: n, recorder: burn.NewRecorder(maxBurnSeries)}
+	return &observer{
+		node: n, recorder: burn.NewRecorder(maxBurnSeries),
+		goodTotal: n.metrics.GoodTotal, badTotal: n.metrics.BadTotal,
+	}
+}
+
+func (o *observer) served(service string, good bool) {
+	if good {
+		o.goodTotal.Add(service, 1)
+		return
+	}
+	o.badTotal.Add(service, 1)
 }
 
 // Observe implements caller.Observer. Errors of the caller's own making don't
@@ -107,6 +121,7 @@
 	good := x.Whole && x.FirstToken.Seconds() <= snapshot.Document.Objectives.FirstTokenSeconds &&
 		float64(x.SlowGaps) <= (1-snapshot.Document.Objectives.TargetRatio)*float64(x.Gaps)
 	o.recorder.Observe(x.Workspace, x.Service, good, x.At)
+	o.served(x.Service, good)
 }
 
 // callerError reports whether the request failed for a reason that is not the
