Measure ranges whose writers have budgets of their own

Cause: in operation the writers of the ranges run on different nodes and can't share a limiter; the command rate only knew one budget for all.

Ruled out: several processes; the store is what limits, and it is the same.

--- a/once/measure/rate.go
+++ b/once/measure/rate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
 
 	"github.com/figweir/figweir/once"
 	"github.com/figweir/figweir/standin/memstore"
@@ -22,6 +23,7 @@
 	Budget   float64       `default:"280" help:"Store writes a second that the writers share."`
 	Timeout  time.Duration `default:"500ms" help:"Time after which a claim is refused."`
 	Single   bool          `help:"One write for each claim and each outcome."`
+	Own      int           `help:"Give each range a budget of its own, as if each were on another node, that allows this many writes at once."`
 	For      time.Duration `default:"8s" help:"Duration at each rate."`
 }
 
@@ -70,6 +72,9 @@
 	}
 	budget := once.NewBudget(c.Budget)
 	writers := once.NewWriters(c.Ranges, func(r once.Range) *once.Writer {
+		if c.Own > 0 {
+			budget = rate.NewLimiter(rate.Limit(c.Budget/float64(c.Ranges)), c.Own)
+		}
 		return once.StartWriter(slow, r, config, budget, nobodyGone{})
 	})
 	claimerConfig := once.DefaultClaimerConfig()
