Refuse ranges whose records are damaged, and test it

Cause: a damaged head or segment that is read as one without claims would grant claims again. The checks were there without a test; an index that doesn't fit its head would have ended the process with an index out of range.

Ruled out: an own checksum in each value. The store returns what was written; the checks catch a value that was cut or replaced by hand.

Conclusion: a running writer never falls back to an empty range. A new writer can't tell a deleted head from a range that was never used.

--- a/once/commit.go
+++ b/once/commit.go
@@ -163,10 +163,10 @@
 	switch {
 	case !d.sealed:
 		op.answer(d.result)
-	case d.record.ordinal < w.head.FirstOrdinal:
+	case d.record.ordinal < w.head.FirstOrdinal || d.record.ordinal >= w.openOrdinal():
 		op.answer(outcomeNotRead) // Its segment was dropped by this very write.
 	default:
-		go w.answerSealed(op, w.segmentNumber(d.record.ordinal), int(d.record.slot))
+		go w.answerSealed(op, w.head.Segments[d.record.ordinal-w.head.FirstOrdinal].Number, int(d.record.slot))
 	}
 }
 
@@ -184,11 +184,6 @@
 	op.answer(result{answer: Answer{State: Done, Outcome: outcome}})
 }
 
-// segmentNumber returns the number of the segment with an ordinal.
-func (w *Writer) segmentNumber(ordinal uint32) uint64 {
-	return w.head.Segments[ordinal-w.head.FirstOrdinal].Number
-}
-
 // write appends entries to the head by compare-and-swap. A full head is sealed
 // first. On success the index has the new entries.
 func (w *Writer) write(ctx context.Context, entries []*pb.OnceEntry) error {
--- a/once/decide.go
+++ b/once/decide.go
@@ -62,7 +62,7 @@
 func answered(s State) decision { return decision{result: result{answer: Answer{State: s}}} }
 
 func (w *Writer) decideDone(r record) decision {
-	if r.ordinal == w.loadedTo {
+	if r.ordinal == w.loadedTo && int(r.slot) < len(w.head.Entries) {
 		outcome := outcomeFromProto(w.head.Entries[r.slot].Outcome)
 		return decision{result: result{answer: Answer{State: Done, Outcome: outcome}}, final: true}
 	}
--- a/once/writer_test.go
+++ b/once/writer_test.go
@@ -209,6 +209,47 @@
 	})
 }
 
+// TestDamagedRecords guards against a claim that is granted because a damaged or
+// missing record is read as one without claims.
+func TestDamagedRecords(t *testing.T) {
+	damage := map[string]func(context.Context, store.Store, store.Entry) error{
+		"truncated": func(ctx context.Context, s store.Store, e store.Entry) error {
+			_, err := s.Put(ctx, e.Key, e.Value[:len(e.Value)-3], e.Revision, 0)
+			return err
+		},
+		"empty": func(ctx context.Context, s store.Store, e store.Entry) error {
+			_, err := s.Put(ctx, e.Key, nil, e.Revision, 0)
+			return err
+		},
+		"deleted": func(ctx context.Context, s store.Store, e store.Entry) error { return s.Delete(ctx, e.Key, e.Revision) },
+	}
+	for _, key := range []string{headKey(0), segmentKey(0, 4)} {
+		for name, act := range damage {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				mem, config := memstore.New(), testConfig()
+				config.SealEntries = 4
+				w := startTest(mem, config, &goneSet{})
+				defer w.Close()
+				for n := range 6 {
+					is.Equal(mustClaim(is, w, claimOf(n, "a")).State, Granted)
+				}
+				entry, err := mem.Get(t.Context(), key)
+				is.NoErr(err)
+				is.NoErr(act(t.Context(), mem, entry))
+				if key != headKey(0) { // a running writer doesn't read it again
+					w.Close()
+					w = startTest(mem, config, &goneSet{})
+					defer w.Close()
+				}
+				t.Log(key, name)
+				is.Equal(mustClaim(is, w, claimOf(0, "b")).State, Refused)
+				is.Equal(mustClaim(is, w, claimOf(7, "b")).State, Refused)
+			})
+		}
+	}
+}
+
 // TestGroupCommit guards against one store write for each claim.
 func TestGroupCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
