--- a/cli/cli.go
+++ b/cli/cli.go
@@ -47,6 +47,7 @@
 	Drain     drainCommand     `cmd:"" help:"Give a backend server no new work."`
 	Undrain   undrainCommand   `cmd:"" help:"Give a drained backend server new work again."`
 	Report    reportCommand    `cmd:"" help:"Print a report of a node."`
+	Load      loadCommand      `cmd:"" help:"Send open-loop load to nodes and print one JSON result."`
 	Standin   standinCommand   `cmd:"" help:"Run a stand-in for a system that figweir talks to."`
 	Demo      demoCommand      `cmd:"" help:"Run a whole small deployment in one process over loopback."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -84,3 +84,14 @@
 	(&Scenario{Calls: Calls{RatePerSecond: 1, RepeatRatio: 2}}).Validate(&many)
 	is.Equal(len(many.All()), 8)
 }
+
+// Guards against a second run that stays unseen because another server of the
+// pool made it, and against a repeat that is counted as a run.
+func TestSecondRunAtAnotherServerIsSeen(t *testing.T) {
+	is := is.New(t)
+	first := sample{whole: true, run: 1, server: "s-1"}
+	is.True(!ranTwice([]sample{first, first}))
+	is.True(!ranTwice([]sample{first, {code: "in_progress"}}))
+	is.True(ranTwice([]sample{first, {whole: true, run: 1, server: "s-2"}}))
+	is.True(ranTwice([]sample{{whole: true, run: 2, server: "s-1"}}))
+}
--- a/load/request.go
+++ b/load/request.go
@@ -33,8 +33,10 @@
 	// code is the error code of a refusal or failure.
 	code   string
 	notRun bool
-	// run is how often the service says that the call has run.
-	run int
+	// run is how often the server says that it has run the call, and server is
+	// that server. Each server of a pool counts for itself.
+	run    int
+	server string
 }
 
 type driver struct {
@@ -135,12 +137,13 @@
 		return refused(out, resp.Body)
 	}
 	var answer struct {
-		Run int `json:"run"`
+		Run    int    `json:"run"`
+		Server string `json:"server"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
 		return failed(out, err)
 	}
-	out.whole, out.run = true, answer.Run
+	out.whole, out.run, out.server = true, answer.Run, answer.Server
 	return out
 }
 
--- a/load/result.go
+++ b/load/result.go
@@ -29,7 +29,9 @@
 	// NotRun counts the errors that say that nothing ran.
 	NotRun     int `json:"not_run"`
 	CallsWhole int `json:"calls_whole"`
-	// DuplicateRuns counts calls that the service ran more than once.
+	// DuplicateRuns counts calls that ran more than once, as far as the answers
+	// show it: a server counted a second run, or the call and its repeat were
+	// answered by different servers.
 	DuplicateRuns int `json:"duplicate_runs"`
 
 	seconds []secondCount
@@ -95,6 +97,9 @@
 	}
 	first, gaps := newHistogram(), newHistogram()
 	for _, group := range samples {
+		if ranTwice(group) {
+			r.DuplicateRuns++
+		}
 		for _, sample := range group {
 			r.add(s, sample)
 			if sample.tokens > 0 {
@@ -125,9 +130,6 @@
 		if x.whole {
 			r.CallsWhole++
 		}
-		if x.run > 1 {
-			r.DuplicateRuns++
-		}
 		return
 	}
 	r.Requests++
@@ -152,6 +154,21 @@
 	}
 }
 
+// ranTwice reports whether the answers to a call and its repeat show more than
+// one run.
+func ranTwice(group []sample) bool {
+	server := ""
+	for _, x := range group {
+		if x.run > 1 || (x.server != "" && server != "" && x.server != server) {
+			return true
+		}
+		if x.server != "" {
+			server = x.server
+		}
+	}
+	return false
+}
+
 // good reports whether the answer was whole, its first token came in time, and
 // 95 in 100 of the gaps between its tokens were short enough.
 func (x *sample) good(s *Scenario) bool {
--- a/load/run.go
+++ b/load/run.go
@@ -10,7 +10,10 @@
 
 // Run sends all requests of the scenario at their times and returns the result.
 func Run(ctx context.Context, s *Scenario) (*Result, error) {
-	arrivals := schedule(s)
+	return runArrivals(ctx, s, schedule(s), &counts{})
+}
+
+func runArrivals(ctx context.Context, s *Scenario, arrivals []arrival, c *counts) (*Result, error) {
 	d := newDriver(s, uuid.NewString())
 	defer d.http.CloseIdleConnections()
 	samples := make([][]sample, len(arrivals))
@@ -20,7 +23,11 @@
 		if err := sleepUntil(ctx, start.Add(a.at)); err != nil {
 			break
 		}
-		wait.Go(func() { samples[i] = d.sendAll(ctx, a) })
+		c.sent.Add(1)
+		wait.Go(func() {
+			samples[i] = d.sendAll(ctx, a)
+			c.finished.Add(1)
+		})
 	}
 	wait.Wait()
 	return summarize(s, samples, time.Since(start)), ctx.Err()
