plan: keep the servers that recent peaks needed

The recent past of 5 minutes now decides what is kept, since a server takes longer to start than most peaks last. Without it TestPeakServersAreKept fails: 1 != 0.

--- a/plan/capacity.go
+++ b/plan/capacity.go
@@ -29,7 +29,11 @@
 	if len(p.orders) > 0 {
 		return
 	}
-	if p.total > target+stopMargin {
+	kept := target
+	for _, tokens := range demand.Recent() {
+		kept = max(kept, int(math.Ceil(p.need(tokens).total())))
+	}
+	if p.total > kept+stopMargin {
 		p.stop(present)
 	} else if p.total == p.ready && p.total >= target {
 		p.replace(present)
--- a/plan/forecast.go
+++ b/plan/forecast.go
@@ -62,8 +62,21 @@
 type Demand struct {
 	FastPrefill, FastDecode Trend
 	SlowPrefill, SlowDecode Trend
+
+	// recent are the levels of the fast trend, one for each recentEvery.
+	recent  [recentSamples]Tokens
+	samples int
+	sampled time.Time
 }
 
+// The recent past that decides which servers are kept: a server takes longer to
+// start than most peaks last, so what a peak has needed minutes ago is not
+// stopped.
+const (
+	recentEvery   = 10 * time.Second
+	recentSamples = 30
+)
+
 // Time constants of the forecasts. The ratio of prompt to output changes within
 // minutes, so the fast one must follow within a fraction of a minute.
 const (
@@ -85,8 +98,16 @@
 	d.FastDecode.Observe(at, t.Decode)
 	d.SlowPrefill.Observe(at, t.Prefill)
 	d.SlowDecode.Observe(at, t.Decode)
+	if at.Sub(d.sampled) >= recentEvery {
+		d.recent[d.samples%recentSamples] = Tokens{d.FastPrefill.level, d.FastDecode.level}
+		d.samples++
+		d.sampled = at
+	}
 }
 
+// Recent returns the levels of the last minutes.
+func (d *Demand) Recent() []Tokens { return d.recent[:min(d.samples, recentSamples)] }
+
 // Fast returns the forecast of the fast trend.
 func (d *Demand) Fast(at time.Time) Tokens {
 	return Tokens{d.FastPrefill.At(at), d.FastDecode.At(at)}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -254,6 +254,22 @@
 	is.True(len(plan.Plan(view, start)) >= 1)
 }
 
+// TestPeakServersAreKept guards against stopping servers between two peaks that
+// are closer to each other than the time a server takes to start.
+func TestPeakServersAreKept(t *testing.T) {
+	is := is.New(t)
+	demand := plan.NewDemand()
+	for i := range 300 {
+		load := 3000.0
+		if i%180 < 60 {
+			load = 7000
+		}
+		demand.Observe(start.Add(time.Duration(i-300)*time.Second), plan.Tokens{Decode: load})
+	}
+	view := &plan.View{Pool: "pool", Servers: pool(8, 2, 0), Demand: demand, Rates: rates, Rules: rules(2, config.Rule{MaxServers: 10})}
+	is.Equal(len(plan.Plan(view, start)), 0)
+}
+
 // TestNoPlanWithoutObservations guards against taking missing observations for
 // no demand and stopping the fleet.
 func TestNoPlanWithoutObservations(t *testing.T) {
