experiment: a node may use more than its part of the fleet

With 1.6 times its part of the prefill backlog, a node with a few simultaneous calls refused some that others had room for. Routing spreads what is admitted. A scenario with twice the calls of the large workspaces is added, since fair shares only matter when there is too much work.

--- a/engine/model/experiment/compare.go
+++ b/engine/model/experiment/compare.go
@@ -92,7 +92,11 @@
 // first variant did better than each other one in goodput during and after the
 // shift.
 func (c *Comparison) WriteMarkdown(w io.Writer) {
-	fmt.Fprintf(w, "\n### %s, prompt-to-output ratio x%.2f\n\n|", c.Size.Name, c.Schedule.RatioFactor)
+	fmt.Fprintf(w, "\n### %s, prompt-to-output ratio x%.2f", c.Size.Name, c.Schedule.RatioFactor)
+	if c.Schedule.LargeSurge > 0 {
+		fmt.Fprintf(w, ", calls of large workspaces x%.1f", c.Schedule.LargeSurge)
+	}
+	fmt.Fprint(w, "\n\n|")
 	for _, v := range c.Variants {
 		fmt.Fprintf(w, " | %s", v.Name)
 	}
--- a/engine/model/experiment/experiment_test.go
+++ b/engine/model/experiment/experiment_test.go
@@ -29,6 +29,9 @@
 		for _, factor := range []float64{1.5, 0.5} {
 			experiment.Compare(size, experiment.DefaultSchedule(factor), experiment.Variants(), list, 2).WriteMarkdown(os.Stdout)
 		}
+		overload := experiment.DefaultSchedule(1.5)
+		overload.LargeSurge = 2
+		experiment.Compare(size, overload, experiment.Variants(), list, 2).WriteMarkdown(os.Stdout)
 	}
 }
 
--- a/engine/model/experiment/node.go
+++ b/engine/model/experiment/node.go
@@ -25,7 +25,7 @@
 	backlogSeconds = 0.35
 	// batchStreams is the batch with which a step takes 30 ms.
 	batchStreams = 36
-	overcommit   = 1.6
+	overcommit   = 2.5
 )
 
 // maxAttempts bounds how often a call is sent to another server.
--- a/engine/model/experiment/workload.go
+++ b/engine/model/experiment/workload.go
@@ -55,6 +55,9 @@
 	// RatioFactor is the prompt-to-output ratio after the shift, relative to
 	// the one before.
 	RatioFactor float64
+	// LargeSurge multiplies the calls of the large workspaces from the begin of
+	// the shift to the reclaim; 0 stands for 1.
+	LargeSurge float64
 }
 
 // DefaultSchedule shifts the ratio within 2 minutes.
@@ -116,6 +119,9 @@
 			if burst {
 				present = rate * burstRate
 			}
+			if w < s.Large {
+				present *= schedule.surge(time.Duration(at * float64(time.Second)))
+			}
 			at += exponential(random, 1/present)
 			if at > phaseEnds {
 				at, burst = phaseEnds, !burst
@@ -133,6 +139,14 @@
 	return out
 }
 
+// surge is the factor on the calls of large workspaces.
+func (s Schedule) surge(at time.Duration) float64 {
+	if s.LargeSurge > 0 && at >= s.ShiftBegin && at < s.Reclaim {
+		return s.LargeSurge
+	}
+	return 1
+}
+
 func call(random *rand.Rand, s Schedule, at time.Duration, workspace, prefix int, lengths []int) Arrival {
 	// The ratio changes by factor: half of it by longer prompts and half by
 	// shorter answers, so that the work stays about the same.
