--- a/route/cost.go
+++ b/route/cost.go
@@ -207,6 +207,11 @@
 	}
 	first := s.Distance.Seconds() + prefillSeconds(r, s, l, cached)
 	step := stepSeconds(s, l)
+	if v.BlockTokens == 0 {
+		// A call of a plain service has no tokens: the calls in progress there
+		// stand for its queue.
+		first += step
+	}
 	cost := first + kv + p.decodeCost(r, step) + p.reclaimCost(s) - p.homeSaving(r, s, cached, home)
 	return Choice{Prefill: s, Decode: s, CachedTokens: cached, FirstToken: seconds(first), BetweenTokens: seconds(step)}, cost, true
 }
--- a/route/digest.go
+++ b/route/digest.go
@@ -74,7 +74,9 @@
 		return false
 	}
 	age := (stampOf(now) - slot) & timeMask
-	return age <= uint64(digestMaxAge/ageUnit)
+	// A block may be recorded while a request that has read the clock before is
+	// being decided; its age is then just below 0 and wraps round.
+	return age <= uint64(digestMaxAge/ageUnit) || age > timeMask/2
 }
 
 // stampOf never returns 0, so that an empty slot can't be taken for a block.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -212,6 +212,36 @@
 	is.Equal(d.Cached(start, blocks), 1)
 }
 
+// TestDigestOfRequestWithOlderTime guards against a block that was recorded
+// after a request had read the clock counting as 19 days old.
+func TestDigestOfRequestWithOlderTime(t *testing.T) {
+	is := is.New(t)
+	d := &route.Digest{}
+	d.Add(start.Add(time.Second), 7<<40)
+	is.Equal(d.Cached(start, []uint64{7 << 40}), 1)
+}
+
+// TestServiceCallsSpread guards against calls of a plain service, which have no
+// tokens, being sent to a server whatever its load.
+func TestServiceCallsSpread(t *testing.T) {
+	is := is.New(t)
+	tracker := route.NewTracker("pool", "node", 0)
+	tracker.Register(start, []route.Registration{{Name: "a"}, {Name: "b"}})
+	tracker.Observe("a", route.Report{MeasuredAt: start, Load: route.Load{Streams: 20}})
+	tracker.Observe("b", route.Report{MeasuredAt: start, Load: route.Load{Streams: 1}})
+	v := tracker.Publish(start)
+	p, toB := route.NewCost(9, route.DefaultWeights), 0
+	for range 200 {
+		c, err := p.Pick(v, &route.Request{Now: start})
+		is.NoErr(err)
+		if c.Decode.Name == "b" {
+			toB++
+		}
+	}
+	// Two draws of two servers miss b in one case of four.
+	is.True(toB > 120)
+}
+
 // TestDigestToleratesReplacedSlot guards against one block that was replaced by
 // another in the table hiding the whole cached prefix behind it.
 func TestDigestToleratesReplacedSlot(t *testing.T) {
