route: publish only what the node's subset needs

A node publishes a view every 100 ms. The registered servers and the subsets change rarely, so they are built when they change; a publication refreshes the at most 72 servers in the subsets.

Digests of servers that have left the subset are dropped. Decode engines get no digest, since they cache no prompts.

--- a/route/route_test.go
+++ b/route/route_test.go
@@ -257,7 +257,8 @@
 }
 
 // TestSubsetIsBoundedAndStable guards against a node that talks to the whole
-// fleet, and against a subset that is reshuffled when one server goes.
+// fleet, against a subset that is reshuffled when one server goes, and against
+// digests of servers that have left the subset adding up.
 func TestSubsetIsBoundedAndStable(t *testing.T) {
 	is := is.New(t)
 	tracker := route.NewTracker("pool", "node-7", 16)
@@ -286,6 +287,16 @@
 		}
 	}
 	is.True(kept >= route.SubsetServers-2)
+	for i := range 200 {
+		tracker.Leave(start, all[i*7].Name, true)
+	}
+	digests := 0
+	for _, s := range tracker.View().Servers {
+		if s.Digest() != nil {
+			digests++
+		}
+	}
+	is.Equal(digests, route.SubsetServers)
 }
 
 // TestCostPrefersCachedPrefix guards against a cache hit that is worth more
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -23,7 +23,8 @@
 // servers nearby doesn't depend on one other failure domain.
 const nearShare = 0.5
 
-// staleAfter is the age from which a load report doesn't count for the mean. It is several times the lag of reports (up to 1 s).
+// staleAfter is the age from which a load report doesn't count for the mean. It
+// is several times the lag of reports (up to 1 s).
 const staleAfter = 3 * time.Second
 
 // Tracker collects what is known of the servers of one pool and publishes it as
@@ -42,6 +43,11 @@
 	// index is the position of each server in registrations. Views share it; it
 	// is replaced, never changed.
 	index map[string]int
+	// base is the last view that was built from the registrations and leaving
+	// flags. Later ones differ from it in the servers of the subsets only.
+	base *View
+	// builds counts the base views.
+	builds uint64
 }
 
 // serverState outlives the views, so that requests in flight stay counted.
@@ -55,6 +61,8 @@
 	digest   *Digest
 	// rank is the rendezvous hash of node and server.
 	rank uint64
+	// member is the last build in which the server was in a subset.
+	member uint64
 }
 
 // NewTracker returns a tracker for the servers of a pool. node names this node;
@@ -64,7 +72,7 @@
 		pool: pool, node: node, blockTokens: blockTokens,
 		leaving: make(map[string]bool), states: make(map[string]*serverState),
 	}
-	t.current.Store(&View{Pool: pool, BlockTokens: blockTokens})
+	t.build(time.Time{})
 	return t
 }
 
@@ -89,7 +97,7 @@
 			delete(t.leaving, name)
 		}
 	}
-	t.publish(now)
+	t.build(now)
 }
 
 // Leave sets or clears the leaving flag of a server. The change is published at
@@ -101,7 +109,7 @@
 		return
 	}
 	t.leaving[name] = leaving
-	t.publish(now)
+	t.build(now)
 }
 
 // Observe takes a load report into account. A report that was measured before
@@ -117,31 +125,24 @@
 	s.others = r.Load.sub(s.history.before(r.MeasuredAt))
 }
 
-// Publish makes a view of what is known now. Call it every 100 ms or so.
+// Publish makes a view with the present load of the servers in this node's
+// subsets. Its cost doesn't grow with the pool but for copying one pointer per
+// server. Call it every 100 ms or so.
 func (t *Tracker) Publish(now time.Time) *View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.publish(now)
+	return t.refresh(now)
 }
 
-func (t *Tracker) publish(now time.Time) *View {
-	v := &View{
-		Pool: t.pool, BlockTokens: t.blockTokens, At: now,
-		Servers: make([]*Server, 0, len(t.registrations)),
-		index:   t.index,
-	}
+// build makes the base view from the registrations and leaving flags.
+func (t *Tracker) build(now time.Time) {
+	t.builds++
+	v := &View{Pool: t.pool, BlockTokens: t.blockTokens, Servers: make([]*Server, len(t.registrations)), index: t.index}
 	servers := make([]Server, len(t.registrations))
 	for i, r := range t.registrations {
-		state := t.states[r.Name]
-		state.history.record(now, state.own.load())
 		s := &servers[i]
-		*s = Server{Registration: r, Leaving: t.leaving[r.Name], ReportAge: -1, others: state.others, own: &state.own}
-		if state.reported {
-			s.ReportAge = now.Sub(state.report.MeasuredAt)
-			s.Speed = state.report.Speed.or(r.Speed)
-		}
-		s.Speed = s.Speed.or(DefaultSpeed)
-		v.Servers = append(v.Servers, s)
+		t.describe(s, r, now)
+		v.Servers[i] = s
 		if s.Draining {
 			v.draining++
 		}
@@ -149,12 +150,56 @@
 			v.leaving++
 		}
 	}
-	relaxLoads(v.Servers)
 	v.both = t.subset(v, config.RoleMixed)
 	v.prefill = t.subset(v, config.RolePrefill)
 	v.decode = t.subset(v, config.RoleDecode)
-	t.current.Store(v)
-	return v
+	// A digest is dropped with the membership, so that servers that come and go
+	// don't add up to a digest for the whole pool.
+	for _, s := range v.Servers {
+		if s.state.member != t.builds {
+			s.state.digest, s.digest = nil, nil
+		}
+	}
+	t.base = v
+	t.refresh(now)
+}
+
+// describe fills in what is known of a server.
+func (t *Tracker) describe(s *Server, r Registration, now time.Time) {
+	state := t.states[r.Name]
+	*s = Server{
+		Registration: r, Leaving: t.leaving[r.Name], ReportAge: -1,
+		others: state.others, own: &state.own, digest: state.digest, state: state,
+	}
+	if state.reported {
+		s.ReportAge = now.Sub(state.report.MeasuredAt)
+		s.Speed = state.report.Speed.or(r.Speed)
+	}
+	s.Speed = s.Speed.or(DefaultSpeed)
+}
+
+// refresh publishes a copy of the base view with the present load of the
+// servers in the subsets.
+func (t *Tracker) refresh(now time.Time) *View {
+	v := *t.base
+	v.At = now
+	v.Servers = slices.Clone(t.base.Servers)
+	members := make([]Server, len(v.both.servers)+len(v.prefill.servers)+len(v.decode.servers))
+	fresh := make([]*Server, 0, len(members))
+	for _, sub := range []*subset{&v.both, &v.prefill, &v.decode} {
+		first := len(fresh)
+		for _, old := range sub.servers {
+			s := &members[len(fresh)]
+			t.describe(s, old.Registration, now)
+			s.state.history.record(now, s.own.load())
+			v.Servers[t.index[s.Name]] = s
+			fresh = append(fresh, s)
+		}
+		sub.servers = fresh[first:len(fresh):len(fresh)]
+	}
+	relaxLoads(fresh)
+	t.current.Store(&v)
+	return &v
 }
 
 // Relaxation times: how fast what is known of the load of others loses its
@@ -251,9 +296,10 @@
 	names := make([]string, 0, len(candidates))
 	for _, c := range candidates {
 		state := t.states[c.server.Name]
-		if state.digest == nil && t.blockTokens > 0 {
+		if state.digest == nil && t.blockTokens > 0 && role != config.RoleDecode {
 			state.digest = &Digest{}
 		}
+		state.member = t.builds
 		c.server.digest = state.digest
 		out.servers = append(out.servers, c.server)
 		names = append(names, c.server.Name)
--- a/route/view.go
+++ b/route/view.go
@@ -67,10 +67,12 @@
 	others Load
 	own    *counters
 	digest *Digest
+	state  *serverState
 }
 
 // Load estimates the present load: what others had there at the last report,
-// and this node's own requests now.
+// and this node's own requests now. For a server outside the node's subset the
+// first part is as old as the last change of the registered servers.
 func (s *Server) Load() Load { return s.others.add(s.own.load()) }
 
 // OwnLoad is the work that this node has on the server.
