--- a/configsync/apply.go
+++ b/configsync/apply.go
@@ -39,6 +39,7 @@
 // store.ErrUnavailable if nothing was changed, and store.ErrAmbiguous if the
 // outcome is unknown.
 func (y *Sync) Apply(ctx context.Context, d *config.Document, base store.Revision, author string) (Result, error) {
+	count(counterApplies)
 	version, err := y.repository.Apply(ctx, d, base, author)
 	if err != nil {
 		return Result{}, err
@@ -87,6 +88,9 @@
 	result := Result{Status: Stored, Revision: number, Missing: missing}
 	if majority && time.Now().Before(deadline) {
 		result.Status = Accepted
+		count(counterAccepted)
+	} else {
+		count(counterStored)
 	}
 	return result
 }
@@ -98,6 +102,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		count(counterQuestions)
 		reply, err := y.pushOnce(ctx, vm, &PushRequest{Revision: number})
 		<-slots
 		if err == nil && reply.Revision >= number {
--- a/configsync/race_test.go
+++ b/configsync/race_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,3 +41,28 @@
 		is.True(!errors.As(err, &race)) // the change was applied, so no race was lost
 	})
 }
+
+// TestRestartedNodeIsNotReadyFromMinority guards against a restarted node that
+// reports ready with the old revision of the only peer that it reaches.
+func TestRestartedNodeIsNotReadyFromMinority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFabric(8)
+		defer f.stop()
+		f.deploy(5, 2, testDocument(2))
+		f.split(true, "vm003", "vm004")
+		d, version := operatorReads(t, f)
+		result, err := withdraw(f.nodes["vm000"].process.Load(), d, version.Revision, 0, "operator")
+		is.NoErr(err)
+		f.nodes["vm003"].stop()
+		f.nodes["vm003"].start()
+		time.Sleep(10 * time.Second)
+		restarted := f.nodes["vm003"].process.Load().sync
+		is.Equal(restarted.Revision(), version.Revision) // pulled from vm004
+		is.True(!restarted.Ready())
+		f.heal()
+		time.Sleep(5 * time.Second)
+		is.True(restarted.Ready())
+		is.Equal(restarted.Revision(), result.Revision)
+	})
+}
--- a/configsync/relay.go
+++ b/configsync/relay.go
@@ -62,6 +62,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, y.settings.CallTimeout)
 	defer cancel()
 	sent := time.Now()
+	count(counterHeadReads)
 	version, err := y.repository.Head(callCtx)
 	if err != nil && !errors.Is(err, config.ErrNoConfiguration) {
 		y.log.V(1).Info("configuration head not read", "error", err.Error())
@@ -101,6 +102,7 @@
 func (y *Sync) watchOnce(ctx context.Context, after store.Revision) ([]store.Event, store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, y.settings.WatchWait+y.settings.CallTimeout)
 	defer cancel()
+	count(counterWatches)
 	return y.store.Watch(ctx, config.HeadKey, after, y.settings.WatchWait)
 }
 
@@ -109,6 +111,7 @@
 func (y *Sync) listHead(ctx context.Context, after store.Revision) store.Revision {
 	callCtx, cancel := context.WithTimeout(ctx, y.settings.CallTimeout)
 	defer cancel()
+	count(counterLists)
 	entries, revision, err := y.store.List(callCtx, config.HeadKey)
 	if err != nil {
 		sleep(ctx, y.settings.PollInterval)
@@ -167,12 +170,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, y.settings.CallTimeout)
 	defer cancel()
+	count(counterPartLoads)
 	parts, err := y.repository.Parts(ctx, version.Head, known)
 	if err != nil {
 		y.log.V(1).Info("configuration parts not read", "revision", version.Revision, "error", err.Error())
 		return
 	}
 	if err := y.install(newRevision(version.Revision, version.Head.Author, parts)); err != nil {
+		count(counterUnusable)
 		y.log.Error(err, "configuration can't be used", "revision", version.Revision)
 	}
 }
@@ -213,7 +218,8 @@
 		}
 		to := membership.VM{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain}
 		group.Go(func() error {
-			if err := y.pushTo(ctx, to, rank, previous, r); err != nil {
+			count(counterPushes)
+			if err := countError(counterPushErrors, y.pushTo(ctx, to, rank, previous, r)); err != nil {
 				y.log.V(1).Info("configuration not pushed", "peer", to.Name, "revision", r.number, "error", err.Error())
 			}
 			return nil // the member pulls the revision when it hears of it
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -150,7 +150,11 @@
 // Snapshot returns the configuration to serve a request by, or an error for the
 // caller (not run, with Retry-After) if the node refuses.
 func (y *Sync) Snapshot() (*config.Snapshot, error) {
-	if y.Verdict() == Refusing {
+	switch y.Verdict() {
+	case ServingByMajority:
+		count(counterByMajority)
+	case Refusing:
+		count(counterRefusals)
 		return nil, apierr.New(apierr.Unavailable, "this node can't tell whether its configuration is current",
 			apierr.NotRun(), apierr.RetryAfter(retryAfter))
 	}
@@ -179,6 +183,7 @@
 	if y.holder.Swap(s) {
 		y.current.Store(r)
 		y.members.SetRevision(r.number)
+		count(counterInstalled)
 		y.log.Info("configuration in force", "revision", r.number, "author", r.author)
 	}
 	return nil
@@ -228,7 +233,8 @@
 			if !sleep(ctx, y.settings.PullDelay) {
 				return
 			}
-			if err := y.pull(ctx, peer); err != nil {
+			count(counterPulls)
+			if err := countError(counterPullErrors, y.pull(ctx, peer)); err != nil {
 				y.log.V(1).Info("configuration not pulled", "peer", peer.Name, "error", err.Error())
 			}
 		}
