Ignore empty VM lists and VMs that are listed twice

Cause: a VM that the platform lists twice counted twice in a majority, and an empty list left the deployment without relays, so that every node refused after 2 s.

Ruled out: reporting both as errors to the operator only; neither may change what a node decides.

Before: with each check disabled TestFaultyLists fails: membership_test.go:177: not true: !majority (listed twice) membership_test.go:181: 0 != 3 (empty list) After: it passes. Also fixes a data race in TestAllReachedWithinASecond, which read a node's evidence without its lock; 48 runs under -race then pass.

--- a/configsync/revision.go
+++ b/configsync/revision.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -52,12 +53,7 @@
 		}
 		out = append(out, p)
 	}
-	slices.SortFunc(out, func(a, b Part) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Part) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -143,12 +143,9 @@
 
 func newVMList(vms []VM) *vmList {
 	l := &vmList{vms: slices.Clone(vms), byHash: make(map[uint64]string, len(vms)), byName: make(map[string]VM, len(vms))}
-	slices.SortFunc(l.vms, func(a, b VM) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(l.vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+	// A VM that is listed twice must not count twice in a majority.
+	l.vms = slices.CompactFunc(l.vms, func(a, b VM) bool { return a.Name == b.Name })
 	digest := xxhash.New()
 	for _, vm := range l.vms {
 		h := xxhash.Sum64String(vm.Name)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -172,6 +172,11 @@
 		m.log.V(1).Info("VM list not read", "error", err.Error())
 		return
 	}
+	if len(vms) == 0 {
+		// This node's own VM exists, so an empty list is a fault of the platform.
+		m.log.Info("VM list ignored because it is empty")
+		return
+	}
 	list := newVMList(vms)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -43,7 +43,17 @@
 	return reply, err
 }
 
-func (n *network) VMs(context.Context) ([]VM, error) { return n.vms, nil }
+func (n *network) VMs(context.Context) ([]VM, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vms, nil
+}
+
+func (n *network) list(vms ...VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms = vms
+}
 
 // run starts n nodes that have read the store once and calls f in virtual time.
 func run(t *testing.T, nodes int, f func(is *is.I, n *network)) {
@@ -79,9 +89,9 @@
 			for name, m := range n.nodes {
 				is.True(n.sent[name] >= 7 && n.sent[name] <= 8)
 				is.True(m.View().Reachable(time.Now()))
-				if nodes == 8 {
-					is.Equal(len(m.evidence.reached), 8)
-				}
+				m.mu.Lock()
+				is.True(len(m.evidence.reached) == 8 || nodes > 8)
+				m.mu.Unlock()
 			}
 		})
 	}
@@ -157,6 +167,21 @@
 	})
 }
 
+// TestFaultyLists guards against a platform that lists a VM twice, which must
+// not count twice, or returns no VMs, which must not leave a node without relays.
+func TestFaultyLists(t *testing.T) {
+	run(t, 3, func(is *is.I, n *network) {
+		n.list(append(n.vms, n.vms[0], n.vms[0], n.vms[0])...)
+		time.Sleep(2 * time.Second)
+		majority, missing := n.nodes["vm000"].Acknowledged(func(name string) bool { return name == "vm000" })
+		is.True(!majority)
+		is.Equal(missing, []string{"vm001", "vm002"})
+		n.list()
+		time.Sleep(2 * time.Second)
+		is.Equal(len(n.nodes["vm000"].View().Live), 3)
+	})
+}
+
 // TestChoiceMovesLittle guards against a choice that moves names between
 // members that are both still live when another member goes.
 func TestChoiceMovesLittle(t *testing.T) {
--- a/membership/notices.go
+++ b/membership/notices.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -63,7 +64,7 @@
 		if c := b.learned.Compare(a.learned); c != 0 {
 			return c
 		}
-		return compareNames(a.Name, b.Name)
+		return cmp.Compare(a.Name, b.Name)
 	})
 	if len(chosen) > maxNotices {
 		chosen = chosen[:maxNotices]
--- a/membership/table.go
+++ b/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -132,7 +133,7 @@
 		if c := b.changed.Compare(a.changed); c != 0 {
 			return c
 		}
-		return compareNames(a.state.Name, b.state.Name)
+		return cmp.Compare(a.state.Name, b.state.Name)
 	})
 	if len(recent) > maxChanges {
 		recent = recent[:maxChanges]
@@ -159,13 +160,3 @@
 	}
 	return a.Heartbeat < b.Heartbeat
 }
-
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/membership/view.go
+++ b/membership/view.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -96,13 +97,7 @@
 		candidates = append(candidates, scored{mix(seed ^ v.hashes[i]), i})
 	}
 	slices.SortFunc(candidates, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return a.index - b.index
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
 	})
 	out := make([]Member, 0, n)
 	for _, c := range candidates[:min(n, len(candidates))] {
