Halve the evidence of reach in large deployments

Before: one byte for each VM in units of 10 ms, in every second reply. After: above 128 VMs four bits for each in units of 140 ms, in every reply. TestReachIsNeverYounger checks that no encoded age is less than the real one.

--- a/configsync/measure_test.go
+++ b/configsync/measure_test.go
@@ -1,6 +1,7 @@
 package configsync_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"runtime"
@@ -103,7 +104,7 @@
 // everywhere.
 func (f *fabric) measureChange(t *testing.T) {
 	var accepted, everywhere []float64
-	before := f.net.Counters()
+	started, before := time.Now(), f.net.Counters()
 	const changes = 10
 	for i := range changes {
 		d, version := operatorReads(t, f)
@@ -112,7 +113,8 @@
 		began := time.Now()
 		done := make(chan float64, 1)
 		go func() {
-			result, err := withdraw(p, d, version.Revision, i, "operator")
+			d.Workspaces[i%len(d.Workspaces)].Weight++ // one part changes
+			result, err := p.sync.Apply(context.Background(), d, version.Revision, "operator")
 			if err != nil || result.Status != configsync.Accepted {
 				t.Errorf("%+v, %v", result, err)
 			}
@@ -133,9 +135,9 @@
 	}
 	slices.Sort(accepted)
 	slices.Sort(everywhere)
-	t.Logf("%3d nodes | change accepted after %.3f s (median), %.3f s (longest); in force everywhere after %.3f s, %.3f s; %.1f kB per change in all with 1.5 s of heartbeats",
+	t.Logf("%3d nodes | change accepted after %.3f s (median), %.3f s (longest); in force everywhere after %.3f s, %.3f s; %.1f kB in all nodes per change and %.2f s of heartbeats",
 		len(f.names()), accepted[changes/2], accepted[changes-1], everywhere[changes/2], everywhere[changes-1],
-		float64(f.net.Counters().Bytes-before.Bytes)/changes/1e3)
+		float64(f.net.Counters().Bytes-before.Bytes)/changes/1e3, time.Since(started).Seconds()/changes)
 }
 
 // largeDocument has 32 models and as many workspaces, each with two keys, and
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -11,11 +11,6 @@
 	"github.com/figweir/figweir/platform/store"
 )
 
-const (
-	reachUnit = 10 * time.Millisecond
-	noReach   = 255
-)
-
 // proof is dated evidence that was given with a revision. It counts while the
 // node has at least that revision in force.
 type proof struct {
@@ -85,9 +80,11 @@
 }
 
 func (e *evidence) reachOf(list *vmList, now time.Time, inForce store.Revision, withNames bool) *Reach {
-	r := &Reach{Ages: make([]byte, len(list.names))}
+	r := newReach(len(list.names))
 	for i, name := range list.names {
-		r.Ages[i] = encodeAge(now, e.countedAt(name, inForce))
+		if at := e.countedAt(name, inForce); !at.IsZero() {
+			r.set(i, now.Sub(at))
+		}
 	}
 	if withNames {
 		r.NameHashes = list.hashes
@@ -98,39 +95,23 @@
 // addReach takes over the evidence of another node, which was given after the
 // time sent.
 func (e *evidence) addReach(r *Reach, list *vmList, sent time.Time, revision store.Revision) {
-	if len(r.NameHashes) == 0 {
-		if len(r.Ages) != len(list.names) {
-			return
-		}
-		for i, name := range list.names {
-			e.addAge(name, r.Ages[i], sent, revision)
+	names := list.names
+	if len(r.NameHashes) > 0 {
+		names = make([]string, len(r.NameHashes))
+		for i, hash := range r.NameHashes {
+			names[i] = list.byHash[hash] // empty if not on this list
 		}
+	}
+	if !r.covers(len(names)) {
 		return
 	}
-	for i, hash := range r.NameHashes {
-		if name, ok := list.byHash[hash]; ok && i < len(r.Ages) {
-			e.addAge(name, r.Ages[i], sent, revision)
+	for i, name := range names {
+		if age, ok := r.age(i); ok && name != "" {
+			e.addReached(name, sent.Add(-age), revision)
 		}
 	}
 }
 
-func (e *evidence) addAge(name string, age byte, sent time.Time, revision store.Revision) {
-	if age != noReach {
-		e.addReached(name, sent.Add(-time.Duration(age)*reachUnit), revision)
-	}
-}
-
-func encodeAge(now, at time.Time) byte {
-	if at.IsZero() {
-		return noReach
-	}
-	units := (now.Sub(at) + reachUnit - 1) / reachUnit
-	if units >= noReach {
-		return noReach
-	}
-	return byte(max(units, 0))
-}
-
 // vmList is an immutable list of VMs in name order.
 type vmList struct {
 	vms    []VM
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -53,8 +53,7 @@
 		return true
 	}
 	read := ageOf(now, m.evidence.read.at)
-	needed := !m.informed || !read.Known || read.Age > m.settings.EvidenceWindow/2
-	return needed && m.heartbeat%reachEvery == 0
+	return !m.informed || !read.Known || read.Age > m.settings.EvidenceWindow/2
 }
 
 // nextLocked returns the next listed node in a random order that covers all
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -182,6 +182,25 @@
 	})
 }
 
+// TestReachIsNeverYounger guards against an encoded age that is less than the
+// age that was put in, or that is mixed up with that of another VM.
+func TestReachIsNeverYounger(t *testing.T) {
+	is := is.New(t)
+	for _, vms := range []int{1, 128, 129, 490} {
+		r := newReach(vms)
+		is.True(r.covers(vms) && !r.covers(vms+2))
+		for i := 1; i < vms; i += 3 {
+			r.set(i, time.Duration(i)*4*time.Millisecond)
+		}
+		for i := range vms {
+			age, ok := r.age(i)
+			is.Equal(ok, i%3 == 1)
+			rounded := age - time.Duration(i)*4*time.Millisecond
+			is.True(!ok || rounded >= 0 && rounded < coarseUnit)
+		}
+	}
+}
+
 // TestChoiceMovesLittle guards against a choice that moves names between
 // members that are both still live when another member goes.
 func TestChoiceMovesLittle(t *testing.T) {
--- a/membership/message.go
+++ b/membership/message.go
@@ -73,6 +73,9 @@
 	// evidence. Without NameHashes the VMs are those of the common list in name
 	// order.
 	Ages []byte
+	// Coarse says that Ages has four bits for each VM instead, the first VM in
+	// the low bits, in units of 140 ms, rounded up; 15 means no evidence.
+	Coarse bool
 	// NameHashes are the XXH64 hashes of the names, given if the lists differ.
 	NameHashes []uint64
 }
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -36,12 +36,9 @@
 	DefaultAckWindow = 3 * time.Second
 
 	// reachAlways is the number of VMs up to which every reply carries reach;
-	// in larger deployments it is asked for when it may soon be needed.
+	// in larger deployments it is asked for when it may soon be needed, and is
+	// coarse, so that 490 nodes send less than 3 KB/s each without the store.
 	reachAlways = 128
-	// reachEvery is the number of heartbeats for which a large deployment asks
-	// once for reach, so that 490 nodes stay under 3 KB/s each in an outage of
-	// the store.
-	reachEvery = 2
 	// maxPeers bounds the nodes that a node sends heartbeats to. An open HTTP/2
 	// connection takes about 50 kB of both ends together, so connections to 489
 	// nodes would take most of the 32 MB that a node may use.
--- a/peer/auth_test.go
+++ b/peer/auth_test.go
@@ -30,7 +30,7 @@
 	}
 	testReply = &membership.Reply{
 		Self: testState, Changes: []membership.NodeState{testState}, StoreRead: membership.ReadAge{Known: true, Age: 1500 * time.Microsecond},
-		Notices: []membership.ServerNotice{}, Reach: &membership.Reach{Ages: []byte{1, 255}, NameHashes: []uint64{5, 6}},
+		Notices: []membership.ServerNotice{}, Reach: &membership.Reach{Ages: []byte{1, 255}, Coarse: true, NameHashes: []uint64{5, 6}},
 	}
 	testParts = []configsync.Part{{Name: "base", Digest: "d1", Value: []byte("{}")}, {Name: "workspaces-01", Digest: "d2"}}
 )
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -100,7 +100,7 @@
 		m.StoreReadAgeMs = int64((r.StoreRead.Age + time.Millisecond - 1) / time.Millisecond)
 	}
 	if r.Reach != nil {
-		m.Reach = &figweirv1.Reach{Ages: r.Reach.Ages, NameHashes: r.Reach.NameHashes}
+		m.Reach = &figweirv1.Reach{Ages: r.Reach.Ages, Coarse: r.Reach.Coarse, NameHashes: r.Reach.NameHashes}
 	}
 	return m
 }
@@ -115,7 +115,7 @@
 		r.StoreRead = membership.ReadAge{Known: true, Age: time.Duration(ms) * time.Millisecond}
 	}
 	if reach := m.GetReach(); reach != nil {
-		r.Reach = &membership.Reach{Ages: reach.GetAges(), NameHashes: reach.GetNameHashes()}
+		r.Reach = &membership.Reach{Ages: reach.GetAges(), Coarse: reach.GetCoarse(), NameHashes: reach.GetNameHashes()}
 	}
 	return r
 }
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -42,7 +42,7 @@
 // HTTP/2 with its headers, both with and without reach for 490 VMs.
 func BenchmarkHeartbeatOnLoopback(b *testing.B) {
 	self := membership.NodeState{Name: "vm017", Incarnation: "0000019ae1b2c3d4", Heartbeat: 100000, Revision: 100000, Informed: true}
-	for name, reach := range map[string]*membership.Reach{"plain": nil, "reach-490": {Ages: make([]byte, 490)}} {
+	for name, reach := range map[string]*membership.Reach{"plain": nil, "reach-490": {Ages: make([]byte, 245), Coarse: true}} {
 		b.Run(name, func(b *testing.B) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
