Move the cut store and the counting listener of the tests to standin/memnet

Cause: other packages need a store that one node can't reach and a count of the bytes on the wire for their own proofs and measurements.

Ruled out: a cut in memstore, whose faults don't know the calling node.

Before: part of the tests of configsync and peer. After: memnet.CutStore, now for all operations, and memnet.CountingListener.

Conclusion: same behaviour, reusable.

--- /dev/null
+++ b/standin/memnet/listener.go
@@ -0,0 +1,44 @@
+package memnet
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// CountingListener counts the bytes that its connections carry in both
+// directions, headers included and those of TCP and IP left out.
+type CountingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Bytes returns the count so far.
+func (l *CountingListener) Bytes() int64 { return l.bytes.Load() }
+
+// Accept implements net.Listener.
+func (l *CountingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{conn, &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/standin/memnet/store.go
@@ -0,0 +1,92 @@
+package memnet
+
+import (
+	"context"
+	"time"
+
+	"github.com/figweir/figweir/platform/store"
+)
+
+// CutStore is the store as one node reaches it. While Cut reports true, calls
+// run until their context ends and have no effect.
+type CutStore struct {
+	store.Store
+	Cut func() bool
+}
+
+func (s CutStore) pass(ctx context.Context) error {
+	if !s.Cut() {
+		return nil
+	}
+	<-ctx.Done()
+	return store.ErrUnavailable
+}
+
+// Get implements store.Store.
+func (s CutStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := s.pass(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (s CutStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Put implements store.Store.
+func (s CutStore) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.Put(ctx, key, value, expected, lease)
+}
+
+// Watch implements store.Store. It also loses the answer if the node was cut
+// off while it waited.
+func (s CutStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if lost := s.pass(ctx); lost != nil {
+		return nil, 0, lost
+	}
+	return events, revision, err
+}
+
+// Delete implements store.Store.
+func (s CutStore) Delete(ctx context.Context, key string, expected store.Revision) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	return s.Store.Delete(ctx, key, expected)
+}
+
+// Grant implements store.Store.
+func (s CutStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+// Renew implements store.Store.
+func (s CutStore) Renew(ctx context.Context, lease store.LeaseID) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	return s.Store.Renew(ctx, lease)
+}
+
+// Revoke implements store.Store.
+func (s CutStore) Revoke(ctx context.Context, lease store.LeaseID) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	return s.Store.Revoke(ctx, lease)
+}
