Test first windows, totals before the seal, the owner's loop and mirror back-off

Cause: three mechanisms could be switched off without a failing test.

Ruled out: TestOwnersAgreeOnFirstWindow paused the write of whichever shard came first, which was not always the shard with the usage; it now names the shard.

TestOwnerRun first expected 6 reports and got 7: the window that was due at the start counts too, so the expectation was wrong.

After: all pass.

Conclusion: each of these mechanisms has a test that fails without it.

--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figweir/figweir/platform/billing"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -25,9 +27,9 @@
 		time.Sleep(3*testWindow + testGrace)
 		// Process 0 sees the usage and is paused at its first write; process 1
 		// sees nothing and goes on.
-		puts := 0
-		w.store.SetFault(func(op memstore.Op, _ string) memstore.Fault {
-			if puts++; op != memstore.OpPut || puts > 5 {
+		prefix := recordPrefix(ShardOf("vogar", testShards))
+		w.store.SetFault(func(op memstore.Op, key string) memstore.Fault {
+			if op != memstore.OpPut || !strings.HasPrefix(key, prefix) {
 				return memstore.Fault{}
 			}
 			return memstore.Fault{Before: func() {
@@ -246,10 +248,17 @@
 		is.Equal(mirrors, 0)
 		is.Equal(r.Stats().AtRisk, Figures{Calls: 1, PromptTokens: 7})
 		is.Equal(r.Stats().Unmirrored, Figures{Calls: 1, PromptTokens: 7})
-		// Once mirrors can be reached again, nothing is at risk.
+		// Each mirror is tried once, then answers don't wait for it for a while.
+		for range 10 {
+			_, err = r.Wait(ctx, r.Add("surco", Figures{}))
+			is.NoErr(err)
+		}
 		w.netMu.Lock()
+		unreached := w.unreached
+		// Once mirrors can be reached again, nothing is at risk.
 		w.cut[0] = false
 		w.netMu.Unlock()
+		is.True(unreached < testSlots)
 		time.Sleep(DefaultBackoff + 2*DefaultRecheck)
 		synctest.Wait()
 		is.Equal(r.Stats().AtRisk, Figures{})
@@ -257,6 +266,48 @@
 	})
 }
 
+// TestTotalsKeptUntilSealed guards against nodes that drop totals which an owner
+// has collected, when that owner is killed before it can seal them.
+func TestTotalsKeptUntilSealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.nodes[0].recorder.Add("vogar", Figures{Calls: 1})
+		w.nodes[0].recorder.flush()
+		time.Sleep(testWindow + testGrace)
+		w.store.SetFault(func(op memstore.Op, _ string) memstore.Fault { return memstore.Fault{Refuse: op == memstore.OpPut} })
+		for range 3 {
+			_, err := w.step(w.processes[0])
+			is.True(err != nil)
+		}
+		w.store.SetFault(nil)
+		w.startProcess(0)
+		_, err := w.step(w.processes[0])
+		is.NoErr(err)
+		is.Equal(w.reported()["vogar"], Figures{Calls: 1})
+	})
+}
+
+// TestOwnerRun guards against an owner that misses a window, does not come back
+// to a report that failed, or does not end.
+func TestOwnerRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.billingFaults = []error{billing.ErrUnavailable}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		o := w.processes[0].owners[0]
+		running.Go(func() { o.Run(ctx, time.Second) })
+		time.Sleep(5*testWindow + testGrace + time.Second)
+		cancel()
+		running.Wait()
+		// The first window is the newest one that was due at the start: 20 s before.
+		is.Equal(o.Stats().Reported, uint64(7))
+		is.Equal(len(w.reports), 7)
+	})
+}
+
 // TestOutageSealsInOrder guards against windows that are skipped because nobody
 // could seal them while the store was down.
 func TestOutageSealsInOrder(t *testing.T) {
--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -80,6 +80,8 @@
 	// netMu guards cut for tests that run a recorder's own goroutine.
 	netMu sync.Mutex
 	cut   [testSlots]bool
+	// unreached counts calls that were cut off.
+	unreached int
 	// loseMirror makes mirror calls to a slot take effect and fail.
 	loseMirror [testSlots]bool
 	// listed are the incarnations that membership knows.
@@ -193,6 +195,7 @@
 	t.w.netMu.Lock()
 	defer t.w.netMu.Unlock()
 	if t.w.cut[slot] || t.slot >= 0 && t.w.cut[t.slot] {
+		t.w.unreached++
 		return 0, errCut
 	}
 	return slot, nil
