Find the newest window by search instead of a list

Cause: an owner more than three windows behind listed its shard. At the target size that is up to 288 records of 85 KB (BenchmarkSeal, 2,300 workspaces and 490 nodes), about 25 MB, while a node may use 32 MB for all control work.

Ruled out: a head record for each shard (one more write for each window); a walk back window by window (one read for each window of an outage).

Before: one list call with all records. After: at most 2·log2(windows behind) reads; the list is left for shards with few records. TestOutageSealsInOrder checks that a successor four windows behind makes no list call.

Conclusion: memory at takeover no longer grows with the horizon.

--- a/usage/seal.go
+++ b/usage/seal.go
@@ -11,9 +11,9 @@
 	"github.com/figweir/figweir/platform/store"
 )
 
-// loadProbes is how many recent windows are read one by one before the whole
-// shard is listed to find the newest record.
-const loadProbes = 3
+// behindWindows is by how many windows an owner may be behind before it looks for
+// records that another one has written.
+const behindWindows = 3
 
 // originWindow is the window number of the record that fixes the first window
 // of a shard. Two owners that start a shard at once must agree on it, or usage
@@ -23,7 +23,7 @@
 // load finds the newest sealed window, at the start and whenever this owner is
 // so far behind that another one may have gone on.
 func (o *Owner) load(ctx context.Context, last int64) error {
-	behind := o.latest != nil && last-o.latest.Window > loadProbes*o.seconds()
+	behind := o.latest != nil && last-o.latest.Window > behindWindows*o.seconds()
 	if o.loaded && !behind {
 		return nil
 	}
@@ -40,12 +40,22 @@
 }
 
 // newest returns the newest record up to window last, or nil if there is none.
+// Records have no gaps, so it steps back by doubled distances to a window that
+// has a record and searches between there and the last window without one. To
+// list the shard can take 25 MB (288 records of 85 KB at the target size), so
+// that is left for shards with few records and for outages beyond the horizon.
 func (o *Owner) newest(ctx context.Context, last int64) (*Record, error) {
-	for i := range int64(loadProbes) {
-		r, err := o.read(ctx, last-i*o.seconds())
+	absent := last + o.seconds()
+	for distance := int64(0); distance <= int64(o.options.HorizonWindows); distance = max(1, 2*distance) {
+		window := last - distance*o.seconds()
+		r, err := o.read(ctx, window)
+		if err == nil {
+			return o.search(ctx, r, absent)
+		}
 		if !errors.Is(err, store.ErrNotFound) {
-			return r, err
+			return nil, err
 		}
+		absent = window
 	}
 	entries, _, err := o.options.Store.List(ctx, recordPrefix(o.options.Shard))
 	if err != nil || len(entries) == 0 {
@@ -54,6 +64,25 @@
 	return decodeRecord(entries[len(entries)-1].Value)
 }
 
+// search returns the newest record before window absent, which has none.
+func (o *Owner) search(ctx context.Context, found *Record, absent int64) (*Record, error) {
+	for {
+		half := (absent - found.Window) / o.seconds() / 2
+		if half == 0 {
+			return found, nil
+		}
+		r, err := o.read(ctx, found.Window+half*o.seconds())
+		switch {
+		case err == nil:
+			found = r
+		case errors.Is(err, store.ErrNotFound):
+			absent = found.Window + half*o.seconds()
+		default:
+			return nil, err
+		}
+	}
+}
+
 func (o *Owner) read(ctx context.Context, window int64) (*Record, error) {
 	if r := o.records[window]; r != nil {
 		return r, nil
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -309,7 +309,8 @@
 }
 
 // TestOutageSealsInOrder guards against windows that are skipped because nobody
-// could seal them while the store was down.
+// could seal them while the store was down, and against a successor that lists
+// whole records to find the newest one.
 func TestOutageSealsInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -336,5 +337,14 @@
 			is.Equal(report.Figures[0].Calls, uint64(1))
 		}
 		is.True(p.owners[shard].Stats().LateReports > 0)
+
+		time.Sleep(4 * testWindow)
+		lists, last := w.store.Calls()[memstore.OpList], p.owners[shard].latest.Window
+		w.startProcess(0)
+		_, err = w.step(w.processes[0])
+		is.NoErr(err)
+		is.Equal(w.store.Calls()[memstore.OpList], lists)
+		is.Equal(w.processes[0].owners[shard].latest.Window, last+4*10)
+		is.Equal(w.failed, "")
 	})
 }
