--- a/authority/journal.go
+++ b/authority/journal.go
@@ -23,6 +23,9 @@
 	RepeatEvery time.Duration
 	// SweepEvery is the time between two rounds of closing intents.
 	SweepEvery time.Duration
+	// RefreshEvery is the greatest age at which a holder that sends nothing
+	// takes its copy of the record as current.
+	RefreshEvery time.Duration
 	// StoreTimeout bounds each call to the store.
 	StoreTimeout time.Duration
 }
@@ -34,6 +37,7 @@
 		ListLag:           30 * time.Second,
 		RepeatEvery:       500 * time.Millisecond,
 		SweepEvery:        1 * time.Second,
+		RefreshEvery:      10 * time.Second,
 		StoreTimeout:      1 * time.Second,
 	}
 }
@@ -58,9 +62,10 @@
 	mu sync.Mutex
 	// record is the last known state, and epoch the one that this process
 	// wrote in its term of the duty; 0 before that.
-	record *record
-	epoch  uint64
-	term   uint64
+	record   *record
+	observed time.Time // when record was read or written
+	epoch    uint64
+	term     uint64
 	// active holds the names of the targets with an order in progress.
 	active map[string]bool
 	// pending are own intents that are not needed any more.
@@ -325,7 +330,7 @@
 	now := j.clock.Now()
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.record = r
+	j.record, j.observed = r, now
 	if j.ownsLocked(r) {
 		j.blocked.update(now, j.foreign(r))
 	} else {
--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -146,7 +146,9 @@
 // takes the holder away while the order is open.
 func (m *machine) faultyOrder(rt *rapid.T) {
 	p, t := m.holder(rt), m.target(rt)
-	m.armFault(rt, p)
+	for range rapid.IntRange(1, 2).Draw(rt, "faults") {
+		m.armFault(rt, p)
+	}
 	p.do(t, t.Target)
 	time.Sleep(time.Millisecond)
 	if rapid.Bool().Draw(rt, "then") {
--- a/authority/sweep.go
+++ b/authority/sweep.go
@@ -29,19 +29,29 @@
 	if !held {
 		return nil
 	}
-	if err := j.takeOver(ctx, term); err != nil {
-		return err
-	}
-	if len(j.foreignIntents()) == 0 {
-		return nil
+	if j.outdated() {
+		if err := j.writer.refresh(ctx); err != nil {
+			return err
+		}
 	}
-	// Their writers may have closed them in the meantime.
-	if err := j.writer.refresh(ctx); err != nil {
+	if err := j.takeOver(ctx, term); err != nil {
 		return err
 	}
 	return j.closeForeign(ctx)
 }
 
+// outdated reports whether the record should be read again: because it has
+// intents of other processes, which their writers may have closed in the
+// meantime, or because it is older than RefreshEvery. An earlier holder whose
+// clock stood still can have taken the journal over for a moment.
+func (j *Journal) outdated() bool {
+	foreign := len(j.foreignIntents()) > 0
+	now := j.clock.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return foreign || j.record != nil && now.Sub(j.observed) >= j.options.RefreshEvery
+}
+
 func (j *Journal) closePending(ctx context.Context) error {
 	now := j.clock.Now()
 	var due []string
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -51,6 +51,7 @@
 	procs    []*proc
 	targets  []*target
 	listLag  time.Duration
+	listDown bool
 	vmEvents []vmEvent
 	failures []string
 }
@@ -90,10 +91,19 @@
 	w.vmEvents = append(w.vmEvents, vmEvent{time.Now(), address, live})
 }
 
+func (w *world) setListDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listDown = down
+}
+
 // addresses returns the VM list as it was listLag ago.
-func (w *world) addresses() []string {
+func (w *world) addresses() ([]string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.listDown {
+		return nil, errors.New("list out of reach")
+	}
 	at := time.Now().Add(-w.listLag)
 	live := make(map[string]bool)
 	for _, e := range w.vmEvents {
@@ -107,7 +117,7 @@
 			out = append(out, address)
 		}
 	}
-	return out
+	return out, nil
 }
 
 // target takes orders and checks the order in which they arrive.
@@ -323,11 +333,11 @@
 
 // Addresses implements VMLister.
 func (p *proc) Addresses(context.Context) ([]string, error) {
-	out := p.w.addresses()
+	out, err := p.w.addresses()
 	if !p.gate(atList) {
 		return nil, store.ErrUnavailable
 	}
-	return out, nil
+	return out, err
 }
 
 // before gates a call to the store and returns its fault.
@@ -345,6 +355,9 @@
 
 // after gates the answer of a call to the store.
 func (p *proc) after(fault memstore.Fault, err, lost error) error {
+	if fault.After != nil {
+		fault.After()
+	}
 	if !p.gate(afterStore) || fault.LoseAnswer {
 		return lost
 	}
