--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -125,7 +125,7 @@
 		"fate":      func(rt *rapid.T) { m.fate(rt, m.live(rt)) },
 		"ends": func(rt *rapid.T) {
 			m.w.store.SetFault(nil)
-			m.setCut(m.live(rt), false)
+			m.live(rt).setCut(false)
 		},
 		"listLag": m.drawLag,
 		"replaceTarget": func(rt *rapid.T) {
@@ -209,7 +209,7 @@
 	case 0:
 		p.pause()
 	case 1:
-		m.setCut(p, true)
+		p.setCut(true)
 	case 2:
 		m.w.store.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
 	case 3, 4: // the VM is gone
@@ -228,12 +228,6 @@
 	}
 }
 
-func (m *machine) setCut(p *proc, cut bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cut = cut
-}
-
 // check is the oracle after each step.
 func (m *machine) check(rt *rapid.T) {
 	synctest.Wait()
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -46,6 +46,9 @@
 	// suspends says that a paused process's clock stands still, as that of a
 	// suspended VM.
 	suspends bool
+	// storeLatency and sendLatency are how long each call takes.
+	storeLatency time.Duration
+	sendLatency  func() time.Duration
 
 	mu       sync.Mutex
 	procs    []*proc
@@ -342,6 +345,7 @@
 
 // before gates a call to the store and returns its fault.
 func (p *proc) before(op memstore.Op) (memstore.Fault, error) {
+	time.Sleep(p.w.storeLatency)
 	alive := p.gate(beforeStore)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -374,6 +378,9 @@
 		if !p.gate(beforeSend) {
 			return errors.New("process ended")
 		}
+		if p.w.sendLatency != nil {
+			time.Sleep(p.w.sendLatency())
+		}
 		fault, delay := p.nextSend()
 		var err error
 		switch fault {
