--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -46,11 +46,15 @@
 	// suspends says that a paused process's clock stands still, as that of a
 	// suspended VM.
 	suspends bool
+	// storeLatency and sendLatency are how long each call takes.
+	storeLatency time.Duration
+	sendLatency  func() time.Duration
 
 	mu       sync.Mutex
 	procs    []*proc
 	targets  []*target
 	listLag  time.Duration
+	listDown bool
 	vmEvents []vmEvent
 	failures []string
 }
@@ -90,10 +94,19 @@
 	w.vmEvents = append(w.vmEvents, vmEvent{time.Now(), address, live})
 }
 
+func (w *world) setListDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listDown = down
+}
+
 // addresses returns the VM list as it was listLag ago.
-func (w *world) addresses() []string {
+func (w *world) addresses() ([]string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.listDown {
+		return nil, errors.New("list out of reach")
+	}
 	at := time.Now().Add(-w.listLag)
 	live := make(map[string]bool)
 	for _, e := range w.vmEvents {
@@ -107,7 +120,7 @@
 			out = append(out, address)
 		}
 	}
-	return out
+	return out, nil
 }
 
 // target takes orders and checks the order in which they arrive.
@@ -323,15 +336,16 @@
 
 // Addresses implements VMLister.
 func (p *proc) Addresses(context.Context) ([]string, error) {
-	out := p.w.addresses()
+	out, err := p.w.addresses()
 	if !p.gate(atList) {
 		return nil, store.ErrUnavailable
 	}
-	return out, nil
+	return out, err
 }
 
 // before gates a call to the store and returns its fault.
 func (p *proc) before(op memstore.Op) (memstore.Fault, error) {
+	time.Sleep(p.w.storeLatency)
 	alive := p.gate(beforeStore)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -345,6 +359,9 @@
 
 // after gates the answer of a call to the store.
 func (p *proc) after(fault memstore.Fault, err, lost error) error {
+	if fault.After != nil {
+		fault.After()
+	}
 	if !p.gate(afterStore) || fault.LoseAnswer {
 		return lost
 	}
@@ -361,6 +378,9 @@
 		if !p.gate(beforeSend) {
 			return errors.New("process ended")
 		}
+		if p.w.sendLatency != nil {
+			time.Sleep(p.w.sendLatency())
+		}
 		fault, delay := p.nextSend()
 		var err error
 		switch fault {
