--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -55,6 +55,7 @@
 	s.BadTotal = s.newMap("bad_total")
 	s.KeysWithdrawnTotal = s.newInt("keys_withdrawn_total")
 	s.StoreCallsTotal = s.newMap("store_calls_total")
+	s.publishProcess()
 	return s
 }
 
