Keep engine connections and poll the subset only

Cause: a stream was closed right after its end marker, before the end of its body, so each request opened a new connection to its engine (TestWholeStreamsKeepTheirConnection: 5 connections for 5 requests). Each node polled all engines of the configuration, which grows with the fleet.

Ruled out: reading on to the end before the answer is returned, which would let a slow engine hold up the caller; the rest is read aside, for 1 s at most.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -5,12 +5,17 @@
 	"fmt"
 	"io"
 	"iter"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 256 << 10
+	// drainTimeout bounds the wait for the end of a body after the end marker.
+	drainTimeout = time.Second
+)
 
 // Dropped counts chunks that a stream discarded.
 type Dropped struct {
@@ -55,6 +60,19 @@
 // Close releases the stream.
 func (s *Stream) Close() {
 	s.stop()
+	if s.whole {
+		go s.drain()
+		return
+	}
+	_ = s.body.Close()
+}
+
+// drain reads what follows the end marker, so that the connection can be used
+// again; closing a body before its end closes the connection.
+func (s *Stream) drain() {
+	timer := time.AfterFunc(drainTimeout, func() { _ = s.body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, s.body, maxEventBytes)
 	_ = s.body.Close()
 }
 
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -4,7 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -74,6 +79,39 @@
 	}
 }
 
+// Guards against a new connection to the engine for each request.
+func TestWholeStreamsKeepTheirConnection(t *testing.T) {
+	is := is.New(t)
+	var opened atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(HeaderAttempt)
+		_, _ = io.WriteString(w, content(id+"/0", "x")+finish(id+"/1", 1)+done(id+"/1"))
+		_ = http.NewResponseController(w).Flush()
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	c := NewClient()
+	defer c.Close()
+	idle := make(chan struct{}, 1)
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{PutIdleConn: func(error) { idle <- struct{}{} }})
+	for n := range 5 {
+		s, err := c.Stream(ctx, server.Listener.Addr().String(), Attempt{Request: "r", ID: fmt.Sprintf("r.%d", n)})
+		is.NoErr(err)
+		for err == nil {
+			_, err = s.Next()
+		}
+		is.True(errors.Is(err, io.EOF))
+		s.Close()
+		<-idle
+	}
+	is.Equal(opened.Load(), int64(1))
+}
+
 // Guards against event ids that crash the parser or that it changes.
 func FuzzParseEventID(f *testing.F) {
 	for _, seed := range []string{"a.1/0", "a/b/7", "/1", "a/", "a/-1", "a/99999999999999999999", ""} {
--- a/node/backends.go
+++ b/node/backends.go
@@ -21,6 +21,9 @@
 	pollInterval = 500 * time.Millisecond
 	// publishInterval is how often the views of the pools are renewed.
 	publishInterval = 100 * time.Millisecond
+	// cacheEventPolls is how many load reports are read for each read of cache
+	// events, which only correct what this node knows from its own requests.
+	cacheEventPolls = 4
 	// failedPolls is how many reports in a row may be missing before a server
 	// gets no new work.
 	failedPolls = 3
@@ -46,6 +49,7 @@
 
 type polledServer struct {
 	sequence uint64
+	polls    int
 	failures int
 	leaving  bool
 	role     config.Role
@@ -227,7 +231,7 @@
 	var wait sync.WaitGroup
 	for i := range snapshot.Document.BackendServers {
 		server := &snapshot.Document.BackendServers[i]
-		if pool := snapshot.Pool(server.Pool); pool == nil || pool.Kind != config.KindEngine {
+		if !b.talksTo(server) {
 			continue
 		}
 		wait.Go(func() { b.poll(ctx, server) })
@@ -235,6 +239,18 @@
 	wait.Wait()
 }
 
+// talksTo reports whether the server is an engine in this node's subset. Others
+// are not polled, so that the calls of a node don't grow with the fleet; their
+// leaving notices come from other nodes.
+func (b *backends) talksTo(server *config.BackendServer) bool {
+	tracker := (*b.trackers.Load())[server.Pool]
+	if tracker == nil || tracker.View().BlockTokens == 0 {
+		return false
+	}
+	known := tracker.View().Server(server.Name)
+	return known != nil && known.Digest() != nil
+}
+
 // poll reads the load report of one engine.
 func (b *backends) poll(ctx context.Context, server *config.BackendServer) {
 	report, err := b.node.engines.Load(ctx, server.Address)
@@ -263,6 +279,8 @@
 	isLeaving := p.leaving || p.failures >= failedPolls
 	announced := p.leaving
 	fresh := err == nil && report.Sequence > p.sequence
+	readCache := p.polls%cacheEventPolls == 0
+	p.polls++
 	if fresh {
 		p.sequence = report.Sequence
 	}
@@ -270,7 +288,9 @@
 
 	if fresh {
 		tracker.Observe(server.Name, loadReport(report))
-		b.readCacheEvents(ctx, tracker, server, p)
+		if readCache {
+			b.readCacheEvents(ctx, tracker, server, p)
+		}
 	}
 	if roleChanged {
 		b.register()
