--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -93,6 +93,8 @@
 	// inCharge is the process that the barrier lets open intents.
 	inCharge int
 	intents  map[string]*process
+	// sending is the target whose order the barrier is letting out.
+	sending string
 
 	reports map[string]billing.Report
 	ids     map[string]string
@@ -230,6 +232,9 @@
 		w.pauseReport = nil
 		pause()
 	}
+	if target := Target(report.Shard, report.Window); target != w.sending {
+		w.failed = fmt.Sprintf("report to %s while the barrier is at %q", target, w.sending)
+	}
 	var fault error
 	if len(w.billingFaults) > 0 {
 		fault, w.billingFaults = w.billingFaults[0], w.billingFaults[1:]
@@ -265,6 +270,9 @@
 		return errBlocked
 	}
 	b.w.intents[target] = b.p
+	outer := b.w.sending
+	defer func() { b.w.sending = outer }()
+	b.w.sending = target
 	for range 2 {
 		err := send(ctx, 1)
 		if !errors.Is(err, billing.ErrAmbiguous) {
