authority: every safety mechanism has a test that fails without it

Cause: three mechanisms (lease counted from the sending of a renewal, lease check before a take-over, own term only) could be switched off with all tests passing. TestRenewalWithLateAnswer and TestLateTakeOver cover them.

Ruled out: leaving the first two combinations of three faults to the state machine alone; 300 cases don't reach them. The measurement test read one random source from two goroutines (seen with -race); sends now have their own.

--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -68,10 +68,7 @@
 }
 
 func (m *machine) drawLag(rt *rapid.T) {
-	lag := rapid.SampledFrom([]time.Duration{0, 15 * time.Second, 30 * time.Second}).Draw(rt, "list lag")
-	m.w.mu.Lock()
-	defer m.w.mu.Unlock()
-	m.w.listLag = lag
+	m.w.setList(rapid.SampledFrom([]time.Duration{0, 15 * time.Second, 30 * time.Second}).Draw(rt, "list lag"), false)
 }
 
 // live draws a process that has not ended.
--- a/authority/measure_test.go
+++ b/authority/measure_test.go
@@ -76,10 +76,11 @@
 	w.listLag = time.Duration(rng.Int64N(int64(w.journal.ListLag)))
 	w.storeLatency = 4 * time.Millisecond
 	var mu sync.Mutex
+	sends := rand.New(rand.NewPCG(rng.Uint64(), 1))
 	w.sendLatency = func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		return 20*time.Millisecond + time.Duration(rng.Int64N(int64(180*time.Millisecond)))
+		return 20*time.Millisecond + time.Duration(sends.Int64N(int64(180*time.Millisecond)))
 	}
 	for i := range 94 {
 		w.addTarget(fmt.Sprintf("engine-%02d", i), false)
--- a/authority/procstore_test.go
+++ b/authority/procstore_test.go
@@ -8,74 +8,66 @@
 	"github.com/figweir/figweir/standin/memstore"
 )
 
-// The methods of store.Store pass the process's gates and faults on their way
-// to the store that all processes share.
-
-func (p *proc) Get(ctx context.Context, key string) (store.Entry, error) {
-	fault, err := p.before(memstore.OpGet)
-	if err != nil {
-		return store.Entry{}, err
+// callStore passes a call of a process to the shared store through the
+// process's gates and faults. lost is the error of a lost answer.
+func callStore[T any](p *proc, op memstore.Op, lost error, f func() (T, error)) (T, error) {
+	var zero T
+	time.Sleep(p.w.storeLatency)
+	alive := p.gate(beforeStore)
+	p.mu.Lock()
+	fault, cut := p.storeFault[op], p.cut
+	delete(p.storeFault, op)
+	p.mu.Unlock()
+	if !alive || cut || fault.Refuse {
+		return zero, store.ErrUnavailable
 	}
-	entry, err := p.w.store.Get(ctx, key)
-	return entry, p.after(fault, err, store.ErrUnavailable)
-}
-
-func (p *proc) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	fault, err := p.before(memstore.OpList)
-	if err != nil {
-		return nil, 0, err
+	out, err := f()
+	if fault.After != nil {
+		fault.After()
 	}
-	entries, revision, err := p.w.store.List(ctx, prefix)
-	return entries, revision, p.after(fault, err, store.ErrUnavailable)
+	if !p.gate(afterStore) || fault.LoseAnswer {
+		return zero, lost
+	}
+	return out, err
 }
 
-func (p *proc) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
-	fault, err := p.before(memstore.OpPut)
-	if err != nil {
-		return 0, err
-	}
-	if late := p.takeLateWrite(); late > 0 {
-		// The write is on its way while its sender has given up.
-		time.AfterFunc(late, func() { _, _ = p.w.store.Put(context.Background(), key, value, expected, lease) })
-		return 0, p.after(fault, store.ErrAmbiguous, store.ErrAmbiguous)
-	}
-	revision, err := p.w.store.Put(ctx, key, value, expected, lease)
-	return revision, p.after(fault, err, store.ErrAmbiguous)
+func (p *proc) Get(ctx context.Context, key string) (store.Entry, error) {
+	return callStore(p, memstore.OpGet, store.ErrUnavailable, func() (store.Entry, error) { return p.Store.Get(ctx, key) })
 }
 
-func (p *proc) Delete(ctx context.Context, key string, expected store.Revision) error {
-	fault, err := p.before(memstore.OpDelete)
-	if err != nil {
-		return err
-	}
-	return p.after(fault, p.w.store.Delete(ctx, key, expected), store.ErrAmbiguous)
+func (p *proc) List(ctx context.Context, prefix string) (entries []store.Entry, r store.Revision, err error) {
+	r, err = callStore(p, memstore.OpList, store.ErrUnavailable, func() (store.Revision, error) {
+		entries, r, err = p.Store.List(ctx, prefix)
+		return r, err
+	})
+	return entries, r, err
 }
 
-func (p *proc) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-	return p.w.store.Watch(ctx, prefix, after, wait)
+func (p *proc) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	return callStore(p, memstore.OpPut, store.ErrAmbiguous, func() (store.Revision, error) {
+		p.mu.Lock()
+		late := p.lateWrite
+		p.lateWrite = 0
+		p.mu.Unlock()
+		if late == 0 {
+			return p.Store.Put(ctx, key, value, expected, lease)
+		}
+		// The write is on its way while its sender has given up.
+		time.AfterFunc(late, func() { _, _ = p.Store.Put(context.Background(), key, value, expected, lease) })
+		return 0, store.ErrAmbiguous
+	})
 }
 
 func (p *proc) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	fault, err := p.before(memstore.OpGrant)
-	if err != nil {
-		return 0, err
-	}
-	id, err := p.w.store.Grant(ctx, ttl)
-	return id, p.after(fault, err, store.ErrAmbiguous)
+	return callStore(p, memstore.OpGrant, store.ErrAmbiguous, func() (store.LeaseID, error) { return p.Store.Grant(ctx, ttl) })
 }
 
-func (p *proc) Renew(ctx context.Context, lease store.LeaseID) error {
-	fault, err := p.before(memstore.OpRenew)
-	if err != nil {
-		return err
-	}
-	return p.after(fault, p.w.store.Renew(ctx, lease), store.ErrAmbiguous)
+func (p *proc) Renew(ctx context.Context, id store.LeaseID) error {
+	_, err := callStore(p, memstore.OpRenew, store.ErrAmbiguous, func() (any, error) { return nil, p.Store.Renew(ctx, id) })
+	return err
 }
 
-func (p *proc) Revoke(ctx context.Context, lease store.LeaseID) error {
-	fault, err := p.before(memstore.OpRevoke)
-	if err != nil {
-		return err
-	}
-	return p.after(fault, p.w.store.Revoke(ctx, lease), store.ErrAmbiguous)
+func (p *proc) Revoke(ctx context.Context, id store.LeaseID) error {
+	_, err := callStore(p, memstore.OpRevoke, store.ErrAmbiguous, func() (any, error) { return nil, p.Store.Revoke(ctx, id) })
+	return err
 }
--- a/authority/scenario_test.go
+++ b/authority/scenario_test.go
@@ -29,7 +29,7 @@
 	s.target = s.w.addTarget("target", checks)
 	s.old = s.w.start("10.0.0.1:7000")
 	time.Sleep(100 * time.Millisecond)
-	s.old.armed[beforeSend] = true
+	s.old.arm(beforeSend)
 	s.order = s.old.do(s.target, s.target.Target)
 	time.Sleep(100 * time.Millisecond)
 	s.new = s.w.start("10.0.0.2:7000")
@@ -49,7 +49,9 @@
 // wakeAndSend wakes the old holder; the copy of its order is delayed as long
 // as a connection can last.
 func (s *scene) wakeAndSend() {
+	s.old.mu.Lock()
 	s.old.sendFaults, s.old.copyDelay = []sendFault{delayCopy}, 4999*time.Millisecond
+	s.old.mu.Unlock()
 	s.old.resume()
 	time.Sleep(time.Millisecond)
 }
@@ -76,13 +78,12 @@
 		}},
 		{"VM gone while the list was out of reach", 30 * time.Second, func(s *scene) {
 			s.run(14 * time.Second)
-			s.w.setListDown(true)
+			s.w.setList(30*time.Second, true)
 			s.run(30 * time.Second)
 			s.wakeAndSend()
 			s.old.kill()
 			s.w.setLive(s.old.Address, false)
-			s.w.listLag = 0
-			s.w.setListDown(false)
+			s.w.setList(0, false)
 		}},
 		{"restarted after a late send", 0, func(s *scene) {
 			s.run(15 * time.Second)
@@ -225,3 +226,60 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestRenewalWithLateAnswer guards against a holder that counts its lease from
+// the answer of a renewal, and against an order planned before a lapse that is
+// sent after the duty was acquired again.
+func TestRenewalWithLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		defer w.stop()
+		p := w.start("10.0.0.1:7000")
+		term, held := p.duty.Term()
+		is.True(held)
+		p.arm(afterStore) // the next call is a renewal
+		time.Sleep(w.lease.LeaseTime * 2)
+		p.resume()
+		time.Sleep(time.Millisecond)
+		is.True(!p.believes())
+		time.Sleep(w.lease.LeaseTime)
+		is.True(p.believes())
+		is.True(!p.duty.MayAct(term))
+	})
+}
+
+// TestLateTakeOver guards against a journal that a process takes over after its
+// lease has lapsed: it read the record, was paused before its write, and a
+// successor has taken the journal over in the meantime.
+func TestLateTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.journal.StoreTimeout = time.Minute // longer than the lease
+		defer w.stop()
+		old := w.start("10.0.0.1:7000")
+		old.setCut(true)
+		time.Sleep(w.lease.LeaseTime * 2)
+		w.store.SetFault(func(op memstore.Op, key string) memstore.Fault {
+			if op != memstore.OpPut || key != journalPrefix+testDuty {
+				return memstore.Fault{}
+			}
+			w.store.SetFault(nil)
+			return memstore.Fault{Before: func() { old.pause(); old.gate(beforeStore) }}
+		})
+		old.setCut(false)
+		time.Sleep(w.lease.RenewEvery * 2)
+		is.True(old.paused())
+		successor := w.start("10.0.0.2:7000")
+		time.Sleep(w.lease.LeaseTime * 2)
+		is.True(successor.believes())
+		old.resume()
+		time.Sleep(time.Millisecond)
+		entry, err := w.store.Get(t.Context(), journalPrefix+testDuty)
+		is.NoErr(err)
+		r, err := decodeRecord(entry)
+		is.NoErr(err)
+		is.Equal(r.Holder, successor.Process)
+	})
+}
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -37,8 +38,8 @@
 
 const testDuty = "orders/keflavik"
 
-// world is a store, a VM list, targets and the processes that use them. Each
-// violation of a guarantee is kept in failures.
+// world is a store, a VM list, targets and the processes that use them. The
+// first violation of a guarantee is kept.
 type world struct {
 	store   *memstore.Store
 	lease   LeaseOptions
@@ -50,13 +51,13 @@
 	storeLatency time.Duration
 	sendLatency  func() time.Duration
 
-	mu       sync.Mutex
-	procs    []*proc
-	targets  []*target
-	listLag  time.Duration
-	listDown bool
-	vmEvents []vmEvent
-	failures []string
+	mu        sync.Mutex
+	procs     []*proc
+	targets   []*target
+	listLag   time.Duration
+	listDown  bool
+	vmEvents  []vmEvent
+	violation string
 }
 
 type vmEvent struct {
@@ -76,16 +77,16 @@
 func (w *world) failf(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failures = append(w.failures, fmt.Sprintf(format, args...))
+	if w.violation == "" {
+		w.violation = fmt.Sprintf(format, args...)
+	}
 }
 
+// failure returns the first violation, or "".
 func (w *world) failure() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.failures) == 0 {
-		return ""
-	}
-	return w.failures[0]
+	return w.violation
 }
 
 func (w *world) setLive(address string, live bool) {
@@ -94,10 +95,10 @@
 	w.vmEvents = append(w.vmEvents, vmEvent{time.Now(), address, live})
 }
 
-func (w *world) setListDown(down bool) {
+func (w *world) setList(lag time.Duration, down bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.listDown = down
+	w.listLag, w.listDown = lag, down
 }
 
 // addresses returns the VM list as it was listLag ago.
@@ -145,23 +146,15 @@
 
 // call is one call of Do; fencing orders have none.
 type call struct {
-	t *target
-
-	mu   sync.Mutex
-	done bool
-	err  error
-}
-
-func (c *call) finish(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.done, c.err = true, err
+	t       *target
+	outcome atomic.Pointer[error]
 }
 
 func (c *call) result() (done bool, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.done, c.err
+	if e := c.outcome.Load(); e != nil {
+		return true, *e
+	}
+	return false, nil
 }
 
 // arrive is the target's side of an order. Every order that is applied must
@@ -191,21 +184,16 @@
 	return nil
 }
 
-func (t *target) took(c *call) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.taken[c]
-}
-
 // proc is one process over the real package, with a gate at every call.
 type proc struct {
 	Process
-	w       *world
-	lease   *Lease
-	duty    *Duty
-	journal *Journal
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	store.Store // the shared one
+	w           *world
+	lease       *Lease
+	duty        *Duty
+	journal     *Journal
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
 
 	mu         sync.Mutex
 	dead       bool
@@ -226,7 +214,7 @@
 func (w *world) start(address string) *proc {
 	w.setLive(address, true)
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &proc{Process: NewProcess(address), w: w, cancel: cancel, armed: map[point]bool{}, storeFault: map[memstore.Op]memstore.Fault{}}
+	p := &proc{Process: NewProcess(address), Store: w.store, w: w, cancel: cancel, armed: map[point]bool{}, storeFault: map[memstore.Op]memstore.Fault{}}
 	p.lease = NewLease(p, p.Process, p, w.lease)
 	p.duty = p.lease.Duty(testDuty, func() bool { return true })
 	p.journal = NewJournal(p, p.duty, p, p.fence, w.journal)
@@ -284,6 +272,13 @@
 	}
 }
 
+// arm lets the process pause when it next comes to a point.
+func (p *proc) arm(at point) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed[at] = true
+}
+
 func (p *proc) pause() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -343,31 +338,6 @@
 	return out, err
 }
 
-// before gates a call to the store and returns its fault.
-func (p *proc) before(op memstore.Op) (memstore.Fault, error) {
-	time.Sleep(p.w.storeLatency)
-	alive := p.gate(beforeStore)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	fault := p.storeFault[op]
-	delete(p.storeFault, op)
-	if !alive || p.cut || fault.Refuse {
-		return fault, store.ErrUnavailable
-	}
-	return fault, nil
-}
-
-// after gates the answer of a call to the store.
-func (p *proc) after(fault memstore.Fault, err, lost error) error {
-	if fault.After != nil {
-		fault.After()
-	}
-	if !p.gate(afterStore) || fault.LoseAnswer {
-		return lost
-	}
-	return err
-}
-
 // send is the network between a process and a target.
 func (p *proc) send(t Target, to *target, c *call) Send {
 	return func(_ context.Context, token uint64) error {
@@ -402,14 +372,6 @@
 	}
 }
 
-func (p *proc) takeLateWrite() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	late := p.lateWrite
-	p.lateWrite = 0
-	return late
-}
-
 func (p *proc) nextSend() (sendFault, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -443,7 +405,8 @@
 	p.running.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
-		c.finish(p.journal.Do(ctx, registered, Order{Kind: "role", Detail: "prefill"}, p.send(registered, t, c)))
+		err := p.journal.Do(ctx, registered, Order{Kind: "role", Detail: "prefill"}, p.send(registered, t, c))
+		c.outcome.Store(&err)
 	})
 	return c
 }
@@ -470,8 +433,11 @@
 		p.mu.Unlock()
 		for _, c := range calls {
 			done, err := c.result()
+			c.t.mu.Lock()
+			took := c.t.taken[c]
+			c.t.mu.Unlock()
 			var unknown *UnknownError
-			switch took := c.t.took(c); {
+			switch {
 			case !done:
 			case err == nil && !took:
 				w.failf("%s did not take an order that %s reports as taken", c.t.Name, p.Address)
