--- a/engine/model/experiment/experiment_test.go
+++ b/engine/model/experiment/experiment_test.go
@@ -25,13 +25,13 @@
 	for seed := range *seeds {
 		list = append(list, uint64(seed)+1)
 	}
-	for _, size := range []experiment.Size{experiment.Faldur, experiment.Quispe} {
-		for _, factor := range []float64{1.5, 0.5} {
-			experiment.Compare(size, experiment.DefaultSchedule(factor), experiment.Variants(), list, 2).WriteMarkdown(os.Stdout)
+	toPrompts, toAnswers := experiment.DefaultSchedule(1.5), experiment.DefaultSchedule(0.5)
+	overload := toPrompts
+	overload.LargeSurge = 2
+	for _, schedule := range []experiment.Schedule{toPrompts, overload, toAnswers} {
+		for _, size := range []experiment.Size{experiment.Faldur, experiment.Quispe} {
+			experiment.Compare(size, schedule, experiment.Variants(), list, 2).WriteMarkdown(os.Stdout)
 		}
-		overload := experiment.DefaultSchedule(1.5)
-		overload.LargeSurge = 2
-		experiment.Compare(size, overload, experiment.Variants(), list, 2).WriteMarkdown(os.Stdout)
 	}
 }
 
