route: look at the whole subset before a request is too large

The cost policy compares a few candidates. If none of them had the KV blocks that a request needs, it was refused as too large for every server, with no time to retry, although another server of the subset had them. It now falls back to the whole subset, which also gives the reason if there is none. The prefill half of a pair is checked for space as well. Before: TestLargeRequestFindsLargeEngine, the request needs more KV blocks than any server has.

--- a/route/cost.go
+++ b/route/cost.go
@@ -103,13 +103,9 @@
 	prefill := v.prefill.candidates(v, r, &random, true)
 	decode := v.decode.candidates(v, r, &random, false)
 
-	best, bestCost, tooLarge := Choice{}, 0.0, false
+	best, bestCost := Choice{}, 0.0
 	consider := func(c Choice, cost float64, fits bool) {
-		if !fits {
-			tooLarge = true
-			return
-		}
-		if best.Decode == nil || cost < bestCost {
+		if fits && (best.Decode == nil || cost < bestCost) {
 			best, bestCost = c, cost
 		}
 	}
@@ -133,7 +129,9 @@
 		}
 	}
 	if best.Decode == nil {
-		return Choice{}, v.fail(r, tooLarge)
+		// The request may fit on a server that is not among the candidates. The
+		// baseline looks at the whole subset, and explains why there is none.
+		return LeastOutstanding{}.Pick(v, r)
 	}
 	return best, nil
 }
@@ -219,6 +217,9 @@
 // pair prices a request whose prompt is processed on f and whose answer is
 // generated on d, with the KV cache moved in between.
 func (p *Cost) pair(v *View, r *Request, f *Server, cached int, d, home *Server) (Choice, float64, bool) {
+	if f.KVBlocks > 0 && promptBlocks(v, r) > f.KVBlocks {
+		return Choice{}, 0, false
+	}
 	load := d.Load()
 	fits, kv := p.kvCost(v, r, d, load)
 	if !fits {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -324,6 +324,28 @@
 	is.True(c.Decode.Name != "engine-0009")
 }
 
+// TestLargeRequestFindsLargeEngine guards against a request that fits on one
+// engine only being refused for good because the random choices were others.
+func TestLargeRequestFindsLargeEngine(t *testing.T) {
+	for name, role := range map[string]func(int) config.Role{"mixed": mixed, "split": split} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			registered := engines(12, role)
+			registered[6].KVBlocks, registered[7].KVBlocks = 9000, 9000
+			tracker := route.NewTracker("pool", "node", 16)
+			tracker.Register(start, registered)
+			for _, p := range policies(5) {
+				for range 30 {
+					c, err := p.Pick(tracker.View(), &route.Request{PromptTokens: 16 * 5000, OutputTokens: 20, Now: start})
+					is.NoErr(err)
+					is.Equal(c.Prefill.KVBlocks, 9000)
+					is.Equal(c.Decode.KVBlocks, 9000)
+				}
+			}
+		})
+	}
+}
+
 // TestPairStaysInFailureDomain guards against a KV transfer between failure
 // domains where an equal pair within one domain was among the candidates.
 func TestPairStaysInFailureDomain(t *testing.T) {
