admit: allow offers without a callback

A waiting ticket whose offer had no callback made the completion that admitted it panic. Before: TestOfferWithoutCallback, invalid memory address or nil pointer dereference. The doc comments now say what an unset bound means.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -202,6 +202,20 @@
 	is.Equal(refused.Reason, admit.ReasonDeadline)
 }
 
+// TestOfferWithoutCallback guards against a waiting ticket without a callback
+// breaking the completion that admits it.
+func TestOfferWithoutCallback(t *testing.T) {
+	is := is.New(t)
+	c := controller(1, admit.Options{})
+	first, err := c.Offer(start, admit.Request{Workspace: "a", Work: unit}, nil)
+	is.NoErr(err)
+	second, err := c.Offer(start, admit.Request{Workspace: "a", Work: unit}, nil)
+	is.NoErr(err)
+	is.True(!second.Granted())
+	first.Done(unit)
+	is.True(second.Granted())
+}
+
 // TestStopRefusesWaiting guards against waiting requests that are held until
 // their deadline while a node stops.
 func TestStopRefusesWaiting(t *testing.T) {
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -26,7 +26,8 @@
 // Capacity is what a node may use at a time.
 type Capacity struct {
 	// Outstanding bounds the work that is admitted and not yet done. A field
-	// that is 0 is not bounded.
+	// that is 0 is not bounded; where nothing is left, set it to 1, so that one
+	// request at a time finds out.
 	Outstanding Work
 	// EngineSecondsPerSecond is the rate at which the work gets done. Waiting
 	// times are estimated from it.
@@ -72,7 +73,7 @@
 	heap        activeHeap // owned by the dispatcher
 }
 
-// NewController returns a controller without capacity; see SetCapacity.
+// NewController returns a controller that bounds nothing until SetCapacity.
 func NewController(o Options) *Controller {
 	if o.Prices == (Prices{}) {
 		o.Prices = DefaultOptions.Prices
@@ -186,7 +187,8 @@
 
 // Offer decides without waiting. A ticket that isn't granted at once waits:
 // decided is called once when it is granted or refused, possibly before Offer
-// returns, and the caller must call GiveUp at GiveUpAt. decided must not block.
+// returns, and the caller must call GiveUp at GiveUpAt. decided must not block;
+// it may be nil if the caller asks the ticket.
 func (c *Controller) Offer(now time.Time, r Request, decided func()) (*Ticket, error) {
 	if c.stopped.Load() {
 		return nil, &RefusedError{r.Workspace, ReasonStopping, retryAfterStopping}
--- a/admit/workspace.go
+++ b/admit/workspace.go
@@ -155,7 +155,7 @@
 		if blocked {
 			return
 		}
-		if t != nil {
+		if t != nil && t.decided != nil {
 			t.decided()
 		}
 	}
