--- a/admit/bench_test.go
+++ b/admit/bench_test.go
@@ -58,3 +58,23 @@
 		})
 	}
 }
+
+// BenchmarkWorkspaces measures a new controller with n workspaces; its bytes are
+// about the memory that a node keeps for them.
+func BenchmarkWorkspaces(b *testing.B) {
+	for _, n := range []int{8, 200, 2300} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprintf("workspace-%04d", i)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c := admit.NewController(admit.Options{})
+				for _, name := range names {
+					c.SetWeight(name, 1)
+				}
+			}
+		})
+	}
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -403,3 +403,17 @@
 		})
 	}
 }
+
+// BenchmarkRegister measures a new tracker with n servers; its bytes are about
+// the memory that a node keeps for them.
+func BenchmarkRegister(b *testing.B) {
+	for _, n := range []int{12, 150, 1500} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			registered := engines(n, split)
+			b.ReportAllocs()
+			for b.Loop() {
+				route.NewTracker("pool", "node", 16).Register(start, registered)
+			}
+		})
+	}
+}
