route: keep the history of own work for the subset only

A node has work on the servers of its subsets only, but kept 1.8 KB of history for each registered server.

--- a/route/tracker.go
+++ b/route/tracker.go
@@ -52,13 +52,14 @@
 
 // serverState outlives the views, so that requests in flight stay counted.
 type serverState struct {
-	own     counters
-	history history
-	report  Report
+	own    counters
+	report Report
 	// others is the reported load less the own load at the time of the report.
 	others   Load
 	reported bool
-	digest   *Digest
+	// history and digest are kept for members of a subset only.
+	history *history
+	digest  *Digest
 	// rank is the rendezvous hash of node and server.
 	rank uint64
 	// member is the last build in which the server was in a subset.
@@ -122,7 +123,10 @@
 		return
 	}
 	s.report, s.reported = r, true
-	s.others = r.Load.sub(s.history.before(r.MeasuredAt))
+	s.others = r.Load
+	if s.history != nil {
+		s.others = r.Load.sub(s.history.before(r.MeasuredAt))
+	}
 }
 
 // Publish makes a view with the present load of the servers in this node's
@@ -153,11 +157,11 @@
 	v.both = t.subset(v, config.RoleMixed)
 	v.prefill = t.subset(v, config.RolePrefill)
 	v.decode = t.subset(v, config.RoleDecode)
-	// A digest is dropped with the membership, so that servers that come and go
-	// don't add up to a digest for the whole pool.
+	// Digest and history are dropped with the membership, so that servers that
+	// come and go don't add up to one of each for the whole pool.
 	for _, s := range v.Servers {
 		if s.state.member != t.builds {
-			s.state.digest, s.digest = nil, nil
+			s.state.digest, s.digest, s.state.history = nil, nil, nil
 		}
 	}
 	t.base = v
@@ -299,6 +303,9 @@
 		if state.digest == nil && t.blockTokens > 0 && role != config.RoleDecode {
 			state.digest = &Digest{}
 		}
+		if state.history == nil {
+			state.history = &history{}
+		}
 		state.member = t.builds
 		c.server.digest = state.digest
 		out.servers = append(out.servers, c.server)
