route: spread requests over servers with equal load in the baselines

Least outstanding requests took the first of several servers with equal load. Reported loads relax to the mean of the role, so that ties are common, and all nodes sent their requests to the same server. The search now begins at a place that differs from request to request. Before: TestEqualLoadIsSpread, not true: count[s.Name] > 60.

--- a/route/baseline.go
+++ b/route/baseline.go
@@ -1,6 +1,9 @@
 package route
 
-import "sync/atomic"
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
 
 // RoundRobin takes the servers of a subset in turn.
 type RoundRobin struct{ next atomic.Uint64 }
@@ -33,7 +36,10 @@
 func (s *subset) leastOutstanding(v *View, r *Request) *Server {
 	var best *Server
 	var least int64
-	for _, server := range s.servers {
+	count := uint64(len(s.servers))
+	first := tieBreak(r)
+	for i := range count {
+		server := s.servers[(first+i)%count]
 		if !allowed(v, r, server) {
 			continue
 		}
@@ -44,6 +50,15 @@
 	return best
 }
 
+// tieBreak says where to begin the search, so that servers with equal load are
+// taken equally often. It differs from request to request.
+func tieBreak(r *Request) uint64 {
+	var random rand.PCG
+	random.Seed(uint64(r.Now.UnixNano()), uint64(r.PromptTokens))
+	random.Uint64()
+	return random.Uint64() >> 1 // leaves room for the addition of an index
+}
+
 // PrefixAffinity takes the server that the first block of the prompt hashes to,
 // and the one with the fewest streams if that is excluded or there is no prefix.
 // Decode servers, which cache no prompts, are taken by the fewest streams.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// TestEqualLoadIsSpread guards against a comparison with baselines that send all
+// requests to the first of several servers with equal load.
+func TestEqualLoadIsSpread(t *testing.T) {
+	is := is.New(t)
+	tracker := route.NewTracker("pool", "node", 16)
+	tracker.Register(start, engines(4, mixed))
+	count := make(map[string]int)
+	for i := range 400 {
+		c, err := route.LeastOutstanding{}.Pick(tracker.View(), &route.Request{Now: start.Add(time.Duration(i) * time.Millisecond)})
+		is.NoErr(err)
+		count[c.Decode.Name]++
+	}
+	for _, s := range tracker.View().Servers {
+		is.True(count[s.Name] > 60)
+	}
+}
+
 // TestStaleReportIsNotIdle guards against a server that has stopped reporting
 // looking idle and drawing all requests.
 func TestStaleReportIsNotIdle(t *testing.T) {
