--- a/route/route_test.go
+++ b/route/route_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// TestEqualLoadIsSpread guards against a comparison with baselines that send all
+// requests to the first of several servers with equal load.
+func TestEqualLoadIsSpread(t *testing.T) {
+	is := is.New(t)
+	tracker := route.NewTracker("pool", "node", 16)
+	tracker.Register(start, engines(4, mixed))
+	count := make(map[string]int)
+	for i := range 400 {
+		c, err := route.LeastOutstanding{}.Pick(tracker.View(), &route.Request{Now: start.Add(time.Duration(i) * time.Millisecond)})
+		is.NoErr(err)
+		count[c.Decode.Name]++
+	}
+	for _, s := range tracker.View().Servers {
+		is.True(count[s.Name] > 60)
+	}
+}
+
 // TestStaleReportIsNotIdle guards against a server that has stopped reporting
 // looking idle and drawing all requests.
 func TestStaleReportIsNotIdle(t *testing.T) {
@@ -324,6 +341,28 @@
 	is.True(c.Decode.Name != "engine-0009")
 }
 
+// TestLargeRequestFindsLargeEngine guards against a request that fits on one
+// engine only being refused for good because the random choices were others.
+func TestLargeRequestFindsLargeEngine(t *testing.T) {
+	for name, role := range map[string]func(int) config.Role{"mixed": mixed, "split": split} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			registered := engines(12, role)
+			registered[6].KVBlocks, registered[7].KVBlocks = 9000, 9000
+			tracker := route.NewTracker("pool", "node", 16)
+			tracker.Register(start, registered)
+			for _, p := range policies(5) {
+				for range 30 {
+					c, err := p.Pick(tracker.View(), &route.Request{PromptTokens: 16 * 5000, OutputTokens: 20, Now: start})
+					is.NoErr(err)
+					is.Equal(c.Prefill.KVBlocks, 9000)
+					is.Equal(c.Decode.KVBlocks, 9000)
+				}
+			}
+		})
+	}
+}
+
 // TestPairStaysInFailureDomain guards against a KV transfer between failure
 // domains where an equal pair within one domain was among the candidates.
 func TestPairStaysInFailureDomain(t *testing.T) {
@@ -381,3 +420,17 @@
 		})
 	}
 }
+
+// BenchmarkRegister measures a new tracker with n servers; its bytes are about
+// the memory that a node keeps for them.
+func BenchmarkRegister(b *testing.B) {
+	for _, n := range []int{12, 150, 1500} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			registered := engines(n, split)
+			b.ReportAllocs()
+			for b.Loop() {
+				route.NewTracker("pool", "node", 16).Register(start, registered)
+			}
+		})
+	}
+}
