--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -57,12 +57,22 @@
 	d := &deployment{t: t, dir: filepath.Join(t.TempDir(), "deployment"), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(d.http.CloseIdleConnections)
 	d.generate(nodes)
-	d.platform = start(t, "platform", "standin", "platform", "--listen", d.nodes[0].settings.Platform.Address, "--vms", d.file("vms.json"))
+	platform := d.nodes[0].settings.Platform.Address
+	d.platform = start(t, "platform", "standin", "platform", "--listen", platform, "--vms", d.file("vms.json"))
+	listeners := append([]string{platform}, d.services...)
 	for _, kind := range []string{"engine", "service"} {
 		for _, file := range d.files(kind + "s") {
 			start(t, strings.TrimSuffix(filepath.Base(file), ".json"), "standin", kind, "--settings", file)
 		}
 	}
+	for _, file := range d.files("engines") {
+		var s questionnaire.EngineStandin
+		d.readJSON(file, &s)
+		listeners = append(listeners, s.Listen)
+	}
+	for _, address := range listeners {
+		eventually(t, "a stand-in listens on "+address, func() error { return dial(address) })
+	}
 	for i := range d.nodes {
 		d.startNode(i)
 	}
@@ -76,6 +86,14 @@
 	return d
 }
 
+func dial(address string) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func (d *deployment) generate(nodes int) {
 	t := d.t
 	t.Helper()
