Choose the routing policy by a setting

Cause: baselines could be compared in the simulation only, not on nodes.

Before: cost policy only. After: routing.policy takes the baselines as well; check reports any other value.

--- a/node/backends.go
+++ b/node/backends.go
@@ -14,6 +14,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/route"
+	"github.com/figweir/figweir/settings"
 )
 
 const (
@@ -58,13 +59,26 @@
 }
 
 func newBackends(n *Node) *backends {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(n.process))
-	b := &backends{node: n, policy: route.NewCost(h.Sum64(), route.DefaultWeights), polled: make(map[string]*polledServer)}
+	b := &backends{node: n, policy: newPolicy(n), polled: make(map[string]*polledServer)}
 	b.trackers.Store(&map[string]*route.Tracker{})
 	return b
 }
 
+func newPolicy(n *Node) route.Policy {
+	switch n.settings.Routing.Policy {
+	case settings.PolicyRoundRobin:
+		return &route.RoundRobin{}
+	case settings.PolicyLeastOutstanding:
+		return &route.LeastOutstanding{}
+	case settings.PolicyPrefixAffinity:
+		return &route.PrefixAffinity{}
+	}
+	// Nodes with different seeds don't choose the same servers in step.
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(n.process))
+	return route.NewCost(h.Sum64(), route.DefaultWeights)
+}
+
 // register takes over the backend servers of the configuration in force.
 func (b *backends) register() {
 	snapshot := b.node.config.Load()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Secrets       Secrets  `json:"secrets"`
 	Limits        Limits   `json:"limits,omitzero"`
 	Usage         Usage    `json:"usage,omitzero"`
+	Routing       Routing  `json:"routing,omitzero"`
 	Log           Log      `json:"log,omitzero"`
 }
 
@@ -70,6 +71,19 @@
 	MaxAttempts        int     `json:"max_attempts"`
 }
 
+// The routing policies. All but PolicyCost are baselines for experiments.
+const (
+	PolicyCost             = "cost"
+	PolicyRoundRobin       = "round_robin"
+	PolicyLeastOutstanding = "least_outstanding"
+	PolicyPrefixAffinity   = "prefix_affinity"
+)
+
+// Routing says how backend servers are chosen.
+type Routing struct {
+	Policy string `json:"policy"`
+}
+
 // Usage says how usage is reported. All nodes must have equal values.
 type Usage struct {
 	// WindowSeconds is the length of a usage window, a whole number of seconds.
@@ -96,7 +110,8 @@
 			IdleTimeoutSeconds: 90, RequestTimeoutSeconds: 300, StopTimeoutSeconds: 300,
 			MaxAttempts: 3,
 		},
-		Usage: Usage{WindowSeconds: 300},
+		Usage:   Usage{WindowSeconds: 300},
+		Routing: Routing{Policy: PolicyCost},
 	}
 }
 
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -38,6 +38,7 @@
 	v.secretUnlessLoopback("$.secrets.operator", s.Secrets.Operator, s.Listen.Operators)
 	v.limits(&s.Limits)
 	v.positive("$.usage.window_s", float64(s.Usage.WindowSeconds), maxSeconds)
+	v.policy(s.Routing.Policy)
 }
 
 type validator struct {
@@ -96,6 +97,15 @@
 	v.positive("$.limits.max_attempts", float64(l.MaxAttempts), maxAttempts)
 }
 
+func (v validator) policy(name string) {
+	switch name {
+	case PolicyCost, PolicyRoundRobin, PolicyLeastOutstanding, PolicyPrefixAffinity:
+	default:
+		v.findings.Addf("$.routing.policy", "%q is not a policy: use %q, %q, %q or %q", name,
+			PolicyCost, PolicyRoundRobin, PolicyLeastOutstanding, PolicyPrefixAffinity)
+	}
+}
+
 func (v validator) positive(path string, value float64, most int) {
 	if value <= 0 || value > float64(most) {
 		v.findings.Addf(path, "must be greater than 0 and at most %d", most)
