Tell gone owners of claims by their incarnation

Cause: an open claim answered "in progress" for as long as its owner's VM was listed, also when the process on it had been replaced.

Ruled out: a process id in each heartbeat, 18 bytes more for each state; the incarnation that heartbeats carry is enough, since a wrong answer only turns "in progress" into "unknown".

Before: in progress without end after a restart.

--- /dev/null
+++ b/demo/claims_test.go
@@ -0,0 +1,106 @@
+package demo
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/caller"
+	"github.com/figweir/figweir/standin/service"
+)
+
+func (d *Deployment) book(t *testing.T, i int, key string) (int, string) {
+	t.Helper()
+	header := http.Header{caller.HeaderIdempotencyKey: {key}}
+	status, body, err := d.do(t.Context(), i, http.MethodPost, "/services/"+Service+"/bookings", d.Key, header, []byte("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, string(body)
+}
+
+// Guards against a second run of a call whose answer was lost, through any node.
+func TestLostAnswerOfClaimedCallStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{LoseAnswers: true})
+	}
+	status, body := d.book(t, 0, "a")
+	is.Equal(status, http.StatusBadGateway)
+	is.True(strings.Contains(body, string(apierr.OutcomeUnknown)))
+	for _, s := range d.Services {
+		s.SetFaults(service.Faults{})
+	}
+	for i := range d.Nodes {
+		status, body = d.book(t, i, "a")
+		is.Equal(status, http.StatusBadGateway)
+		is.True(strings.Contains(body, string(apierr.OutcomeUnknown)))
+	}
+	is.Equal(d.Runs.Of("a"), 1)
+}
+
+// Guards against calls that run without a claim while the store is down, and
+// against a refusal that is not true.
+func TestNoClaimWithoutStore(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	d.Platform.SetDown(true)
+	status, body := d.book(t, 0, "b")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"not_run":true`))
+	is.Equal(d.Runs.Of("b"), 0)
+	d.Platform.SetDown(false)
+	for range 1000 {
+		if status, _ = d.book(t, 1, "b"); status == http.StatusOK {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(status, http.StatusOK) // runs once the store is back
+	is.Equal(d.Runs.Of("b"), 1)
+}
+
+// Guards against an idempotency key that stands for two different calls.
+func TestIdempotencyKeyIsBoundToItsCall(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	status, _ := d.book(t, 0, "c")
+	is.Equal(status, http.StatusOK)
+	header := http.Header{caller.HeaderIdempotencyKey: {"c"}}
+	status, body, err := d.do(t.Context(), 1, http.MethodPost, "/services/"+Service+"/bookings", d.Key, header, []byte("other"))
+	is.NoErr(err)
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.True(strings.Contains(string(body), string(apierr.KeyReused)))
+	status, _, err = d.do(t.Context(), 1, http.MethodPost, "/services/"+Service+"/bookings", d.SecondKey, header, []byte("other"))
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK) // keys of other workspaces are others
+	is.Equal(d.Runs.Of("c"), 2)
+}
+
+// Guards against a call that is lost because a node that writes its range is
+// being stopped.
+func TestClaimsMoveWhenANodeStops(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Nodes: 3})
+	is.NoErr(<-d.BeginStop(2))
+	d.stop[2], d.stopped[2] = func() {}, closed()
+	for n := range 24 {
+		key := string(rune('A' + n))
+		status := 0
+		for range 1000 {
+			if status, _ = d.book(t, n%2, key); status == http.StatusOK {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(status, http.StatusOK)
+		is.Equal(d.Runs.Of(key), 1)
+	}
+	_, err := d.Chat(t.Context(), 2, ChatRequest{Key: d.Key, Prompt: "x", Tokens: 1})
+	is.True(err != nil) // the node is gone
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -285,3 +285,19 @@
 		v.hashes = append(v.hashes, list.hashes[i])
 	}
 }
+
+// Incarnation returns the incarnation of a node that this node knows, itself
+// included. It changes when the node's process starts again, and in rare cases
+// while it runs.
+func (m *Membership) Incarnation(name string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if name == m.settings.Self.Name {
+		return m.selfLocked().Incarnation, true
+	}
+	p := m.table.peers[name]
+	if p == nil {
+		return "", false
+	}
+	return p.state.Incarnation, true
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -47,7 +47,8 @@
 	c.writers = once.NewWriters(claimRanges, func(r once.Range) *once.Writer { return c.startWriter(r, cfg, budget) })
 	claimerConfig := once.DefaultClaimerConfig()
 	claimerConfig.Ranges = claimRanges
-	c.claimer = once.NewClaimer(n.process, claimerConfig, c.locate)
+	incarnation, _ := n.members.Incarnation(n.settings.Name)
+	c.claimer = once.NewClaimer(n.settings.Name+"/"+incarnation, claimerConfig, c.locate)
 	return c
 }
 
@@ -78,11 +79,12 @@
 }
 
 // Gone implements once.Incarnations: a process is gone if its VM is no longer
-// listed, or if it is an earlier process of this VM.
+// listed, or if a later process runs on it. Being wrong does no harm: repeats
+// are then told "unknown" instead of "in progress".
 func (c *claims) Gone(owner string) bool {
-	name, _, _ := strings.Cut(owner, "/")
-	if name == c.node.settings.Name {
-		return owner != c.node.process
+	name, incarnation, _ := strings.Cut(owner, "/")
+	if current, ok := c.node.members.Incarnation(name); ok {
+		return current > incarnation
 	}
 	for _, vm := range c.node.members.Listed() {
 		if vm.Name == name {
