Take leaving backend servers from the platform's list of VMs

Cause: the list shows live and leaving VMs, those of backend servers among them, and the node read it for its own kind only.

Before: a backend server whose VM was leaving got work until it said so itself.

--- a/demo/roles_test.go
+++ b/demo/roles_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/platform/fleet"
 	standin "github.com/figweir/figweir/standin/engine"
 )
 
@@ -43,3 +44,33 @@
 	chat()
 	chat()
 }
+
+// served returns how many requests the engine has been sent.
+func served(e *standin.Server) int { return len(e.Served()) }
+
+// Guards against new work on a backend server that the platform or the server
+// itself announces as leaving, on any node, also while the store is down.
+func TestLeavingServersGetNoNewWork(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{})
+	vms := []fleet.VM{d.Nodes[0].VM(), d.Nodes[1].VM(), {Name: "vm-engine-1", FailureDomain: failureDomain, BackendServer: "engine-1", Leaving: true}}
+	d.Platform.SetVMs(vms)
+	d.Platform.SetDown(true)
+	d.Engines[1].SetLeaving(true)
+	// Requests go on until both nodes have sent many in a row to the engine
+	// that stays.
+	const quiet = 40
+	last, since := -1, 0
+	for n := 0; since < quiet; n++ {
+		if n > 5000 {
+			t.Fatal("a leaving engine still gets new work")
+		}
+		_, err := d.Chat(t.Context(), n%2, ChatRequest{Key: d.Key, Prompt: fmt.Sprint(n), Tokens: 1})
+		is.NoErr(err)
+		since++
+		if now := served(d.Engines[0]) + served(d.Engines[1]); now != last {
+			last, since = now, 0
+		}
+	}
+	is.True(served(d.Engines[2]) >= quiet)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -106,7 +106,7 @@
 	n.members = membership.New(membership.Settings{
 		Self:    membership.VM{Name: self.Name, Address: self.Address, FailureDomain: self.FailureDomain},
 		ListLag: settings.Seconds(n.settings.Platform.ListLagSeconds),
-	}, vmLister{n.fleet}, peer.NewMembershipClient(n.peerHTTP, n.auth), n.log)
+	}, newVMLister(n), peer.NewMembershipClient(n.peerHTTP, n.auth), n.log)
 	n.sync = configsync.New(configsync.Settings{}, n.members, n.store, n.config, peer.NewConfigClient(n.peerHTTP, n.auth), n.log)
 	n.events = newEventPublisher(n)
 }
@@ -215,19 +215,3 @@
 	n.log.Info("node stopped", "duration_s", time.Since(start).Seconds(), "cut", err != nil)
 	return err
 }
-
-// vmLister adapts the platform's list to package membership.
-type vmLister struct{ fleet *fleet.Client }
-
-// VMs implements membership.Lister.
-func (l vmLister) VMs(ctx context.Context) ([]membership.VM, error) {
-	vms, err := l.fleet.VMs(ctx)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]membership.VM, len(vms))
-	for i, vm := range vms {
-		out[i] = membership.VM{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain, Leaving: vm.Leaving}
-	}
-	return out, nil
-}
