Serve usage reports by the platform stand-in

Cause: the stand-in of the platform lacked one of its interfaces.

Before: billing's stand-in was used by tests only. After: it is part of the platform stand-in, for the owners of usage windows to report to.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,5 +1,6 @@
 // Package platform is a small stand-in for the platform: the key-value
-// service, the VM list and the interface for ordering backend servers.
+// service, the VM list, and the interfaces for ordering backend servers and for
+// usage reports.
 package platform
 
 import (
@@ -11,8 +12,10 @@
 
 	"github.com/go-chi/chi/v5"
 
+	client "github.com/figweir/figweir/platform/billing"
 	"github.com/figweir/figweir/platform/fleet"
 	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/standin/billing"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -21,7 +24,8 @@
 
 // Server serves the platform's interfaces over HTTP.
 type Server struct {
-	Store *memstore.Store
+	Store   *memstore.Store
+	Billing *billing.Server
 
 	mu     sync.Mutex
 	vms    []fleet.VM
@@ -31,7 +35,7 @@
 
 // New returns a platform with an empty store and the given VMs.
 func New(vms []fleet.VM) *Server {
-	return &Server{Store: memstore.New(), vms: vms}
+	return &Server{Store: memstore.New(), Billing: &billing.Server{}, vms: vms}
 }
 
 // SetDown makes the key-value service refuse every call.
@@ -63,6 +67,7 @@
 	r.Put("/v1/vms", s.replaceVMs)
 	r.Post("/v1/orders", s.order)
 	r.Get("/v1/orders", s.listOrders)
+	r.Handle(client.ReportPath, s.Billing)
 	r.Put("/v1/faults", s.faults)
 	return r
 }
