Give each addition its own entry in the list of changes

Cause: go test -race -count=30 -run 'Additions|Concurrent|...' ./usage failed once: TestAdditionsRaceBatches: 1-1170 has 2 copies after Wait. An addition to a cell that another addition had marked as queued relied on that one's entry. If the other was preempted between the mark and the push, the batch closed without the cell, and Wait returned before the usage was mirrored.

Ruled out: a third state of the mark in which additions wait for each other (a request would wait for a preempted one).

Conclusion: Wait no longer depends on the progress of another addition. The test can miss such a fault in a single run.

--- a/usage/bench_test.go
+++ b/usage/bench_test.go
@@ -64,6 +64,9 @@
 	for _, n := range benchWorkspaces {
 		b.Run(fmt.Sprint("workspaces=", n), func(b *testing.B) {
 			r, names := benchRecorder(), benchNames(n)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go r.Run(ctx)
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for i := 0; pb.Next(); i++ {
--- a/usage/mirror.go
+++ b/usage/mirror.go
@@ -115,23 +115,25 @@
 // each mirror what it lacks.
 func (r *Recorder) flush() {
 	b := r.open.Swap(newBatch())
-	r.drainCells()
 	r.batches.Add(1)
+	r.drainCells()
 	b.mirrors = r.mirrorAll()
 	close(b.done)
 }
 
 func (r *Recorder) drainCells() {
 	var totals []Total
-	for c := r.dirty.Swap(nil); c != nil; {
-		next := c.next
-		// Additions from here on queue the cell again; those before are read.
-		c.queued.Store(false)
+	number := r.batches.Load()
+	for entry := r.dirty.Swap(nil); entry != nil; entry = entry.next {
+		c := entry.cell
+		if c.batch == number {
+			continue
+		}
+		c.batch = number
 		totals = append(totals, Total{
 			Incarnation: r.options.Ledger.incarnation, Workspace: c.workspace, Window: c.window,
 			Figures: Figures{c.calls.Load(), c.prompt.Load(), c.output.Load()},
 		})
-		c = next
 	}
 	// Own totals are never refused.
 	_ = r.options.Ledger.Mirror(totals)
--- a/usage/recorder.go
+++ b/usage/recorder.go
@@ -47,7 +47,7 @@
 	current atomic.Pointer[windowCells]
 	// open is the batch that additions made now will be part of.
 	open  atomic.Pointer[batch]
-	dirty atomic.Pointer[cell]
+	dirty atomic.Pointer[change]
 	kick  chan struct{}
 
 	// peers is used by the mirroring goroutine only.
@@ -71,9 +71,17 @@
 	window    int64
 
 	calls, prompt, output atomic.Uint64
-	// queued is set while the cell is in the list of changed cells.
-	queued atomic.Bool
-	next   *cell
+	// batch is the last batch that read the cell; only the mirroring goroutine
+	// uses it.
+	batch uint64
+}
+
+// change is an entry of the list of changed cells. Each addition has its own: if
+// one relied on the entry of another, that one might not be in the list yet when
+// the batch reads it.
+type change struct {
+	cell *cell
+	next *change
 }
 
 // counter is a Figures value that many goroutines add to.
@@ -129,17 +137,15 @@
 	c.calls.Add(f.Calls)
 	c.prompt.Add(f.PromptTokens)
 	c.output.Add(f.OutputTokens)
-	if c.queued.CompareAndSwap(false, true) {
-		for {
-			head := r.dirty.Load()
-			c.next = head
-			if r.dirty.CompareAndSwap(head, c) {
-				break
-			}
+	entry := &change{cell: c}
+	for {
+		entry.next = r.dirty.Load()
+		if r.dirty.CompareAndSwap(entry.next, entry) {
+			break
 		}
 	}
-	// The batch is read after the cell was queued: the batch that is open now
-	// is closed before it reads the cells, so it contains this addition.
+	// The batch is read after the change is in the list: the batch that is open
+	// now is closed before it reads the list, so it contains this addition.
 	t := Ticket{batch: r.open.Load(), figures: f}
 	select {
 	case r.kick <- struct{}{}:
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -213,8 +213,8 @@
 	for g := range 8 {
 		requests.Go(func() {
 			for i := range perRequester {
-				// Two requesters share each workspace.
-				workspace := fmt.Sprint(g/2, "-", i)
+				// Four requesters share each workspace.
+				workspace := fmt.Sprint(g/4, "-", i)
 				ticket := r.Add(workspace, Figures{Calls: 1})
 				if i%10 != 0 {
 					continue
