authority: an unknown outcome is never found as a refusal

Cause: an order whose first copy had an ambiguous answer and whose repetition the target refused ended with an UnknownError that wrapped the RefusedError. errors.As then found 'the target certainly did not take the order', which may be false. An unknown outcome of a fencing order was reported as one of the order that was to follow, although that was never sent.

Before, with the stricter check of results:, first case, 'engine-checking took an order that 10.0.0.2:7000 reports as not taken: outcome unknown: order refused: not now'.

--- a/authority/deliver.go
+++ b/authority/deliver.go
@@ -24,7 +24,7 @@
 		}
 		var refused *RefusedError
 		if errors.As(err, &refused) {
-			return false, j.refused(ctx, intent, last, err)
+			return false, j.refused(ctx, intent, last, refused)
 		}
 		last = err
 		j.stats.ambiguous.Add(1)
@@ -35,12 +35,13 @@
 
 // refused ends an order of which the target refused a copy. If an earlier copy
 // had an ambiguous answer, that one may have been taken.
-func (j *Journal) refused(ctx context.Context, intent Intent, last, err error) error {
+func (j *Journal) refused(ctx context.Context, intent Intent, last error, refusal *RefusedError) error {
 	if last == nil {
 		j.closeNow(ctx, intent.OrderID)
-		return err
+		return refusal
 	}
-	return j.unknownOutcome(intent, err)
+	// Not the refusal itself, so that errors.As does not find one.
+	return j.unknownOutcome(intent, refusal.Err)
 }
 
 func (j *Journal) unknownOutcome(intent Intent, err error) error {
--- a/authority/errors.go
+++ b/authority/errors.go
@@ -75,6 +75,22 @@
 // Unwrap returns the last answer.
 func (e *UnknownError) Unwrap() error { return e.Err }
 
+// FenceError means that it is not known whether a target took a fencing order.
+// The order that was to follow was not sent.
+type FenceError struct {
+	Target Target
+	// Err is the last answer to the fencing order.
+	Err error
+}
+
+// Error implements error.
+func (e *FenceError) Error() string {
+	return fmt.Sprintf("authority: outcome of the fencing order to target %s unknown; the order was not sent: %v", e.Target.Name, e.Err)
+}
+
+// Unwrap returns the last answer.
+func (e *FenceError) Unwrap() error { return e.Err }
+
 // RefusedError means that the target certainly did not take the order.
 type RefusedError struct {
 	Err error
--- a/authority/journal.go
+++ b/authority/journal.go
@@ -94,8 +94,9 @@
 // Do sends an order to a target under an open intent. The error is nil if the
 // target took the order, a *RefusedError if it did not, an *UnknownError if
 // that is not known, and a *NotHolderError, *BlockedError, *BusyError,
-// *ReplacedError or the error of the store if nothing was sent. An order with
-// an ambiguous answer is repeated with the same token until its answer is
+// *ReplacedError, *FenceError or the error of the store if the order was not
+// sent. A *RefusedError can be that of the fencing order. An order with an
+// ambiguous answer is repeated with the same token until its answer is
 // definite, ctx ends or the process loses its authority.
 func (j *Journal) Do(ctx context.Context, target Target, order Order, send Send) error {
 	if err := validate(target, order); err != nil {
@@ -179,6 +180,10 @@
 		j.stats.fences.Add(1)
 		return j.fence(ctx, target, token)
 	})
+	var unknown *UnknownError
+	if errors.As(err, &unknown) {
+		return &FenceError{Target: target, Err: unknown.Err}
+	}
 	if err != nil {
 		return err
 	}
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -449,11 +449,12 @@
 			took := c.t.taken[c]
 			c.t.mu.Unlock()
 			var unknown *UnknownError
+			var refused *RefusedError
 			switch {
 			case !done:
 			case err == nil && !took:
 				w.failf("%s did not take an order that %s reports as taken", c.t.Name, p.Address)
-			case err != nil && !errors.As(err, &unknown) && took:
+			case err != nil && took && (errors.As(err, &refused) || !errors.As(err, &unknown)):
 				w.failf("%s took an order that %s reports as not taken: %v", c.t.Name, p.Address, err)
 			}
 		}
