--- a/authority/measure_test.go
+++ b/authority/measure_test.go
@@ -168,6 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld()
+		w.storeLatency = 4 * time.Millisecond
 		p := w.start("10.0.0.1:7000")
 		defer w.stop()
 		time.Sleep(20 * time.Second)
@@ -189,6 +190,13 @@
 		t.Logf("100 orders: %d journal writes, %d journal reads", now.JournalWrites-stats.JournalWrites, now.JournalReads-stats.JournalReads)
 		is.Equal(now.JournalWrites-stats.JournalWrites, int64(200))
 		is.Equal(now.JournalReads-stats.JournalReads, int64(0))
+		for i := range 94 {
+			p.do(w.addTarget(fmt.Sprintf("engine-%d", i), false), Target{Name: fmt.Sprintf("engine-%d", i), Generation: 1})
+		}
+		time.Sleep(time.Second)
+		shared := p.journal.Stats().JournalWrites - now.JournalWrites
+		t.Logf("94 orders to 94 targets at once: %d journal writes", shared)
+		is.True(shared < 20)
 	})
 }
 
