--- a/e2e/pause_test.go
+++ b/e2e/pause_test.go
@@ -1,8 +1,10 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,7 +75,8 @@
 	is.True(refused >= minRefused)
 }
 
-// Guards against a node that serves with what it knew before it was paused.
+// Guards against a node that serves with what it knew before it was paused, and
+// against a stream that goes on with a key which was withdrawn meanwhile.
 func TestPausedNodeDoesNotServeWithWithdrawnKey(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, 3)
@@ -84,9 +87,22 @@
 		// pause is longer than the freshness time of 2 s. Before that a node that
 		// has not heard of the change may serve by its last read.
 		pause = 2500 * time.Millisecond
+		// streamTokens take longer than the pause and the seconds after it.
+		streamTokens = 10_000
 	)
 	key := d.command(paused, "key", "add", workspace, "--key-secret-file", d.file("key_digest.secret"), "--require-accepted")
 	eventually(t, "the key works", func() error { return d.chat(paused, key, newChat("before", 5, true), nil) })
+	var streaming atomic.Bool
+	streamed := make(chan error, 1)
+	go func() {
+		streamed <- d.chat(paused, key, newChat("a long stream", streamTokens, true), func() { streaming.Store(true) })
+	}()
+	eventually(t, "a stream runs", func() error {
+		if !streaming.Load() {
+			return errors.New("no token yet")
+		}
+		return nil
+	})
 	d.nodes[paused].pause(t)
 	began := time.Now()
 	d.command(1, "key", "withdraw", workspace+"-2", "--require-accepted")
@@ -118,5 +134,11 @@
 		is.True(err != nil) // not served with the withdrawn key
 		is.True(notRun(err))
 	}
+	select {
+	case err := <-streamed:
+		is.Equal(code(err), apierr.Unauthorized) // ended by an explicit error
+	case <-time.After(pollLimit):
+		t.Fatal("the stream did not end")
+	}
 	eventually(t, "the woken node serves with another key", func() error { return d.chat(paused, d.key, newChat("other key", 5, true), nil) })
 }
