--- a/bus/bus.go
+++ b/bus/bus.go
@@ -24,6 +24,8 @@
 	TopicServerLeaving Topic = "server.leaving"
 	// TopicDutyChanged carries DutyChanged.
 	TopicDutyChanged Topic = "duty.changed"
+	// TopicDemand carries Demand.
+	TopicDemand Topic = "demand"
 )
 
 // ConfigChanged says that a revision of the configuration is in force.
@@ -48,6 +50,20 @@
 	Held bool   `json:"held"`
 }
 
+// Demand says what the callers of one node asked for.
+type Demand struct {
+	// Seconds is the time in which the requests of Pools arrived.
+	Seconds float64      `json:"seconds"`
+	Pools   []PoolDemand `json:"pools"`
+}
+
+// PoolDemand is the demand for one engine pool, in tokens.
+type PoolDemand struct {
+	Pool         string `json:"pool"`
+	PromptTokens int64  `json:"prompt_tokens"`
+	OutputTokens int64  `json:"output_tokens"`
+}
+
 const (
 	// metadataOrigin names the node that an event came from; it is empty for
 	// events of this node.
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	sync       *configsync.Sync
 	backends   *backends
 	claims     *claims
+	duties     *duties
+	orders     *orderers
 	callers    *caller.Handler
 	listeners  *listeners
 	draining   atomic.Bool
@@ -86,6 +88,8 @@
 	n.join()
 	n.backends = newBackends(n)
 	n.claims = newClaims(n)
+	n.duties = newDuties(n)
+	n.orders = newOrderers(n)
 	n.callers = caller.New(n.callerDependencies(), callerOptions(s.Limits))
 	n.handleEvents()
 	n.listeners.handle(n.callers, n.peerHandler(), n.operatorHandler())
@@ -107,7 +111,7 @@
 	return caller.Dependencies{
 		Config: n.config, KeySecret: []byte(n.settings.Secrets.KeyDigest),
 		Engines: n.engines, Services: n.services,
-		Router: n.backends, Admitter: openAdmitter{}, Claimer: n.claims, Meter: noMeter{},
+		Router: n.backends, Admitter: demandAdmitter{openAdmitter{}, n.orders.demand}, Claimer: n.claims, Meter: noMeter{},
 		Observer: noObserver{}, Gate: gate{n.sync}, Metrics: n.metrics, Log: n.log,
 	}
 }
@@ -123,7 +127,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{},
+		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{"blocked": n.duties.report},
 	}
 	return h.Router()
 }
@@ -172,7 +176,7 @@
 			n.log.Error(err, "event bus ended")
 		}
 	})
-	for _, run := range []func(context.Context){n.members.Run, n.sync.Run, n.backends.run, n.claims.run, n.announceConfig} {
+	for _, run := range []func(context.Context){n.members.Run, n.sync.Run, n.backends.run, n.claims.run, n.announceConfig, n.duties.run, n.orders.run} {
 		wait.Go(func() { run(background) })
 	}
 	failed := n.listeners.serve()
--- a/orders/change.go
+++ b/orders/change.go
@@ -112,13 +112,10 @@
 	}
 }
 
-// raise raises the notice of a server. A notice that stands already is raised
-// with a greater version than any withdrawal that a former holder, paused
-// until now, can still spread.
+// raise raises the notice of a server. No notice stood when the change began, so
+// this one has a greater version than any withdrawal that a former holder,
+// paused until now, can still spread.
 func (c *Controller) raise(t *tenure, ch *change) {
-	if slices.Contains(c.notices.LeavingServers(), ch.server) {
-		c.notices.SetServerLeaving(ch.server, false)
-	}
 	c.notices.SetServerLeaving(ch.server, true)
 	ch.raised = c.clock.Now()
 	c.stats.noticesRaised.Add(1)
--- a/orders/controller.go
+++ b/orders/controller.go
@@ -183,9 +183,10 @@
 		switch k := t.tasks[s.Name]; {
 		case t.stopping[s.Name] || k != nil && k.kind == taskStop:
 			s.State = plan.Stopping
-		case s.State != plan.Running:
-		case k != nil && k.kind == taskRole:
+		case k != nil && k.kind == taskRole && s.State != plan.Stopping:
+			// An engine that changes may not answer, and look like one that starts.
 			s.State, s.Role = plan.Changing, k.role.Role
+		case s.State != plan.Running:
 		case slices.Contains(leaving, s.Name):
 			s.State = plan.Changing
 		}
--- a/orders/doc.go
+++ b/orders/doc.go
@@ -8,11 +8,12 @@
 // load report measured after that shows no stream, and only then sends the
 // order. A drain that takes too long is given up; no request is cut.
 //
-// A notice is withdrawn only by the holder of the duty, and only when no order
-// of any process can reach the server any more: Journal.Claim has succeeded in
-// this term, and the time that the platform needs to carry out a stop has
-// passed since. A holder that finds a notice standing raises it again with a
-// greater version, so that a late withdrawal by a former holder has no effect.
+// A notice is withdrawn only by the holder of the duty, under an entry of the
+// journal, and only when no order of any process can reach the server any more:
+// Journal.Claim has succeeded in this term, and the time that the platform needs
+// to carry out a stop has passed since. A change begins only on a server without
+// a notice, so its own notice has a greater version than a withdrawal that a
+// former holder spreads late.
 package orders
 
 import (
--- a/orders/errors.go
+++ b/orders/errors.go
@@ -1,10 +1,13 @@
 package orders
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/platform/fleet"
@@ -60,6 +63,13 @@
 // errNotIdle ends an order whose engine got work after the drain.
 var errNotIdle = errors.New("orders: the engine has streams or its leaving notice was withdrawn")
 
+// Fence sends an engine an order that only raises its fencing token, for the
+// authority.FenceFunc of the journal.
+func Fence(ctx context.Context, engines Engines, address, sender string, token uint64) error {
+	order := engine.Order{ID: uuid.NewString(), Kind: engine.OrderFence, FencingToken: token, Sender: sender}
+	return classifyEngine(engines.Order(ctx, address, order))
+}
+
 // classifyEngine marks the definite errors of engine.Client.Order.
 func classifyEngine(err error) error {
 	var refused *engine.RefusedError
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -42,8 +42,9 @@
 	gone     map[string]bool // addresses of VMs that the list doesn't show
 	platform writerCheck
 	ordered  map[string]bool // ids of platform orders that took effect
-	started  int
-	failures []string
+	// stopAfter is the time in which the platform carries out a stop, if not 0.
+	stopAfter time.Duration
+	failures  []string
 	// lowSince is since when fewer engines of a role serve than its floor.
 	lowSince map[config.Role]time.Time
 	longest  time.Duration // the longest time below a floor
@@ -303,7 +304,6 @@
 	}
 	w.ordered[o.ID] = true
 	if o.Action == fleet.ActionStart {
-		w.started++
 		time.AfterFunc(w.rates.Start-time.Second, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -312,6 +312,9 @@
 		return nil
 	}
 	after := time.Duration(w.rng.Int64N(int64(stopTime - time.Second)))
+	if w.stopAfter > 0 {
+		after = w.stopAfter
+	}
 	time.AfterFunc(after, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
