--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,9 @@
 	meter      *meter
 	observer   *observer
 	spending   *spending
+	duties     *duties
+	orders     *orderers
+	windows    *windows
 	callers    *caller.Handler
 	listeners  *listeners
 	draining   atomic.Bool
@@ -94,6 +97,9 @@
 	n.meter = newMeter(n)
 	n.observer = newObserver(n)
 	n.spending = newSpending(time.Now())
+	n.duties = newDuties(n)
+	n.orders = newOrderers(n)
+	n.windows = newWindows(n)
 	n.callers = caller.New(n.callerDependencies(), callerOptions(s.Limits))
 	n.handleEvents()
 	n.listeners.handle(n.callers, n.peerHandler(), n.operatorHandler())
@@ -115,7 +121,7 @@
 	return caller.Dependencies{
 		Config: n.config, KeySecret: []byte(n.settings.Secrets.KeyDigest),
 		Engines: n.engines, Services: n.services,
-		Router: n.backends, Admitter: n.admission, Claimer: n.claims, Meter: n.meter,
+		Router: n.backends, Admitter: demandAdmitter{n.admission, n.orders.demand}, Claimer: n.claims, Meter: n.meter,
 		Observer: n.observer, Gate: gate{n.sync}, Metrics: n.metrics, Log: n.log,
 	}
 }
@@ -131,7 +137,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{"burn": n.observer.report, "usage": n.usageReport, "spend": n.spendReport},
+		MaxBodyBytes: maxConfigBytes, Reports: map[string]operator.Report{"burn": n.observer.report, "usage": n.usageReport, "spend": n.spendReport, "blocked": n.duties.report},
 	}
 	return h.Router()
 }
@@ -180,7 +186,7 @@
 			n.log.Error(err, "event bus ended")
 		}
 	})
-	for _, run := range []func(context.Context){n.members.Run, n.sync.Run, n.backends.run, n.claims.run, n.admission.run, n.meter.run, n.announceConfig} {
+	for _, run := range []func(context.Context){n.members.Run, n.sync.Run, n.backends.run, n.claims.run, n.admission.run, n.meter.run, n.announceConfig, n.duties.run, n.orders.run, n.windows.run} {
 		wait.Go(func() { run(background) })
 	}
 	wait.Go(func() { n.spending.run(background, n.config) })
