--- a/node/duties.go
+++ b/node/duties.go
@@ -65,7 +65,7 @@
 }
 
 func (d *duties) startLocked(m *managedDuty) {
-	if ctx := d.ctx; ctx != nil && ctx.Err() == nil {
+	if ctx := d.ctx; ctx != nil {
 		d.wait.Go(func() { m.journal.Run(ctx) })
 	}
 }
@@ -87,8 +87,10 @@
 	d.wait.Go(func() { d.announce(ctx) })
 	d.mu.Unlock()
 	<-ctx.Done()
+	// After this no journal is started any more.
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.ctx = nil
+	d.mu.Unlock()
 	d.wait.Wait()
 }
 
--- a/orders/machine_test.go
+++ b/orders/machine_test.go
@@ -95,10 +95,8 @@
 		if !p.alive() {
 			continue
 		}
-		if p.reachable() {
-			if _, held := p.duty.Term(); held {
-				out = append([]*proc{p, p}, out...)
-			}
+		if p.reachable() && p.leads() {
+			out = append([]*proc{p, p}, out...)
 		}
 		out = append(out, p)
 	}
--- a/orders/proc_test.go
+++ b/orders/proc_test.go
@@ -142,6 +142,14 @@
 	return !p.dead && p.wake == nil
 }
 
+// leads reports whether the controller has taken the duty over. It passes no
+// gate, at which the test itself would be paused.
+func (p *proc) leads() bool {
+	p.controller.mu.Lock()
+	defer p.controller.mu.Unlock()
+	return p.controller.current != nil
+}
+
 func (p *proc) alive() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
