Don't wait for another load of configuration parts

Cause: the poll and the watch of a relay both loaded a new head under a lock that waits.

Ruled out: a longer time-out; a goroutine that waits for a mutex keeps virtual time from advancing.

The test passes.

Conclusion: fixed.

--- a/configsync/race_test.go
+++ b/configsync/race_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/configsync"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -66,3 +67,30 @@
 		is.Equal(restarted.Revision(), result.Revision)
 	})
 }
+
+// TestSlowPartsBlockNobody guards against reads of the head that wait behind a
+// load of parts from a slow store. With a lock that waits, virtual time stops
+// and the test does not end.
+func TestSlowPartsBlockNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFabric(9)
+		defer f.stop()
+		f.deploy(3, 1, testDocument(3))
+		f.mem.SetFault(func(op memstore.Op, key string) memstore.Fault {
+			if op == memstore.OpGet && key != config.HeadKey {
+				return memstore.Fault{Before: func() { time.Sleep(900 * time.Millisecond) }}
+			}
+			return memstore.Fault{}
+		})
+		d, version := operatorReads(t, f)
+		d.Workspaces[0].Weight++
+		changed, err := config.NewRepository(f.mem).Apply(context.Background(), d, version.Revision, "operator")
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		for _, name := range f.names() {
+			is.Equal(f.nodes[name].process.Load().sync.Revision(), changed.Revision)
+			is.Equal(f.nodes[name].process.Load().sync.Verdict(), configsync.Fresh)
+		}
+	})
+}
--- a/configsync/relay.go
+++ b/configsync/relay.go
@@ -158,7 +158,9 @@
 
 // load reads the changed parts of a version and puts it in force.
 func (y *Sync) load(ctx context.Context, version config.Version) {
-	y.loading.Lock()
+	if !y.loading.TryLock() {
+		return // the next read of the head loads what is then missing
+	}
 	defer y.loading.Unlock()
 	previous := y.current.Load()
 	if version.Revision <= y.Revision() {
