--- a/orders/controller.go
+++ b/orders/controller.go
@@ -98,7 +98,6 @@
 func (c *Controller) start(t *tenure, pools []Pool, leaving []string, now time.Time) map[string]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.note(leaving, now)
 	c.claim(t, c.platformTarget)
 	registered := make(map[string]bool)
 	for i := range pools {
--- a/orders/proc_test.go
+++ b/orders/proc_test.go
@@ -110,6 +110,12 @@
 	}
 }
 
+func (p *proc) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pauseLocked()
+}
+
 func (p *proc) resume() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/orders/reconcile.go
+++ b/orders/reconcile.go
@@ -11,7 +11,7 @@
 // reconcile starts the withdrawal of a notice that no change under way
 // explains. It is called with mu held.
 func (c *Controller) reconcile(t *tenure, name string, e Engine, now time.Time) {
-	if t.tasks[name] != nil || !c.returnable(t, name, now) {
+	if t.tasks[name] != nil || !c.settled(t, name, now) || now.Before(t.holdUntil[name]) {
 		return
 	}
 	c.begin(t, name, &task{kind: taskRelease}, func(ctx context.Context) { c.release(ctx, t, name, e) })
@@ -28,7 +28,7 @@
 func (c *Controller) release(ctx context.Context, t *tenure, name string, e Engine) {
 	now := c.clock.Now()
 	c.mu.Lock()
-	ready := c.returnable(t, name, now)
+	ready := c.settled(t, name, now) && !now.Before(t.holdUntil[name])
 	c.mu.Unlock()
 	if !ready {
 		return
--- a/orders/tenure.go
+++ b/orders/tenure.go
@@ -63,9 +63,6 @@
 	// known are the engines of the failure domain seen in this term.
 	known  map[string]bool
 	starts []pendingStart
-	// noticed is when a round of this term first saw the standing notice of a
-	// server.
-	noticed map[string]time.Time
 	// viewed is set after the first round.
 	viewed bool
 }
@@ -75,7 +72,7 @@
 	return &tenure{
 		number: number, from: now, ctx: ctx, cancel: cancel,
 		tasks: make(map[string]*task), claimed: make(map[string]time.Time), holdUntil: make(map[string]time.Time),
-		stopping: make(map[string]bool), raised: make(map[string]bool), known: make(map[string]bool), noticed: make(map[string]time.Time),
+		stopping: make(map[string]bool), raised: make(map[string]bool), known: make(map[string]bool),
 	}
 }
 
@@ -139,32 +136,3 @@
 	platform, okPlatform := t.claimed[c.platformTarget.Name]
 	return ok && okPlatform && now.Sub(server) >= c.options.StopTime && now.Sub(platform) >= c.options.StopTime
 }
-
-// returnable reports whether the notice of a server may be withdrawn. One that
-// was first seen after the server and the platform were claimed has no order
-// behind it: a former holder sends none within the time in which a notice
-// spreads, and none after the claim. It is called with mu held.
-func (c *Controller) returnable(t *tenure, name string, now time.Time) bool {
-	if now.Before(t.holdUntil[name]) {
-		return false
-	}
-	server, ok := t.claimed[name]
-	platform, okPlatform := t.claimed[c.platformTarget.Name]
-	seen, noticed := t.noticed[name]
-	return c.settled(t, name, now) || ok && okPlatform && noticed && seen.After(server) && seen.After(platform)
-}
-
-// note keeps the times at which standing notices were first seen. It is called
-// with mu held.
-func (t *tenure) note(leaving []string, now time.Time) {
-	for name := range t.noticed {
-		if !slices.Contains(leaving, name) {
-			delete(t.noticed, name)
-		}
-	}
-	for _, name := range leaving {
-		if _, known := t.noticed[name]; !known {
-			t.noticed[name] = now
-		}
-	}
-}
