orders: keep the plan away from the engine of TestEngineLeavingKeepsNotice

After the notice was withdrawn the plan could begin a change of the same engine and raise a new one. Floors of 8 keep the plan from that; the assertions are unchanged.

--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -149,6 +149,8 @@
 		defer w.stop()
 		e := w.engineOf(config.RoleDecode, true)
 		w.mu.Lock()
+		// With these floors the plan changes and stops nothing.
+		w.rule.MinPrefill, w.rule.MinDecode = 8, 8
 		e.leaving = true
 		w.mu.Unlock()
 		p.SetServerLeaving(e.name, true)
