Keep the notices about a backend server apart by source

Cause: a node whose polls of an engine failed and recovered announced that the engine may get work again, and so could withdraw the notice of a role change in the middle of its drain; events were applied without their version.

Ruled out: versions in events, which every receiver would have had to reconcile with those of heartbeats.

Before: one notice for each server, whoever raised it.

Conclusion: the guarantee of package orders that no stream is cut now holds for the node's wiring as well, by reading; no test drives it in a whole node.

--- a/bus/bus.go
+++ b/bus/bus.go
@@ -34,14 +34,11 @@
 	Author   string `json:"author"`
 }
 
-// ServerLeaving says that a backend server must get no new work, or may get
-// work again.
+// ServerLeaving says what the platform's list shows of the VM of a backend
+// server. It stays inside a node; heartbeats carry notices to the others.
 type ServerLeaving struct {
 	BackendServer string `json:"backend_server"`
-	// Version grows with each notice about this server; events can overtake
-	// each other, and an older one must not undo a newer one.
-	Version uint64 `json:"version"`
-	Leaving bool   `json:"leaving"`
+	Leaving       bool   `json:"leaving"`
 }
 
 // DutyChanged says that this node has acquired or lost a duty.
--- a/node/backends.go
+++ b/node/backends.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/figweir/figweir/apierr"
-	"github.com/figweir/figweir/bus"
 	"github.com/figweir/figweir/caller"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
@@ -131,15 +130,6 @@
 	return remoteDistance
 }
 
-// leave marks a server that gets no new work.
-func (b *backends) leave(name string, leaving bool) {
-	for _, tracker := range *b.trackers.Load() {
-		if tracker.View().Server(name) != nil {
-			tracker.Leave(time.Now(), name, leaving)
-		}
-	}
-}
-
 // usable returns how many servers of a pool take work.
 func (b *backends) usable(pool string) int {
 	tracker := (*b.trackers.Load())[pool]
@@ -213,7 +203,7 @@
 			for _, tracker := range *b.trackers.Load() {
 				tracker.Publish(now)
 			}
-			b.applyNotices()
+			b.applyNotices(now)
 			sleep(ctx, publishInterval)
 		}
 	})
@@ -226,17 +216,6 @@
 	wait.Wait()
 }
 
-// applyNotices marks the servers that peers have heard are leaving.
-func (b *backends) applyNotices() {
-	for _, name := range b.node.members.View().LeavingServers() {
-		for _, tracker := range *b.trackers.Load() {
-			if s := tracker.View().Server(name); s != nil && !s.Leaving {
-				tracker.Leave(time.Now(), name, true)
-			}
-		}
-	}
-}
-
 func (b *backends) pollAll(ctx context.Context) {
 	snapshot := b.node.config.Load()
 	if snapshot == nil {
@@ -278,7 +257,7 @@
 		p = &polledServer{role: config.RoleMixed}
 		b.polled[server.Name] = p
 	}
-	wasLeaving := p.leaving || p.failures >= failedPolls
+	wasLeaving := p.leaving
 	roleChanged := false
 	if err != nil {
 		p.failures++
@@ -290,8 +269,7 @@
 			p.role = report.Role
 		}
 	}
-	isLeaving := p.leaving || p.failures >= failedPolls
-	announced := p.leaving
+	leaving := p.leaving
 	fresh := err == nil && report.Sequence > p.sequence
 	readCache := p.polls%cacheEventPolls == 0
 	p.polls++
@@ -309,12 +287,8 @@
 	if roleChanged {
 		b.register()
 	}
-	if isLeaving == wasLeaving {
-		return
-	}
-	tracker.Leave(time.Now(), server.Name, isLeaving)
-	if announced || err == nil {
-		b.announce(server.Name, isLeaving)
+	if leaving != wasLeaving {
+		b.node.setNotice(reportNotice, server.Name, leaving)
 	}
 }
 
@@ -350,18 +324,3 @@
 		KVBlocks: int64(r.KVBlocksTotal - r.KVBlocksFree),
 	}}
 }
-
-// announce tells all nodes that a server is leaving or is back.
-func (b *backends) announce(name string, leaving bool) {
-	n := b.node
-	n.members.SetServerLeaving(name, leaving)
-	m, err := bus.Encode(bus.ServerLeaving{BackendServer: name, Leaving: leaving})
-	if err != nil {
-		n.log.Error(err, "event not encoded")
-		return
-	}
-	if err := n.events.Publish(string(bus.TopicServerLeaving), m); err != nil {
-		// Heartbeats carry the same notice.
-		n.log.V(1).Info("leaving notice not sent to all peers", "error", err.Error())
-	}
-}
--- a/node/orders.go
+++ b/node/orders.go
@@ -49,7 +49,6 @@
 func (o *orderers) run(ctx context.Context) {
 	var wait sync.WaitGroup
 	wait.Go(func() { o.demand.run(ctx) })
-	wait.Go(func() { o.followNotices(ctx) })
 	for ctx.Err() == nil {
 		changed := o.node.config.Changed()
 		for _, domain := range failureDomains(o.node.config.Load()) {
@@ -179,7 +178,7 @@
 	switch {
 	case p == nil:
 		return plan.Starting, config.RoleMixed
-	case s.Draining, p.leaving, p.failures >= goneAfterPolls:
+	case s.Draining, p.leaving, p.failures >= goneAfterPolls, b.node.members.View().ServerLeaving(vmNotice + s.Name):
 		return plan.Stopping, p.role
 	case p.sequence == 0, p.failures >= failedPolls:
 		return plan.Starting, p.role
@@ -199,47 +198,6 @@
 	}
 }
 
-// serverNotices implements orders.Notices by heartbeats only: they carry
-// versions, so that a late withdrawal can't undo a newer notice.
-type serverNotices struct{ node *Node }
-
-// SetServerLeaving implements orders.Notices.
-func (s serverNotices) SetServerLeaving(name string, leaving bool) {
-	s.node.members.SetServerLeaving(name, leaving)
-}
-
-// LeavingServers implements orders.Notices.
-func (s serverNotices) LeavingServers() []string { return s.node.members.View().LeavingServers() }
-
-// followNotices lets servers get work again whose notice was withdrawn.
-func (o *orderers) followNotices(ctx context.Context) {
-	standing := make(map[string]bool)
-	for ctx.Err() == nil {
-		now := o.node.members.View().LeavingServers()
-		for name := range standing {
-			if !slices.Contains(now, name) {
-				delete(standing, name)
-				if !o.node.backends.unusable(name) {
-					o.node.backends.leave(name, false)
-				}
-			}
-		}
-		for _, name := range now {
-			standing[name] = true
-		}
-		sleep(ctx, publishInterval)
-	}
-}
-
-// unusable reports whether the server's own load reports say that it gets no
-// work.
-func (b *backends) unusable(name string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.polled[name]
-	return p != nil && (p.leaving || p.failures >= failedPolls)
-}
-
 func failureDomains(snapshot *config.Snapshot) []string {
 	if snapshot == nil {
 		return nil
--- a/node/peers.go
+++ b/node/peers.go
@@ -45,12 +45,7 @@
 
 // handleEvents connects the parts of the node through the bus.
 func (n *Node) handleEvents() {
-	bus.Handle(n.bus, "publish-leaving", bus.TopicServerLeaving, func(_ context.Context, e bus.Event[bus.ServerLeaving]) error {
-		n.members.SetServerLeaving(e.Value.BackendServer, e.Value.Leaving)
-		n.backends.leave(e.Value.BackendServer, e.Value.Leaving)
-		n.log.Info("backend server leaving", "backend_server", e.Value.BackendServer, "leaving", e.Value.Leaving, "origin", e.Origin)
-		return nil
-	})
+	bus.Handle(n.bus, "server-leaving", bus.TopicServerLeaving, n.onServerLeaving)
 	bus.Handle(n.bus, "config-metrics", bus.TopicConfigChanged, func(_ context.Context, e bus.Event[bus.ConfigChanged]) error {
 		n.metrics.ConfigRevision.Set(int64(e.Value.Revision))
 		n.backends.register()
--- a/node/vms.go
+++ b/node/vms.go
@@ -11,7 +11,7 @@
 // on which backend servers are leaving. It is used by one goroutine.
 type vmLister struct {
 	node *Node
-	// leaving holds the backend servers that the last list showed as leaving.
+	// leaving is what the last list said of each backend server.
 	leaving map[string]bool
 }
 
@@ -24,33 +24,23 @@
 		return nil, err
 	}
 	out := make([]membership.VM, 0, len(vms))
-	leaving := make(map[string]bool)
 	for _, vm := range vms {
 		if vm.BackendServer == "" {
 			out = append(out, membership.VM{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain, Leaving: vm.Leaving})
 			continue
 		}
-		if vm.Leaving {
-			leaving[vm.BackendServer] = true
+		if known, ok := l.leaving[vm.BackendServer]; !ok || known != vm.Leaving {
+			l.leaving[vm.BackendServer] = vm.Leaving
+			l.publish(vm.BackendServer, vm.Leaving)
 		}
 	}
-	l.notice(leaving)
 	return out, nil
 }
 
-// notice publishes what has changed since the last list. A server that is no
-// longer listed stays as it was: a VM that is gone was leaving before.
-func (l *vmLister) notice(leaving map[string]bool) {
-	for name := range leaving {
-		if !l.leaving[name] {
-			l.publish(name)
-		}
-	}
-	l.leaving = leaving
-}
-
-func (l *vmLister) publish(server string) {
-	event := bus.ServerLeaving{BackendServer: server, Leaving: true}
+// publish tells the node what the list says. A server that is no longer listed
+// stays as it was: its VM was leaving before it was gone.
+func (l *vmLister) publish(server string, leaving bool) {
+	event := bus.ServerLeaving{BackendServer: server, Leaving: leaving}
 	if err := bus.Publish(l.node.bus, bus.TopicServerLeaving, event); err != nil {
 		l.node.log.Error(err, "event not published")
 	}
