--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,6 +46,7 @@
 	Rule      ruleCommand      `cmd:"" help:"Set, remove and list the rules per failure domain."`
 	Drain     drainCommand     `cmd:"" help:"Give a backend server no new work."`
 	Undrain   undrainCommand   `cmd:"" help:"Give a drained backend server new work again."`
+	Order     orderCommand     `cmd:"" help:"Give an order to an engine."`
 	Report    reportCommand    `cmd:"" help:"Print a report of a node."`
 	Load      loadCommand      `cmd:"" help:"Send open-loop load to nodes and print one JSON result."`
 	Standin   standinCommand   `cmd:"" help:"Run a stand-in for a system that figweir talks to."`
--- /dev/null
+++ b/cli/order.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/orders"
+)
+
+type orderCommand struct {
+	Role orderRole `cmd:"" help:"Drain an engine and give it another role."`
+	Load orderLoad `cmd:"" help:"Have an engine load a model or an adapter."`
+}
+
+type orderRole struct {
+	operatorFlags
+	Server string `arg:"" help:"Name of the engine."`
+	Role   string `arg:"" enum:"mixed,prefill,decode" help:"New role: mixed, prefill or decode."`
+}
+
+// Help implements kong.HelpProvider.
+func (*orderRole) Help() string {
+	return "The order goes to the node that holds the duty of the engine's failure domain; another node says which.\n\nExample:\n\n    figweir order role saumur-lm-3 prefill"
+}
+
+// Run orders the role change and waits until the engine is back in service.
+func (c *orderRole) Run(env *environment) error {
+	return c.submit(env, orders.Order{Kind: engine.OrderRole, Server: c.Server, Role: config.Role(c.Role)})
+}
+
+type orderLoad struct {
+	operatorFlags
+	Server  string `arg:"" help:"Name of the engine."`
+	Model   string `arg:"" help:"Name of the model or adapter."`
+	Version string `help:"Version to load."`
+	Adapter bool   `help:"Load an adapter and not a model."`
+}
+
+// Help implements kong.HelpProvider.
+func (*orderLoad) Help() string {
+	return "Example:\n\n    figweir order load saumur-lm-3 hem-lm --version 7"
+}
+
+// Run orders the load.
+func (c *orderLoad) Run(env *environment) error {
+	kind := engine.OrderLoadModel
+	if c.Adapter {
+		kind = engine.OrderLoadAdapter
+	}
+	return c.submit(env, orders.Order{Kind: kind, Server: c.Server, Model: c.Model, Version: c.Version})
+}
+
+func (f *operatorFlags) submit(env *environment, order orders.Order) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	result, err := client.order(env.context, order)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(env.out, "order %s carried out; the engine was out of service for %.1f s, %.1f s of it for its drain\n",
+		result.OrderID, result.OutSeconds, result.DrainSeconds)
+	return nil
+}
+
+var errOrderUnknown = errors.New("the outcome of the order is unknown: the change may go on; look at the engine before you repeat it")
+
+// orderTimeout bounds an order: a drain waits for running streams to end.
+const orderTimeout = 15 * time.Minute
+
+// order sends an order once; it is not repeated after a failure.
+func (c *operatorClient) order(ctx context.Context, order orders.Order) (orders.Result, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return orders.Result{}, err
+	}
+	c.http.Timeout = orderTimeout
+	var result orders.Result
+	err = c.call(ctx, http.MethodPost, "/v1/orders", body, &result)
+	var transport *transportError
+	if errors.As(err, &transport) && !transport.notSent {
+		return result, fmt.Errorf("%w (%w)", errOrderUnknown, err)
+	}
+	return result, err
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
@@ -43,15 +44,33 @@
 	c := &claims{node: n}
 	cfg := once.DefaultConfig()
 	cfg.Ranges = claimRanges
+	cfg.Log = n.log
 	budget := once.NewBudget(claimWritesPerSecond)
 	c.writers = once.NewWriters(claimRanges, func(r once.Range) *once.Writer { return c.startWriter(r, cfg, budget) })
 	claimerConfig := once.DefaultClaimerConfig()
 	claimerConfig.Ranges = claimRanges
 	incarnation, _ := n.members.Incarnation(n.settings.Name)
 	c.claimer = once.NewClaimer(n.settings.Name+"/"+incarnation, claimerConfig, c.locate)
+	n.metrics.Publish("claims", expvar.Func(c.stats))
 	return c
 }
 
+// claimStats are the counters of the ranges that this node writes, and of its
+// own settlements.
+type claimStats struct {
+	Ranges map[once.Range]once.Stats `json:"ranges"`
+	// Pending settlements wait to be recorded; GivenUp ones never will be, and
+	// their calls answer "in progress" until this process has ended.
+	Pending int   `json:"pending"`
+	GivenUp int64 `json:"given_up"`
+}
+
+func (c *claims) stats() any {
+	s := claimStats{Ranges: c.writers.Stats()}
+	s.Pending, s.GivenUp = c.claimer.Pending()
+	return s
+}
+
 func (c *claims) startWriter(r once.Range, cfg once.Config, budget *rate.Limiter) *once.Writer {
 	return once.StartWriter(c.node.store, r, cfg, budget, c)
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"expvar"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -93,26 +95,63 @@
 }
 
 func (o *orderers) address(name string) string {
-	if snapshot := o.node.config.Load(); snapshot != nil {
-		for i := range snapshot.Document.BackendServers {
-			if s := &snapshot.Document.BackendServers[i]; s.Name == name {
-				return s.Address
-			}
-		}
+	if s := o.server(name); s != nil {
+		return s.Address
 	}
 	return ""
 }
 
-// Submit carries out an order of an operator for an engine of a failure domain
+// server returns a registered backend server, or nil.
+func (o *orderers) server(name string) *config.BackendServer {
+	snapshot := o.node.config.Load()
+	if snapshot == nil {
+		return nil
+	}
+	for i := range snapshot.Document.BackendServers {
+		if s := &snapshot.Document.BackendServers[i]; s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// NotHolderError tells an operator which node to ask.
+type NotHolderError struct {
+	Duty string
+	// Holder is the node that should hold the duty; empty if none is known.
+	Holder string
+}
+
+// Error implements error.
+func (e *NotHolderError) Error() string {
+	return fmt.Sprintf("this node does not hold the duty %s; ask node %q", e.Duty, e.Holder)
+}
+
+// Submit implements operator.SubmitFunc for the engines of the failure domains
 // whose duty this node holds.
-func (o *orderers) Submit(ctx context.Context, domain string, order orders.Order) (orders.Result, error) {
+func (o *orderers) Submit(ctx context.Context, order orders.Order) (orders.Result, error) {
+	domain := o.failureDomain(order.Server)
 	o.mu.Lock()
 	c := o.controllers[domain]
 	o.mu.Unlock()
 	if c == nil {
 		return orders.Result{}, orders.ErrUnknownServer
 	}
-	return c.Submit(ctx, order)
+	result, err := c.Submit(ctx, order)
+	if errors.Is(err, orders.ErrNotHolder) {
+		name := orders.DutyPrefix + domain
+		holder, _ := o.node.duties.chosen(name, domain)
+		return result, &NotHolderError{Duty: name, Holder: holder.Name}
+	}
+	return result, err
+}
+
+// failureDomain returns that of a registered backend server, or "".
+func (o *orderers) failureDomain(server string) string {
+	if s := o.server(server); s != nil {
+		return s.FailureDomain
+	}
+	return ""
 }
 
 func (o *orderers) stats() any {
--- a/node/windows.go
+++ b/node/windows.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
 	"github.com/figweir/figweir/authority"
@@ -117,7 +118,7 @@
 	w.mu.Lock()
 	w.owners[owner] = true
 	w.mu.Unlock()
-	owner.Run(ctx, ownerRetry)
+	owner.Run(logr.NewContext(ctx, w.node.log), ownerRetry)
 	w.mu.Lock()
 	delete(w.owners, owner)
 	w.ended = addOwnerStats(w.ended, owner.Stats())
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -80,6 +80,8 @@
 	Log     logr.Logger
 	// Reports maps the name of a report to its function.
 	Reports map[string]Report
+	// Submit carries out orders for engines.
+	Submit SubmitFunc
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
 }
@@ -95,6 +97,7 @@
 		r.Get("/v1/config", h.readConfig)
 		r.Put("/v1/config", h.applyConfig)
 		r.Get("/v1/reports/{report}", h.report)
+		r.Post("/v1/orders", h.submitOrder)
 	})
 	return r
 }
