End streams on a node that stays cut off; count recorded answers once

Cause: reading the request path found two gaps. A stream that was running on a node that is cut off went on to its end, whatever happened to its key elsewhere; only new requests met the freshness rule. A repeat that was answered from the record of a claim was counted as a call, although it had not run.

Ruled out: cutting streams as soon as the node refuses, which would turn every interruption of two seconds into cut answers; a running stream goes on for 3 s more, so that a withdrawn key stops working within 5 s.

Switched off on a scratch copy: TestStreamEndsWhenTheNodeIsCutOff "true != false"; TestRecordedAnswerIsNotCounted "1 != 0".

After: go test -race -count=3 ./caller is green.

--- a/caller/call.go
+++ b/caller/call.go
@@ -135,41 +135,50 @@
 	defer cancel()
 	work := Work{Request: s.id, Workspace: s.workspaceName(), Service: svc.Name}
 	work.Deadline, _ = ctx.Deadline()
-	answer, err := h.answerCall(ctx, s, svc, call, work, r.Header.Get(HeaderIdempotencyKey))
+	answer, recorded, err := h.answerCall(ctx, s, svc, call, work, r.Header.Get(HeaderIdempotencyKey))
 	if err != nil {
 		h.reject(w, s, svc.Name, err)
 		return
 	}
-	if s.workspace != nil {
+	// A repeat that is answered from the record has not run.
+	if s.workspace != nil && !recorded {
 		h.Meter.Count(ctx, s.workspace.Name, 1, 0, 0)
 	}
 	h.Metrics.RequestsWholeTotal.Add(1)
 	h.Observer.Observe(Observation{Workspace: work.Workspace, Service: svc.Name, Whole: answer.Status < http.StatusInternalServerError, At: time.Now()})
 	h.writeAnswer(w, answer)
-	s.log.Info("call served", "service", svc.Name, "method", call.Method, "status", answer.Status, "duration_s", time.Since(s.start).Seconds())
+	s.log.Info("call served", "service", svc.Name, "method", call.Method, "status", answer.Status, "recorded", recorded, "duration_s", time.Since(s.start).Seconds())
 }
 
 // answerCall sends an idempotent call as often as needed, and any other at
-// most once.
-func (h *Handler) answerCall(ctx context.Context, s *session, svc *config.Service, call service.Call, work Work, key string) (service.Answer, error) {
+// most once. It reports whether the answer is the recorded one of an earlier
+// call.
+func (h *Handler) answerCall(ctx context.Context, s *session, svc *config.Service, call service.Call, work Work, key string) (service.Answer, bool, error) {
 	pool := s.snapshot.Pool(svc.Pool)
 	if call.Idempotent {
-		return h.sendIdempotent(ctx, s, pool, call, work)
+		answer, err := h.sendIdempotent(ctx, s, pool, call, work)
+		return answer, false, err
 	}
 	if key == "" {
 		answer, _, err := h.sendOnce(ctx, s, pool, call, work)
-		return answer, err
+		return answer, false, err
 	}
 	claim, recorded, err := h.Claimer.Claim(ctx, ClaimedCall{
 		Workspace: work.Workspace, Service: svc.Name, IdempotencyKey: key,
 		Content: slices.Concat([]byte(call.Method+" "+call.Path+"\n"), call.Body),
 	})
 	if err != nil {
-		return service.Answer{}, err
+		return service.Answer{}, false, err
 	}
 	if recorded != nil {
-		return *recorded, nil
+		return *recorded, true, nil
 	}
+	answer, err := h.sendClaimed(ctx, s, pool, call, work, claim)
+	return answer, false, err
+}
+
+// sendClaimed sends a claimed call and settles its claim.
+func (h *Handler) sendClaimed(ctx context.Context, s *session, pool *config.Pool, call service.Call, work Work, claim Claim) (service.Answer, error) {
 	// A caller that hangs up must not turn a call that runs into one whose
 	// outcome is unknown.
 	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Until(work.Deadline))
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -42,6 +42,9 @@
 	WriteTimeout time.Duration
 	// RequestTimeout bounds a request as a whole.
 	RequestTimeout time.Duration
+	// RefusingGrace is how long a running stream goes on while the node refuses
+	// new requests.
+	RefusingGrace time.Duration
 	// MaxAttempts bounds the engines that one model request may try.
 	MaxAttempts int
 }
--- a/caller/run.go
+++ b/caller/run.go
@@ -40,9 +40,12 @@
 	sent []uint64
 	// mayHaveRun is set once an engine may have started the request.
 	mayHaveRun bool
-	firstToken time.Duration
-	lastToken  time.Time
-	slowGaps   int
+	// refusingSince is when the node began to refuse new requests; zero if it
+	// does not.
+	refusingSince time.Time
+	firstToken    time.Duration
+	lastToken     time.Time
+	slowGaps      int
 }
 
 // execute tries engines until the answer is whole or no more can be done.
@@ -137,7 +140,7 @@
 		if err != nil {
 			return err
 		}
-		if err := c.handler.recheck(c.session); err != nil {
+		if err := c.mayContinue(time.Now()); err != nil {
 			return err
 		}
 		if chunk.Finish() {
@@ -151,6 +154,25 @@
 	}
 }
 
+// mayContinue ends a stream whose key was withdrawn, or whose node has not been
+// able to tell for RefusingGrace whether it was. A node that is cut off for a
+// shorter time cuts no stream.
+func (c *chatRun) mayContinue(now time.Time) error {
+	if err := c.handler.recheck(c.session); err != nil {
+		return err
+	}
+	err := c.handler.Gate.Check()
+	switch {
+	case err == nil:
+		c.refusingSince = time.Time{}
+	case c.refusingSince.IsZero():
+		c.refusingSince = now
+	case now.Sub(c.refusingSince) > c.handler.options.RefusingGrace:
+		return apierr.Wrap(err, apierr.Unavailable, "this node can no longer tell whether the key is valid", apierr.RetryAfter(unavailableRetry))
+	}
+	return nil
+}
+
 // deliver sends one content chunk, or compares it with what was sent before.
 func (c *chatRun) deliver(chunk engine.Chunk) error {
 	hash := xxhash.Sum64String(chunk.Text())
--- /dev/null
+++ b/caller/run_test.go
@@ -0,0 +1,129 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/caller"
+	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/metrics"
+	"github.com/figweir/figweir/service"
+	standin "github.com/figweir/figweir/standin/engine"
+)
+
+// fakes stands for the parts around the handler.
+type fakes struct {
+	address  string
+	refusing atomic.Bool
+	recorded *service.Answer
+	calls    atomic.Int64
+}
+
+func (f *fakes) Pick(*config.Pool, caller.Work) (caller.Target, error) {
+	return caller.Target{Name: "e", Address: f.address, Release: func() {}, Generated: func(int) {}}, nil
+}
+func (f *fakes) Admit(context.Context, caller.Work) (caller.Admission, error) { return f, nil }
+func (f *fakes) Retry(string) bool                                            { return true }
+func (f *fakes) FirstToken()                                                  {}
+func (f *fakes) Done(int, int)                                                {}
+func (f *fakes) Observe(caller.Observation)                                   {}
+func (f *fakes) Count(_ context.Context, _ string, calls, _, _ int)           { f.calls.Add(int64(calls)) }
+func (f *fakes) Claim(context.Context, caller.ClaimedCall) (caller.Claim, *service.Answer, error) {
+	return nil, f.recorded, nil
+}
+func (f *fakes) Check() error {
+	if f.refusing.Load() {
+		return apierr.New(apierr.Unavailable, "cut off", apierr.NotRun())
+	}
+	return nil
+}
+
+// newHandler returns a handler with one workspace, and its key.
+func newHandler(t *testing.T, f *fakes, grace time.Duration) (*caller.Handler, string) {
+	t.Helper()
+	key, record := config.NewKey("a-1", []byte("secret"))
+	snapshot, err := config.Build(&config.Document{
+		Objectives: config.Objectives{FirstTokenSeconds: 1, BetweenTokensSeconds: 1, TargetRatio: 0.9},
+		Pools:      []config.Pool{{Name: "p", Kind: config.KindEngine, Models: []string{"m"}, KVBlocks: 1, KVBlockTokens: 1}, {Name: "s", Kind: config.KindService}},
+		Services:   []config.Service{{Name: "ledger", Pool: "s", TimeoutSeconds: 5}},
+		Workspaces: []config.Workspace{{Name: "a", Weight: 1, Keys: []config.Key{record}}},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := config.NewHolder()
+	holder.Swap(snapshot)
+	return caller.New(caller.Dependencies{
+		Config: holder, KeySecret: []byte("secret"), Engines: engine.NewClient(), Services: service.NewClient(),
+		Router: f, Admitter: f, Claimer: f, Meter: f, Observer: f, Gate: f, Metrics: metrics.New(), Log: logr.Discard(),
+	}, caller.Options{
+		MaxBodyBytes: 1 << 20, BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second,
+		RequestTimeout: time.Minute, MaxAttempts: 1, RefusingGrace: grace,
+	}), key
+}
+
+// Guards against a stream that goes on for as long as it likes on a node that
+// can't hear whether its key was withdrawn, and against one that is cut by a
+// short interruption.
+func TestStreamEndsWhenTheNodeIsCutOff(t *testing.T) {
+	is := is.New(t)
+	settings := standin.DefaultSettings("e")
+	settings.TokenMillis = 1
+	server := httptest.NewServer(standin.New(settings).Handler())
+	defer server.Close()
+	f := &fakes{address: server.Listener.Addr().String()}
+	for _, test := range []struct {
+		grace time.Duration
+		whole bool
+	}{{20 * time.Millisecond, false}, {time.Hour, true}} {
+		f.refusing.Store(false)
+		h, key := newHandler(t, f, test.grace)
+		body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, 200)
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+key)
+		w := &cuttingRecorder{ResponseRecorder: httptest.NewRecorder(), f: f}
+		h.ServeHTTP(w, r)
+		text := w.Body.String()
+		is.Equal(strings.Contains(text, "[DONE]"), test.whole)
+		is.Equal(strings.Contains(text, string(apierr.Unavailable)), !test.whole) // an explicit error
+	}
+}
+
+// cuttingRecorder cuts the node off once the first chunk has been sent.
+type cuttingRecorder struct {
+	*httptest.ResponseRecorder
+	f *fakes
+}
+
+func (r *cuttingRecorder) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("t0-")) {
+		r.f.refusing.Store(true)
+	}
+	return r.ResponseRecorder.Write(p)
+}
+
+// Guards against billing a repeat that was answered from the record.
+func TestRecordedAnswerIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	f := &fakes{recorded: &service.Answer{Status: http.StatusOK, Body: []byte("before")}}
+	h, key := newHandler(t, f, time.Second)
+	r := httptest.NewRequest(http.MethodPost, "/services/ledger/results", strings.NewReader("{}"))
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set(caller.HeaderIdempotencyKey, "k")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	is.Equal(w.Body.String(), "before")
+	is.Equal(f.calls.Load(), int64(0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -28,8 +28,13 @@
 	"github.com/figweir/figweir/settings"
 )
 
-// maxConfigBytes bounds a configuration that an operator sends.
-const maxConfigBytes = 64 << 20
+const (
+	// maxConfigBytes bounds a configuration that an operator sends.
+	maxConfigBytes = 64 << 20
+	// refusingGrace is added to the 2 s after which a node that is cut off
+	// refuses, so that a withdrawn key stops working within 5 s there, too.
+	refusingGrace = 3 * time.Second
+)
 
 // Node is one daemon.
 type Node struct {
@@ -131,6 +136,7 @@
 		MaxBodyBytes: l.MaxBodyBytes, BodyTimeout: settings.Seconds(l.BodyTimeoutSeconds),
 		WriteTimeout:   settings.Seconds(l.WriteTimeoutSeconds),
 		RequestTimeout: settings.Seconds(l.RequestTimeoutSeconds), MaxAttempts: l.MaxAttempts,
+		RefusingGrace: refusingGrace,
 	}
 }
 
