Poll engines until they are back; save up retries for a lost engine

Cause: reading node/backends.go found that only servers with a digest were polled. A server that failed or left is in no subset and has no digest, so it was never polled again and never got work again, and neither was one whose role became decode. A sequence number that goes back (an engine that started again) froze its load report.

Ruled out: taking refusals out of the retry budget; refusing engines would then get three times the load.

Before: TestEnginesGetWorkAgain failed on the commit before ("requests are served: want true"). After: it passes, and go test -race -count=2 of the streams' tests is green. A burst of 64 retries covers the 36 streams that one engine may run for a node.

--- a/demo/roles_test.go
+++ b/demo/roles_test.go
@@ -74,3 +74,30 @@
 	}
 	is.True(served(d.Engines[2]) >= quiet)
 }
+
+// Guards against an engine that never gets work again after its load reports
+// have failed for a while, or after it has said that it leaves and then that it
+// stays.
+func TestEnginesGetWorkAgain(t *testing.T) {
+	d := start(t, Options{Nodes: 1, Engines: 1})
+	wait := func(served bool) {
+		t.Helper()
+		for n := range 2000 {
+			_, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: fmt.Sprint(n), Tokens: 1})
+			if (err == nil) == served {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("requests are served: want %v", served)
+	}
+	wait(true)
+	d.Engines[0].SetFaults(standin.Faults{FailReports: true})
+	wait(false)
+	d.Engines[0].SetFaults(standin.Faults{})
+	wait(true)
+	d.Engines[0].SetLeaving(true)
+	wait(false)
+	d.Engines[0].SetLeaving(false)
+	wait(true)
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -15,9 +15,11 @@
 
 const (
 	// retryShare and retryBurst bound the retries of a service: one for ten
-	// first attempts, and ten saved up.
+	// first attempts, and as many saved up as one engine that is lost may have
+	// streams of this node (36 at the default speed and 30 ms between tokens),
+	// so that all of them can be re-run.
 	retryShare = 0.1
-	retryBurst = 10
+	retryBurst = 64
 	// capacityInterval is how often the capacity of this node is worked out.
 	capacityInterval = time.Second
 	// expectedPrefillShare is the part of an engine that prefill is expected to
--- a/node/backends.go
+++ b/node/backends.go
@@ -27,6 +27,9 @@
 	// failedPolls is how many reports in a row may be missing before a server
 	// gets no new work.
 	failedPolls = 3
+	// pollAfterwards is how long a server is polled after it has left the node's
+	// subset. A role change takes seconds.
+	pollAfterwards = 5 * time.Minute
 	// minPickRetry is the least time after which a caller is told to come back.
 	minPickRetry = time.Second
 )
@@ -53,6 +56,8 @@
 	failures int
 	leaving  bool
 	role     config.Role
+	// member is when the server was last in the node's subset.
+	member time.Time
 	// cacheSequence is the last cache event that was taken into account.
 	cacheSequence uint64
 }
@@ -100,6 +105,21 @@
 	}
 	b.trackers.Store(&trackers)
 	b.registered.Store(true)
+	b.forget(snapshot)
+}
+
+// forget drops what is known of servers that are no longer registered. It is
+// called with mu held.
+func (b *backends) forget(snapshot *config.Snapshot) {
+	registered := make(map[string]bool, len(snapshot.Document.BackendServers))
+	for i := range snapshot.Document.BackendServers {
+		registered[snapshot.Document.BackendServers[i].Name] = true
+	}
+	for name := range b.polled {
+		if !registered[name] {
+			delete(b.polled, name)
+		}
+	}
 }
 
 // registrations is called with mu held.
@@ -221,10 +241,11 @@
 	if snapshot == nil {
 		return
 	}
+	now := time.Now()
 	var wait sync.WaitGroup
 	for i := range snapshot.Document.BackendServers {
 		server := &snapshot.Document.BackendServers[i]
-		if !b.talksTo(server) {
+		if !b.talksTo(server, now) {
 			continue
 		}
 		wait.Go(func() { b.poll(ctx, server) })
@@ -232,16 +253,29 @@
 	wait.Wait()
 }
 
-// talksTo reports whether the server is an engine in this node's subset. Others
+// talksTo reports whether to poll the server. Engines outside the node's subset
 // are not polled, so that the calls of a node don't grow with the fleet; their
-// leaving notices come from other nodes.
-func (b *backends) talksTo(server *config.BackendServer) bool {
+// leaving notices come from other nodes. One that has left the subset is polled
+// for a while longer, and as long as it is not seen to be well: a server that
+// leaves, fails or changes its role is in no subset until it is back.
+func (b *backends) talksTo(server *config.BackendServer, now time.Time) bool {
 	tracker := (*b.trackers.Load())[server.Pool]
 	if tracker == nil || tracker.View().BlockTokens == 0 {
 		return false
 	}
 	known := tracker.View().Server(server.Name)
-	return known != nil && known.Digest() != nil
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.polled[server.Name]
+	if known != nil && known.InSubset() {
+		if p == nil {
+			p = &polledServer{role: config.RoleMixed}
+			b.polled[server.Name] = p
+		}
+		p.member = now
+		return true
+	}
+	return p != nil && (p.leaving || p.failures > 0 || now.Sub(p.member) < pollAfterwards)
 }
 
 // poll reads the load report of one engine.
@@ -254,42 +288,47 @@
 	b.mu.Lock()
 	p := b.polled[server.Name]
 	if p == nil {
-		p = &polledServer{role: config.RoleMixed}
-		b.polled[server.Name] = p
+		b.mu.Unlock()
+		return
 	}
-	wasLeaving := p.leaving
-	roleChanged := false
 	if err != nil {
 		p.failures++
-	} else {
-		p.failures = 0
-		p.leaving = report.Leaving
-		roleChanged = report.Role != "" && report.Role != p.role
-		if roleChanged {
-			p.role = report.Role
-		}
+		b.mu.Unlock()
+		return
 	}
-	leaving := p.leaving
-	fresh := err == nil && report.Sequence > p.sequence
+	fresh, roleChanged := p.take(report)
 	readCache := p.polls%cacheEventPolls == 0
 	p.polls++
-	if fresh {
-		p.sequence = report.Sequence
-	}
 	b.mu.Unlock()
 
 	if fresh {
 		tracker.Observe(server.Name, loadReport(report))
-		if readCache {
-			b.readCacheEvents(ctx, tracker, server, p)
-		}
+	}
+	if readCache {
+		b.readCacheEvents(ctx, tracker, server, p)
 	}
 	if roleChanged {
 		b.register()
 	}
-	if leaving != wasLeaving {
-		b.node.setNotice(reportNotice, server.Name, leaving)
+	b.node.setNotice(reportNotice, server.Name, report.Leaving)
+}
+
+// take records a report, and returns whether it is new and whether the role has
+// changed. A sequence number that goes back means that the engine has started
+// again.
+func (p *polledServer) take(report engine.LoadReport) (fresh, roleChanged bool) {
+	p.failures = 0
+	p.leaving = report.Leaving
+	fresh = report.Sequence != p.sequence
+	if report.Sequence < p.sequence {
+		p.cacheSequence = 0
+	}
+	p.sequence = report.Sequence
+	roleChanged = report.Role != "" && report.Role != p.role
+	if roleChanged {
+		p.role = report.Role
 	}
+	return fresh, roleChanged
 }
 
 // readCacheEvents updates what is known of the prefixes cached on an engine. A
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -195,6 +195,7 @@
 		for _, old := range sub.servers {
 			s := &members[len(fresh)]
 			t.describe(s, old.Registration, now)
+			s.member = true
 			s.state.history.record(now, s.own.load())
 			v.Servers[t.index[s.Name]] = s
 			fresh = append(fresh, s)
@@ -307,7 +308,7 @@
 			state.history = &history{}
 		}
 		state.member = t.builds
-		c.server.digest = state.digest
+		c.server.digest, c.server.member = state.digest, true
 		out.servers = append(out.servers, c.server)
 		names = append(names, c.server.Name)
 	}
--- a/route/view.go
+++ b/route/view.go
@@ -68,6 +68,8 @@
 	own    *counters
 	digest *Digest
 	state  *serverState
+	// member is set if the server is in a subset of this node.
+	member bool
 }
 
 // Load estimates the present load: what others had there at the last report,
@@ -78,8 +80,12 @@
 // OwnLoad is the work that this node has on the server.
 func (s *Server) OwnLoad() Load { return s.own.load() }
 
+// InSubset reports whether this node sends requests to the server. A draining or
+// leaving server is in no subset.
+func (s *Server) InSubset() bool { return s.member }
+
 // Digest returns the record of prefix blocks cached on the server, or nil if
-// the server is outside this node's subset.
+// the server is outside this node's subset or only decodes.
 func (s *Server) Digest() *Digest { return s.digest }
 
 // usable reports whether the server may get new work.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -61,6 +61,8 @@
 	LagMillis int `json:"lag_ms,omitempty"`
 	// RefuseStreams answers new streams with status 503.
 	RefuseStreams bool `json:"refuse_streams,omitempty"`
+	// FailReports answers requests for load reports with status 500.
+	FailReports bool `json:"fail_reports,omitempty"`
 	// DropCacheEvents leaves out every nth cache event.
 	DropCacheEvents int `json:"drop_cache_events,omitempty"`
 }
@@ -245,6 +247,11 @@
 // load returns the newest report that is at least ReportLagMillis old.
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
+	if s.faults.FailReports {
+		s.mu.Unlock()
+		http.Error(w, "no load report", http.StatusInternalServerError)
+		return
+	}
 	now := time.Now()
 	s.sequence++
 	s.reports = append(s.reports, report{now, client.LoadReport{
