--- a/cli/cli.go
+++ b/cli/cli.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -70,6 +71,9 @@
 			code = int(v)
 		}
 	}()
+	if len(args) > 0 && args[0] == "help" {
+		args = append(slices.Clone(args[1:]), "--help")
+	}
 	var root commands
 	parser, err := kong.New(&root,
 		kong.Name("figweir"),
