Share how stand-ins take their faults

Cause: three stand-ins decoded their faults with the same lines, and the engine stand-in read requests twice in the same way.

Before: 4 copies.

--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -103,17 +102,8 @@
 
 // prefill processes a prompt for another engine, which then imports the KV cache.
 func (s *Server) prefill(w http.ResponseWriter, r *http.Request) {
-	const maxBodyBytes = 16 << 20
-	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	if err != nil {
-		return
-	}
-	if s.OnRequest != nil {
-		s.OnRequest(r, raw)
-	}
-	var req completionRequest
-	if err := json.Unmarshal(raw, &req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	req, _, ok := s.readRequest(w, r)
+	if !ok {
 		return
 	}
 	s.mu.Lock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/figweir/figweir/config"
 	client "github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/standin/fault"
 )
 
 // Settings are the constants of the stand-in. They are not those of any real
@@ -155,7 +156,7 @@
 	r.Get("/v1/cache-events", s.cacheEvents)
 	r.Post("/v1/prefill", s.prefill)
 	r.Post("/v1/orders", s.order)
-	r.Put("/v1/faults", s.putFaults)
+	r.Put(fault.Path, fault.Handler(s.SetFaults))
 	r.Put("/v1/leaving", func(w http.ResponseWriter, r *http.Request) {
 		s.SetLeaving(r.URL.Query().Get("value") != "false")
 		w.WriteHeader(http.StatusNoContent)
@@ -163,16 +164,6 @@
 	return r
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // completionRequest is what the stand-in reads of a request.
 type completionRequest struct {
 	Model     string    `json:"model"`
@@ -186,18 +177,26 @@
 	Content string `json:"content"`
 }
 
-func (s *Server) start(w http.ResponseWriter, r *http.Request) {
+// readRequest reads the body of a request, or answers with an error.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (req completionRequest, raw []byte, ok bool) {
 	const maxBodyBytes = 16 << 20
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
-		return
+		return req, nil, false
 	}
 	if s.OnRequest != nil {
 		s.OnRequest(r, raw)
 	}
-	var req completionRequest
 	if err := json.Unmarshal(raw, &req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
+		return req, nil, false
+	}
+	return req, raw, true
+}
+
+func (s *Server) start(w http.ResponseWriter, r *http.Request) {
+	req, raw, ok := s.readRequest(w, r)
+	if !ok {
 		return
 	}
 	attempt := r.Header.Get(client.HeaderAttempt)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -16,6 +16,7 @@
 	"github.com/figweir/figweir/platform/fleet"
 	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/billing"
+	"github.com/figweir/figweir/standin/fault"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
@@ -68,7 +69,7 @@
 	r.Post("/v1/orders", s.order)
 	r.Get("/v1/orders", s.listOrders)
 	r.Handle(client.ReportPath, s.Billing)
-	r.Put("/v1/faults", s.faults)
+	r.Put(fault.Path, fault.Handler(func(f Faults) { s.SetDown(f.StoreDown) }))
 	return r
 }
 
@@ -78,15 +79,6 @@
 	StoreDown bool `json:"store_down"`
 }
 
-func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !decode(w, r, &f) {
-		return
-	}
-	s.SetDown(f.StoreDown)
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	vms := append([]fleet.VM{}, s.vms...)
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/figweir/figweir/standin/fault"
 )
 
 // HeaderIdempotencyKey names the header that identifies a call.
@@ -80,21 +82,11 @@
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/faults", s.putFaults)
+	mux.HandleFunc("PUT "+fault.Path, fault.Handler(s.SetFaults))
 	mux.HandleFunc("/", s.call)
 	return mux
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	const maxBodyBytes = 8 << 20
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
