Limit bodies on the operators' and peers' listeners; test the drain of an engine

Cause: only the callers' listener bounded the arrival of a body, peers' messages had no bound for four of six services, and no test drained an engine with streams in flight.

Before: a body that stops arriving held an operator connection. After: TestOperatorLimits with six cases, one of them a refused request whose body stops arriving, and TestDrainOfAnEngineCutsNoStream with twelve streams are green with -race.

Conclusion: every listener bounds headers, bodies, idle time and connections; the time of a body on the peers' listener is not bounded.

--- a/demo/limits_test.go
+++ b/demo/limits_test.go
@@ -136,3 +136,40 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.NoErr(conns[1].Close())
 }
+
+// Guards against a slow or oversized request that holds the operators'
+// listener, and against one without the secret.
+func TestOperatorLimits(t *testing.T) {
+	d := start(t, Options{Nodes: 1, Settings: func(_ int, s *settings.Settings) {
+		s.Limits.BodyTimeoutSeconds = 0.05
+		s.Secrets.Operator = "operator-secret-00"
+	}})
+	address := d.Nodes[0].OperatorAddress()
+	put := "PUT /v1/config HTTP/1.1\r\nHost: x\r\n"
+	auth := "Authorization: Bearer operator-secret-00\r\n"
+	for _, test := range []struct {
+		name, request string
+		status        int
+	}{
+		{"no secret", put + "Content-Length: 2\r\n\r\n{}", 401},
+		{"wrong secret", put + "Authorization: Bearer x\r\nContent-Length: 2\r\n\r\n{}", 401},
+		{"wrong secret and body that stops arriving", put + "Authorization: Bearer x\r\nContent-Length: 100\r\n\r\n{", 401},
+		{"body that stops arriving", put + auth + "Content-Length: 100\r\n\r\n{", 400},
+		{"body larger than the limit", put + auth + "Content-Length: 99999999\r\n\r\n{", 400},
+		{"incomplete change", put + auth + "Connection: close\r\nContent-Length: 2\r\n\r\n{}", 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			_, err = io.WriteString(conn, test.request)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, test.status)
+		})
+	}
+}
--- a/demo/roles_test.go
+++ b/demo/roles_test.go
@@ -101,3 +101,46 @@
 	d.Engines[0].SetLeaving(false)
 	wait(true)
 }
+
+// Guards against streams that are cut when an operator drains their engine, and
+// against new work on it.
+func TestDrainOfAnEngineCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Nodes: 2, Engines: 2, Engine: func(_ int, s *standin.Settings) { s.TokenMillis = 10 }})
+	const streams = 12
+	errs := make(chan error, streams)
+	for n := range streams {
+		go func() {
+			prompt := fmt.Sprintf("order %d", n)
+			text, err := d.Chat(t.Context(), n%2, ChatRequest{Key: d.Key, Prompt: prompt, Tokens: 100, Stream: true})
+			if err == nil && text != standin.Answer(Model, prompt, 0, 100) {
+				err = fmt.Errorf("answer %q is not whole", text)
+			}
+			errs <- err
+		}()
+	}
+	waitRunning(t, d, streams, errs)
+	is.True(d.Engines[0].Running() > 0) // streams are in flight on the engine
+	repository := config.NewRepository(d.Platform.Store)
+	document, version, err := repository.Load(t.Context())
+	is.NoErr(err)
+	for i := range document.BackendServers {
+		document.BackendServers[i].Draining = document.BackendServers[i].Name == "engine-1"
+	}
+	_, err = repository.Apply(t.Context(), document, version.Revision, "test")
+	is.NoErr(err)
+	for range streams {
+		is.NoErr(<-errs)
+	}
+	for n, last, since := 0, -1, 0; since < 20; n++ {
+		if n > 2000 {
+			t.Fatal("a drained engine still gets new work")
+		}
+		_, err := d.Chat(t.Context(), n%2, ChatRequest{Key: d.Key, Prompt: fmt.Sprint(n), Tokens: 1})
+		is.NoErr(err)
+		since++
+		if now := served(d.Engines[0]); now != last {
+			last, since = now, 0
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -143,7 +143,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: maxConfigBytes, Submit: n.orders.Submit, Reports: map[string]operator.Report{"burn": n.observer.report, "usage": n.usageReport, "spend": n.spendReport, "blocked": n.duties.report},
+		MaxBodyBytes: maxConfigBytes, BodyTimeout: settings.Seconds(n.settings.Limits.BodyTimeoutSeconds), Submit: n.orders.Submit, Reports: map[string]operator.Report{"burn": n.observer.report, "usage": n.usageReport, "spend": n.spendReport, "blocked": n.duties.report},
 	}
 	return h.Router()
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,15 +12,20 @@
 	"github.com/figweir/figweir/peer"
 )
 
+// maxPeerBytes bounds one message of a peer: a mirror batch of a few thousand
+// totals is the largest.
+const maxPeerBytes = 4 << 20
+
 // peerHandler returns the handler of the listener for peers.
 func (n *Node) peerHandler() http.Handler {
+	options := []connect.HandlerOption{connect.WithInterceptors(n.auth), connect.WithReadMaxBytes(maxPeerBytes)}
 	mux := http.NewServeMux()
 	mux.Handle(peer.NewMembershipHandler(n.members, n.auth))
 	mux.Handle(peer.NewConfigHandler(n.sync, n.auth))
-	mux.Handle(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), connect.WithInterceptors(n.auth)))
-	mux.Handle(peer.NewUsageServiceHandler(n.meter.ledger, connect.WithInterceptors(n.auth)))
-	mux.Handle(peer.NewBurnServiceHandler(n.observer.recorder, connect.WithInterceptors(n.auth)))
-	mux.Handle(peer.NewEventHandler(n.receiveEvent, connect.WithInterceptors(n.auth)))
+	mux.Handle(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), options...))
+	mux.Handle(peer.NewUsageServiceHandler(n.meter.ledger, options...))
+	mux.Handle(peer.NewBurnServiceHandler(n.observer.recorder, options...))
+	mux.Handle(peer.NewEventHandler(n.receiveEvent, options...))
 	return mux
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,12 +3,15 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
@@ -82,8 +85,10 @@
 	Reports map[string]Report
 	// Submit carries out orders for engines.
 	Submit SubmitFunc
-	// MaxBodyBytes bounds the body of a request.
+	// MaxBodyBytes bounds the body of a request, BodyTimeout the time in which
+	// it must arrive; 0 means no limit.
 	MaxBodyBytes int64
+	BodyTimeout  time.Duration
 }
 
 // Router returns the HTTP handler.
@@ -92,7 +97,7 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get("/readyz", h.ready)
 	r.Group(func(r chi.Router) {
-		r.Use(h.authenticate)
+		r.Use(h.limitRead, h.authenticate, h.readBody)
 		r.Get("/debug/vars", h.vars)
 		r.Get("/v1/config", h.readConfig)
 		r.Put("/v1/config", h.applyConfig)
@@ -115,6 +120,33 @@
 	})
 }
 
+// limitRead bounds the arrival of the body. It comes before all that may refuse
+// the request: net/http reads the rest of a body before it sends the answer.
+func (h *Handler) limitRead(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.BodyTimeout > 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.BodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// readBody reads the whole body before the request is handled.
+func (h *Handler) readBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			apierr.Write(w, apierr.Wrap(err, apierr.BadRequest, "the body did not arrive whole in time, or is too large"))
+			return
+		}
+		// A deadline that passes later would cancel the request's context.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		r.Body = io.NopCloser(bytes.NewReader(raw))
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := h.Node.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -143,7 +175,7 @@
 
 func (h *Handler) applyConfig(w http.ResponseWriter, r *http.Request) {
 	var req ApplyRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
+	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&req); err != nil || req.Document == nil {
 		apierr.Write(w, apierr.New(apierr.BadRequest, "the body is not a change: base, author and document are needed"))
--- a/operator/order.go
+++ b/operator/order.go
@@ -17,7 +17,7 @@
 // submitOrder takes an order and answers when the engine is back in service.
 func (h *Handler) submitOrder(w http.ResponseWriter, r *http.Request) {
 	var order orders.Order
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
+	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&order); err != nil {
 		apierr.Write(w, apierr.Wrap(err, apierr.BadRequest, "the body is not an order: kind, server and role or model are needed"))
