--- a/cli/local_test.go
+++ b/cli/local_test.go
@@ -8,9 +8,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/figweir/figweir/burn"
 	"github.com/figweir/figweir/questionnaire"
 )
 
@@ -149,7 +151,7 @@
 func TestReports(t *testing.T) {
 	is := is.New(t)
 	l := startListener(t)
-	l.reports["burn"] = func(context.Context) (any, error) {
+	l.reports["blocked"] = func(context.Context) (any, error) {
 		return struct {
 			At    string      `json:"at"`
 			Node  any         `json:"node"`
@@ -161,7 +163,7 @@
 		}, []reportRow{}}, nil
 	}
 	l.reports["usage"] = func(context.Context) (any, error) { return []reportRow{{Workspace: "north"}}, nil }
-	got := runCommand(t, "report", "burn")
+	got := runCommand(t, "report", "blocked")
 	is.Equal(got, result{code: ExitDone, out: "" +
 		"at          now\n" +
 		"node.count  2\n" +
@@ -173,10 +175,24 @@
 		"south?     0                 -         -\n"})
 	got = runCommand(t, "report", "usage")
 	is.Equal(got, result{code: ExitDone, out: "WORKSPACE  BURN  SERVICES  NOTE\nnorth      -     -         -\n"})
-	got = runCommand(t, "report", "burn", "--json")
+	got = runCommand(t, "report", "blocked", "--json")
 	is.Equal(got.code, ExitDone)
 	is.True(json.Valid([]byte(got.out)))
 	is.True(strings.Contains(got.out, `"5m": 1.5`))
+	recorder := burn.NewRecorder(4)
+	at := time.Date(2026, 12, 4, 3, 0, 0, 0, time.UTC)
+	for n := range 10 {
+		recorder.Observe("north", "ledger", n > 0, at)
+	}
+	l.reports["burn"] = func(context.Context) (any, error) {
+		return burn.NewReport(recorder.Series(at), func(string, string) float64 { return 0.75 }, at), nil
+	}
+	got = runCommand(t, "report", "burn")
+	is.Equal(got.code, ExitDone)
+	is.Equal(strings.Fields(strings.Split(got.out, "\n")[1]), []string{"north", "ledger", "0.75", "0.40", "0.40", "0.40", "0.40", "0.40", "60%", "-"})
+	got = runCommand(t, "report", "burn", "--json")
+	is.Equal(got.code, ExitDone)
+	is.True(strings.Contains(got.out, `"worst_rate": 0.4`))
 	got = runCommand(t, "report", "spend")
 	is.Equal(got.code, ExitFailed)
 	is.True(strings.Contains(got.err, "there is no such report"))
--- a/cli/report.go
+++ b/cli/report.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+
+	"github.com/figweir/figweir/burn"
 )
 
 type reportCommand struct {
@@ -30,8 +32,25 @@
 	return "Example:\n\n    figweir report burn --operator 127.0.0.1:7300"
 }
 
-// Run prints the report on service-level burn.
-func (c *reportBurn) Run(env *environment) error { return c.print(env, "burn") }
+// Run prints the report on service-level burn, the worst row first.
+func (c *reportBurn) Run(env *environment) error {
+	if c.JSON {
+		return c.print(env, "burn")
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	raw, err := client.report(env.context, "burn")
+	if err != nil {
+		return err
+	}
+	var report burn.Report
+	if err := json.Unmarshal(raw, &report); err != nil {
+		return fmt.Errorf("the report of %s is not what was expected: %w", client.address, err)
+	}
+	return report.WriteTable(env.out)
+}
 
 // Run prints the usage report.
 func (c *reportUsage) Run(env *environment) error { return c.print(env, "usage") }
