Never say "not run" of a request that an engine may have received

Cause: reading the request path: a request whose caller hung up while the engine held it was logged and answered as not run. Only truncated streams counted as sent; a canceled one did not.

Ruled out: leaving it, since its caller is gone: the log says not_run as well, and operators rely on it.

Before: TestCanceledRequestIsNotReportedAsNotRun failed ("not_run":true). After: every failure but a failure to connect and a refusal by the engine counts as sent; go test -race -count=3 ./caller is green.

--- a/caller/run.go
+++ b/caller/run.go
@@ -114,7 +114,7 @@
 			if offset > before {
 				resumes = 0
 			}
-		} else if errors.Is(err, engine.ErrTruncated) {
+		} else if !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused) {
 			c.mayHaveRun = true
 		}
 		if err == nil {
--- a/caller/run_test.go
+++ b/caller/run_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,6 +115,27 @@
 	return r.ResponseRecorder.Write(p)
 }
 
+// Guards against "not run" for a request that an engine had received when its
+// caller hung up.
+func TestCanceledRequestIsNotReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	f := &fakes{address: server.Listener.Addr().String()}
+	h, key := newHandler(t, f, time.Second)
+	body := `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	is.True(strings.Contains(w.Body.String(), `"not_run":false`))
+}
+
 // Guards against billing a repeat that was answered from the record.
 func TestRecordedAnswerIsNotCounted(t *testing.T) {
 	is := is.New(t)
