Say that a new holder may not have taken a server over yet

Cause: running every command of docs/operating.md in one go, figweir order role was refused with "another change is under way" 20 s after the start, when none was: the holder of the duty still waited out its first minute.

After: the message names both reasons.

--- a/orders/errors.go
+++ b/orders/errors.go
@@ -35,7 +35,7 @@
 
 // Error implements error.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("orders: another change of server %s is under way; nothing was sent", e.Server)
+	return fmt.Sprintf("orders: another change of server %s is under way, or the holder of the duty has not taken it over yet; nothing was sent", e.Server)
 }
 
 // FloorError means that the change would leave too few servers in service.
