Bound the time of a body on the peers' listener

Cause: the last listener on which a slow body held a request open.

Ruled out: a deadline set by a handler, as on the other listeners; HTTP/2 has ReadTimeout for the body of each request, and it does not touch the connection.

Before: TestPeerBodyLimit got no answer within 20 s. After: it passes; the tests of whole nodes and of separate processes are green with -race.

--- a/demo/limits_test.go
+++ b/demo/limits_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/settings"
 )
 
@@ -173,3 +174,22 @@
 		})
 	}
 }
+
+// Guards against a peer that holds a request open by sending its body slowly.
+func TestPeerBodyLimit(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Nodes: 1, Settings: func(_ int, s *settings.Settings) { s.Limits.BodyTimeoutSeconds = 0.05 }})
+	client := &http.Client{Transport: &http.Transport{Protocols: peer.Protocols()}, Timeout: 20 * time.Second}
+	defer client.CloseIdleConnections()
+	body, writer := io.Pipe()
+	defer writer.Close()
+	url := "http://" + d.Nodes[0].VM().Address + "/figweir.v1.MembershipService/Heartbeat"
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, body)
+	is.NoErr(err)
+	req.Header.Set("Content-Type", "application/proto")
+	req.Header.Set("Authorization", "Bearer "+peerSecret)
+	resp, err := client.Do(req)
+	is.NoErr(err) // an answer comes although the body never ends
+	defer resp.Body.Close()
+	is.True(resp.StatusCode != http.StatusOK)
+}
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -43,6 +43,8 @@
 	l.callerServer = l.server(callers)
 	l.peerServer = l.server(peers)
 	l.peerServer.Protocols = peer.Protocols()
+	// HTTP/2 applies this to the body of each request, not to the connection.
+	l.peerServer.ReadTimeout = settings.Seconds(l.limits.BodyTimeoutSeconds)
 	l.operatorServer = l.server(operators)
 }
 
