Serve by decode engines alone while no prefill engine is known

Requests also failed for as long as every engine of a pool decodes.

Ruled out: reading all reports before a change of roles is used; an engine that does not answer would hold up the others.

Before: TestDecodeEnginesServeWithoutPrefill fails with upstream_failed or unavailable. A decode engine processes the prompt itself then, which costs its streams time; a request that no engine can hold is still refused as too large.

Conclusion: a role change is no longer visible to callers while nodes learn of it.

--- a/demo/roles_test.go
+++ b/demo/roles_test.go
@@ -144,3 +144,24 @@
 		}
 	}
 }
+
+// Guards against requests that fail because every engine decodes, or because a
+// node has heard of the new decode engines before the new prefill engine.
+func TestDecodeEnginesServeWithoutPrefill(t *testing.T) {
+	is := is.New(t)
+	d := start(t, Options{Nodes: 1, Engines: 2, Engine: func(_ int, s *standin.Settings) { s.RoleChangeMillis = 1 }})
+	client := engine.NewClient()
+	defer client.Close()
+	for i := range d.Engines {
+		order := engine.Order{ID: fmt.Sprintf("role-%d", i), Kind: engine.OrderRole, Role: config.RoleDecode, FencingToken: 1, Sender: "test"}
+		is.NoErr(client.Order(t.Context(), d.engineAddresses[i], order))
+	}
+	// The requests go on well beyond the next polls of the load reports.
+	for n := range 150 {
+		prompt := fmt.Sprintf("draft %d", n)
+		text, err := d.Chat(t.Context(), 0, ChatRequest{Key: d.Key, Prompt: prompt, Tokens: 2})
+		is.NoErr(err)
+		is.Equal(text, standin.Answer(Model, prompt, 0, 2))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/node/backends.go
+++ b/node/backends.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -175,9 +176,14 @@
 		PromptTokens: w.PromptTokens, OutputTokens: w.MaxOutputTokens,
 		Prefix: w.PrefixBlocks, Exclude: w.Exclude, Now: time.Now(),
 	}
-	choice, err := b.policy.Pick(tracker.View(), &request)
+	view := tracker.View()
+	choice, err := b.policy.Pick(view, &request)
 	if err != nil {
-		return caller.Target{}, pickError(err)
+		alone, ok := decodeAlone(view, &request)
+		if !ok || tooLarge(err) {
+			return caller.Target{}, pickError(err)
+		}
+		choice = alone
 	}
 	flight := choice.Begin(&request, pool.KVBlockTokens)
 	if digest := choice.Prefill.Digest(); digest != nil {
@@ -195,12 +201,34 @@
 	return target, nil
 }
 
+// decodeAlone chooses the decode engine with the fewest streams to process the
+// prompt as well. It serves requests while no prefill engine is known, for
+// example until this node has heard of a role change.
+func decodeAlone(view *route.View, r *route.Request) (route.Choice, bool) {
+	var best *route.Server
+	for _, s := range view.Servers {
+		if s.Role != config.RoleDecode || s.Draining || s.Leaving || slices.Contains(r.Exclude, s.Name) {
+			continue
+		}
+		if best == nil || s.Load().Streams < best.Load().Streams {
+			best = s
+		}
+	}
+	return route.Choice{Prefill: best, Decode: best}, best != nil
+}
+
+// tooLarge reports whether no engine of the pool could ever run the request.
+func tooLarge(err error) bool {
+	var none *route.NoServerError
+	return errors.As(err, &none) && none.Reason == route.ReasonTooLarge
+}
+
 func pickError(err error) error {
 	var none *route.NoServerError
 	if !errors.As(err, &none) {
 		return err
 	}
-	if none.Reason == route.ReasonTooLarge {
+	if tooLarge(err) {
 		return apierr.Wrap(err, apierr.TooLarge, string(none.Reason), apierr.NotRun())
 	}
 	return unavailable(err, max(none.RetryAfter, minPickRetry))
