Count demand without a lock on the request path

Cause: reading the whole change again: every model request took the lock of package node's demand, which the messages of all nodes share, though no lock may be shared by all requests; it also looked its pool up a second time. Package peer had two package comments.

Ruled out: a channel to the goroutine that sends the demand, which requests would wait for when it is behind.

Before: one mutex for all requests. After: two atomic counters for each pool. TestDemandIsTakenOnce adds from 8 goroutines while the counts are taken and finds every token once; with a plain read in place of the swap it fails.

--- a/node/demand.go
+++ b/node/demand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,14 +30,19 @@
 type demand struct {
 	node      *Node
 	publisher *peer.EventPublisher
+	// asked maps the name of a pool to its *askedTokens. Requests add to it and
+	// take no lock.
+	asked sync.Map
 
 	mu      sync.Mutex
-	asked   map[string]plan.Tokens // by pool, since the last message
 	heard   map[string]heardDemand // by node
 	pools   map[string]*plan.Demand
 	holders map[string]map[string]bool // the names of announced holders by duty
 }
 
+// askedTokens is what callers have asked for since the last message.
+type askedTokens struct{ prompt, output atomic.Int64 }
+
 type heardDemand struct {
 	at    time.Time
 	event bus.Demand
@@ -44,7 +50,7 @@
 
 func newDemand(n *Node) *demand {
 	d := &demand{
-		node: n, asked: make(map[string]plan.Tokens), heard: make(map[string]heardDemand),
+		node: n, heard: make(map[string]heardDemand),
 		pools: make(map[string]*plan.Demand), holders: make(map[string]map[string]bool),
 	}
 	d.publisher = peer.NewEventPublisher(n.settings.Name, n.peerHTTP, d.receivers, connect.WithInterceptors(n.auth))
@@ -67,18 +73,17 @@
 
 // count adds what a caller asks for to the demand for its pool.
 func (d *demand) count(w caller.Work) {
-	snapshot := d.node.config.Load()
-	if snapshot == nil {
-		return
-	}
-	pool := snapshot.PoolForModel(w.Service)
-	if pool == nil {
-		return
+	asked := d.askedOf(w.Pool.Name)
+	asked.prompt.Add(int64(w.PromptTokens))
+	asked.output.Add(int64(w.MaxOutputTokens))
+}
+
+func (d *demand) askedOf(pool string) *askedTokens {
+	asked, ok := d.asked.Load(pool)
+	if !ok {
+		asked, _ = d.asked.LoadOrStore(pool, &askedTokens{})
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.asked[pool.Name]
-	d.asked[pool.Name] = plan.Tokens{Prefill: t.Prefill + float64(w.PromptTokens), Decode: t.Decode + float64(w.MaxOutputTokens)}
+	return asked.(*askedTokens)
 }
 
 // demandAdmitter counts requests before they are admitted, so that a shortage
@@ -117,17 +122,15 @@
 func (d *demand) take(elapsed time.Duration) bus.Demand {
 	event := bus.Demand{Seconds: elapsed.Seconds()}
 	snapshot := d.node.config.Load()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if snapshot != nil {
-		for _, p := range snapshot.Document.Pools {
-			if p.Kind == config.KindEngine {
-				t := d.asked[p.Name]
-				event.Pools = append(event.Pools, bus.PoolDemand{Pool: p.Name, PromptTokens: int64(t.Prefill), OutputTokens: int64(t.Decode)})
-			}
+	if snapshot == nil {
+		return event
+	}
+	for _, p := range snapshot.Document.Pools {
+		if p.Kind == config.KindEngine {
+			asked := d.askedOf(p.Name)
+			event.Pools = append(event.Pools, bus.PoolDemand{Pool: p.Name, PromptTokens: asked.prompt.Swap(0), OutputTokens: asked.output.Swap(0)})
 		}
 	}
-	clear(d.asked)
 	return event
 }
 
--- /dev/null
+++ b/node/demand_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/caller"
+	"github.com/figweir/figweir/config"
+)
+
+// Guards against demand that is lost or counted twice between requests and the
+// messages to the holders of orders duties.
+func TestDemandIsTakenOnce(t *testing.T) {
+	is := is.New(t)
+	snapshot, err := config.Build(&config.Document{
+		Objectives: config.Objectives{FirstTokenSeconds: 1, BetweenTokensSeconds: 1, TargetRatio: 0.9},
+		Pools:      []config.Pool{{Name: "p", Kind: config.KindEngine, Models: []string{"m"}, KVBlocks: 1, KVBlockTokens: 1}, {Name: "s", Kind: config.KindService}},
+	}, 1)
+	is.NoErr(err)
+	holder := config.NewHolder()
+	holder.Swap(snapshot)
+	d := &demand{node: &Node{config: holder}}
+	const callers, requests = 8, 500
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			for range requests {
+				d.count(caller.Work{Pool: snapshot.Pool("p"), PromptTokens: 3, MaxOutputTokens: 2})
+			}
+		})
+	}
+	var prompt, output int64
+	add := func() {
+		event := d.take(time.Second)
+		is.Equal(len(event.Pools), 1) // engine pools only
+		prompt, output = prompt+event.Pools[0].PromptTokens, output+event.Pools[0].OutputTokens
+	}
+	for range 100 {
+		add()
+	}
+	wait.Wait()
+	add()
+	is.Equal(prompt, int64(callers*requests*3))
+	is.Equal(output, int64(callers*requests*2))
+}
--- a/peer/once.go
+++ b/peer/once.go
@@ -1,4 +1,3 @@
-// Package peer holds the calls between nodes.
 package peer
 
 import (
