Make the test of demand fail without the swap

Ruled out: more rounds, which only make it likely.

Before: passes with a plain read. After: what was taken is asked for once more.

--- a/node/demand_test.go
+++ b/node/demand_test.go
@@ -43,6 +43,7 @@
 	}
 	wait.Wait()
 	add()
+	add() // what was taken is not taken again
 	is.Equal(prompt, int64(callers*requests*3))
 	is.Equal(output, int64(callers*requests*2))
 }
