Move the clients of the platform's parts out of platform/

Cause: platform/ is to become the adapter for the users' platform, and nothing outside it may know that platform's names. The packages store, fleet and billing hold figweir's own interfaces and have other owners.

After: store/, fleet/ and billing/ at the root; only import paths change. go build and go vet pass.

--- a/authority/deliver.go
+++ b/authority/deliver.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // deliver sends the order of an open intent until its answer is definite. It
--- a/authority/former.go
+++ b/authority/former.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // CloseFormer closes the intents that earlier incarnations at the address of
--- a/authority/journal.go
+++ b/authority/journal.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // JournalOptions sets the times of a journal.
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // LeaseOptions sets the times of a process's lease.
--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 func init() {
--- a/authority/measure_test.go
+++ b/authority/measure_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 var measureRuns = flag.Int("authority.runs", 8, "seeded runs of each kind in TestBlockedTimes")
--- a/authority/procstore_test.go
+++ b/authority/procstore_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // callStore passes a call of a process to the shared store through the
--- a/authority/record.go
+++ b/authority/record.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/authority/scenario_test.go
+++ b/authority/scenario_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // scene has a process whose order is paused between its check and its send,
--- a/authority/world_test.go
+++ b/authority/world_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // point is a place at which a process can be paused.
--- a/authority/writer.go
+++ b/authority/writer.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxWriteAttempts bounds how often one batch is written again after a
--- a/cli/check.go
+++ b/cli/check.go
@@ -6,7 +6,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/finding"
-	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/questionnaire"
 	"github.com/figweir/figweir/settings"
 )
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -19,8 +19,8 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/operator"
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/cli/client.go
+++ b/cli/client.go
@@ -15,7 +15,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/finding"
 	"github.com/figweir/figweir/operator"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/cli/config.go
+++ b/cli/config.go
@@ -5,7 +5,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/operator"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 type getCommand struct {
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/questionnaire"
 	"github.com/figweir/figweir/standin/engine"
 	"github.com/figweir/figweir/standin/platform"
--- a/config/repository.go
+++ b/config/repository.go
@@ -12,7 +12,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/config/repository_test.go
+++ b/config/repository_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/config"
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 func document(weight float64) *config.Document {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	"github.com/figweir/figweir/finding"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Errors of Snapshot.Authenticate.
--- a/configsync/apply.go
+++ b/configsync/apply.go
@@ -8,7 +8,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Status says how far an operator's change has come.
--- a/configsync/harness_test.go
+++ b/configsync/harness_test.go
@@ -16,9 +16,9 @@
 	"github.com/figweir/figweir/configsync"
 	"github.com/figweir/figweir/membership"
 	"github.com/figweir/figweir/peer"
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memnet"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 const secret = "shared secret of the test deployment"
--- a/configsync/machine_test.go
+++ b/configsync/machine_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/configsync"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // CI always runs the same cases; flags on the command line override these.
--- a/configsync/message.go
+++ b/configsync/message.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Part is one part of the configuration. Value is empty where only the digest
--- a/configsync/outage_test.go
+++ b/configsync/outage_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/configsync"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 func failOpen(e configsync.Evidence, _ time.Duration) configsync.Verdict {
--- a/configsync/relay.go
+++ b/configsync/relay.go
@@ -9,7 +9,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/configsync/revision.go
+++ b/configsync/revision.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/figweir/figweir/config"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // revision is an immutable revision with the encoded values of its parts.
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -12,7 +12,7 @@
 	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Settings of a node's configuration synchronisation. Zero durations get the
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -14,8 +14,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/node"
-	"github.com/figweir/figweir/platform/fleet"
 	"github.com/figweir/figweir/settings"
 	"github.com/figweir/figweir/standin/engine"
 	"github.com/figweir/figweir/standin/platform"
--- a/demo/roles_test.go
+++ b/demo/roles_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
-	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/fleet"
 	standin "github.com/figweir/figweir/standin/engine"
 )
 
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // proof is dated evidence that was given with a revision. It counts while the
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // beat exchanges one heartbeat with the next node of the round.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Membership is one node's part in the exchange of heartbeats.
--- a/membership/message.go
+++ b/membership/message.go
@@ -16,7 +16,7 @@
 	"context"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // VM is one entry of the platform's list.
--- a/membership/quorum.go
+++ b/membership/quorum.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // seenList is a VM list with the time at which it was last read.
--- a/membership/view.go
+++ b/membership/view.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Member is a live node.
--- a/node/duties.go
+++ b/node/duties.go
@@ -7,8 +7,8 @@
 
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/bus"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/fleet"
 	"github.com/figweir/figweir/settings"
 )
 
--- a/node/node.go
+++ b/node/node.go
@@ -17,15 +17,15 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/configsync"
 	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/membership"
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/operator"
 	"github.com/figweir/figweir/peer"
-	"github.com/figweir/figweir/platform/fleet"
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/service"
 	"github.com/figweir/figweir/settings"
+	"github.com/figweir/figweir/store"
 )
 
 const (
--- a/node/storecalls.go
+++ b/node/storecalls.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // countedStore counts calls by mechanism, which is the first part of the key.
--- a/node/windows.go
+++ b/node/windows.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/figweir/figweir/authority"
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/settings"
 	"github.com/figweir/figweir/usage"
 )
--- a/once/commit.go
+++ b/once/commit.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // errNotWritten means that a write of the head was not attempted or had no
--- a/once/config.go
+++ b/once/config.go
@@ -7,7 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/figweir/figweir/finding"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxHeadBytes is the largest head that is written: three quarters of the
--- a/once/faultstore/faultstore.go
+++ b/once/faultstore/faultstore.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Fault is what happens to one call of a process.
--- a/once/load.go
+++ b/once/load.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // refresh reads the head and brings the index up to it.
--- a/once/measure/store.go
+++ b/once/measure/store.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // slowStore delays each call and limits the rates of reads and writes. A call
--- a/once/retention.go
+++ b/once/retention.go
@@ -7,7 +7,7 @@
 	"time"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxDeletesPerCommit bounds the deletions of dropped segments after one batch,
--- a/once/segment.go
+++ b/once/segment.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // cachedSegments is how many segments are kept decoded for repeats of finished
--- a/once/writer.go
+++ b/once/writer.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	pb "github.com/figweir/figweir/gen/figweir/v1"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // Writer changes the head of one range. It answers requests one batch at a time
--- a/once/writer_test.go
+++ b/once/writer_test.go
@@ -13,8 +13,8 @@
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/platform/store"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // goneSet is a fixed answer to which incarnations are gone.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -20,7 +20,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/finding"
 	"github.com/figweir/figweir/metrics"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // ApplyState says how far a change of the configuration has come.
--- a/orders/capacity.go
+++ b/orders/capacity.go
@@ -8,9 +8,9 @@
 	"github.com/google/uuid"
 
 	"github.com/figweir/figweir/authority"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/plan"
-	"github.com/figweir/figweir/platform/fleet"
 )
 
 // stopServer drains a server and has the platform stop it.
--- a/orders/controller.go
+++ b/orders/controller.go
@@ -11,8 +11,8 @@
 
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/config"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/plan"
-	"github.com/figweir/figweir/platform/fleet"
 )
 
 // Dependencies are what a controller works with.
--- a/orders/errors.go
+++ b/orders/errors.go
@@ -10,7 +10,7 @@
 
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/engine"
-	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/fleet"
 )
 
 // ErrNotHolder means that this process doesn't hold the duty. Nothing was sent.
--- a/orders/proc_test.go
+++ b/orders/proc_test.go
@@ -12,9 +12,9 @@
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
-	"github.com/figweir/figweir/platform/fleet"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // point is a call at which a process can be paused.
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/plan"
-	"github.com/figweir/figweir/platform/fleet"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
--- a/peer/config.go
+++ b/peer/config.go
@@ -10,7 +10,7 @@
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxConfigBytes bounds a message with all parts of a configuration, each of
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -10,7 +10,7 @@
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
 	"github.com/figweir/figweir/membership"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxHeartbeatBytes is well above a heartbeat with 256 notices and 24 changes.
--- a/questionnaire/generate.go
+++ b/questionnaire/generate.go
@@ -8,7 +8,7 @@
 	"strconv"
 
 	"github.com/figweir/figweir/config"
-	"github.com/figweir/figweir/platform/fleet"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/settings"
 	"github.com/figweir/figweir/standin/engine"
 )
--- a/standin/billing/billing.go
+++ b/standin/billing/billing.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 )
 
 // maxReportBytes bounds the body of a report: 2,300 workspaces take about 250 KB.
--- a/standin/billing/billing_test.go
+++ b/standin/billing/billing_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 	standin "github.com/figweir/figweir/standin/billing"
 )
 
--- a/standin/memnet/store.go
+++ b/standin/memnet/store.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // CutStore is the store as one node reaches it. While Cut reports true, calls
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // maxHistory bounds the number of past changes kept for watches.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,12 +12,12 @@
 
 	"github.com/go-chi/chi/v5"
 
-	client "github.com/figweir/figweir/platform/billing"
-	"github.com/figweir/figweir/platform/fleet"
-	"github.com/figweir/figweir/platform/store"
+	client "github.com/figweir/figweir/billing"
+	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/standin/billing"
 	"github.com/figweir/figweir/standin/fault"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // maxRequestBytes allows one value of the largest size in base64.
--- a/usage/bench_test.go
+++ b/usage/bench_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/figweir/figweir/platform/billing"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 var (
--- a/usage/machine_test.go
+++ b/usage/machine_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -12,8 +12,8 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/figweir/figweir/platform/billing"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/billing"
+	"github.com/figweir/figweir/store"
 )
 
 // Defaults of OwnerOptions.
--- a/usage/record.go
+++ b/usage/record.go
@@ -8,7 +8,7 @@
 	"maps"
 	"slices"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 )
 
 // errRecordInvalid means that a stored window record can't be read.
--- a/usage/report.go
+++ b/usage/report.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 )
 
 // Target names the billing interface for one window of one shard, as the
--- a/usage/seal.go
+++ b/usage/seal.go
@@ -8,7 +8,7 @@
 	"maps"
 	"slices"
 
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/store"
 )
 
 // behindWindows is by how many windows an owner may be behind before it looks for
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/platform/billing"
+	"github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/standin/memstore"
 )
 
--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -11,9 +11,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/figweir/figweir/platform/billing"
-	"github.com/figweir/figweir/platform/store"
+	"github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 func init() {
