--- a/authority/duty.go
+++ b/authority/duty.go
@@ -1,5 +1,7 @@
 package authority
 
+import "github.com/figweir/figweir/store"
+
 // dutyPrefix starts the store keys of the leased records.
 const dutyPrefix = "duty/"
 
@@ -24,6 +26,8 @@
 	// held and term are guarded by lease.mu.
 	held bool
 	term uint64
+	// revision is that of the leased record.
+	revision store.Revision
 }
 
 // Name returns the name of the duty.
@@ -38,6 +42,24 @@
 	return d.term, d.held && now.Before(d.lease.until)
 }
 
+// Fence returns the revision at which this process took the duty, and whether
+// it may act now. It grows with each change of the holder, so it serves as the
+// fencing token where the store's revisions do.
+func (d *Duty) Fence() (uint64, bool) {
+	now := d.lease.clock.Now()
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	return uint64(d.revision), d.held && now.Before(d.lease.until)
+}
+
+// GiveUp drops the duty until the next acquisition, for example after a target
+// has seen a greater fencing token.
+func (d *Duty) GiveUp() {
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	d.held = false
+}
+
 // MayAct reports whether the process may act now and has been able to since
 // the acquisition with the given number.
 func (d *Duty) MayAct(term uint64) bool {
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -186,10 +186,10 @@
 		return
 	}
 	d.token = rec.Token
-	_, err = l.store.Put(ctx, d.key(), raw, 0, id)
+	revision, err := l.store.Put(ctx, d.key(), raw, 0, id)
 	switch {
 	case err == nil:
-		l.attach(d, id)
+		l.attach(d, id, revision)
 	case errors.Is(err, store.ErrNotFound):
 		l.drop(id)
 	case errors.Is(err, store.ErrAmbiguous):
@@ -207,16 +207,17 @@
 	}
 	var rec dutyRecord
 	if json.Unmarshal(entry.Value, &rec) == nil && rec.Token == d.token {
-		l.attach(d, entry.Lease)
+		l.attach(d, entry.Lease, entry.Revision)
 	}
 	return false
 }
 
-func (l *Lease) attach(d *Duty, id store.LeaseID) {
+func (l *Lease) attach(d *Duty, id store.LeaseID, revision store.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.id == id {
 		d.held = true
+		d.revision = revision
 		d.term++
 	}
 }
--- /dev/null
+++ b/backends/balancer.go
@@ -0,0 +1,237 @@
+package backends
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Balancer chooses backend servers for one node.
+type Balancer struct {
+	registry *Registry
+	// domain is the node's failure domain.
+	domain string
+	// nodes returns the number of nodes that share the backend servers.
+	nodes func() int
+}
+
+// NewBalancer returns a balancer for a node in a failure domain.
+func NewBalancer(r *Registry, domain string, nodes func() int) *Balancer {
+	return &Balancer{registry: r, domain: domain, nodes: nodes}
+}
+
+const (
+	// farPenalty is the part of a server's slots that must be busy before a
+	// server in another failure domain is preferred: bytes between failure
+	// domains cost, and add delay.
+	farPenalty = 0.5
+	// unhealthyFailures is the share of failed attempts above which a server is
+	// used only if no other is left.
+	unhealthyFailures = 0.6
+	// failurePenalty weighs the share of failed attempts against the share of
+	// busy slots.
+	failurePenalty = 1.0
+	// retryWhenFull is when to come back if all servers are full.
+	retryWhenFull = 250 * time.Millisecond
+)
+
+// RetryAfter returns when a refused request has a chance again.
+func (b *Balancer) RetryAfter(string) time.Duration {
+	return retryWhenFull + rand.N(retryWhenFull)
+}
+
+// Choose picks the server of an attempt.
+func (b *Balancer) Choose(now time.Time, w *Work) (*Choice, error) {
+	servers := b.registry.View().Servers(w.Service)
+	if len(servers) == 0 {
+		return nil, ErrNoServer
+	}
+	usable := usable(servers, w, now)
+	if len(usable) == 0 {
+		return nil, ErrFull
+	}
+	if w.Prompt != nil && usable[0].Role != RoleNone {
+		return b.chooseEngine(now, w, usable)
+	}
+	return b.choosePlain(now, usable), nil
+}
+
+// usable returns the servers that may be tried, the healthy ones if there are
+// any.
+func usable(servers []*Server, w *Work, now time.Time) []*Server {
+	healthy := make([]*Server, 0, len(servers))
+	var rest []*Server
+	for _, s := range servers {
+		if w.excluded(s.ID) {
+			continue
+		}
+		suspect, failures := s.stats.health(now)
+		if suspect || failures > unhealthyFailures {
+			rest = append(rest, s)
+		} else {
+			healthy = append(healthy, s)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return rest
+}
+
+func (b *Balancer) choosePlain(now time.Time, servers []*Server) *Choice {
+	var best *Server
+	bestScore := 0.0
+	for _, s := range servers {
+		_, failures := s.stats.health(now)
+		slots := float64(max(1, s.Slots))
+		score := (float64(s.stats.inflight.Load()) + s.stats.others(now)) / slots
+		score += failurePenalty * failures
+		if s.FailureDomain != b.domain {
+			score += farPenalty
+		}
+		score += 1e-6 * rand.Float64()
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return newChoice(best, nil, nil, 0, 0)
+}
+
+// rank orders servers for a subject equally on all nodes.
+func rank(subject string, s *Server) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(subject)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(s.ID)
+	return d.Sum64()
+}
+
+const (
+	// prefillTokensPerMilli and decodeTokensPerMilli are how fast an engine
+	// processes prompts in each role.
+	prefillTokensPerMilli = 50.0
+	decodeTokensPerMilli  = 25.0
+	// transferSetup is the time to set up a transfer of KV cache and the extra
+	// call for a prefill apart.
+	transferSetup = 12 * time.Millisecond
+	// movedGigabyte is the delay that is accepted to save the transfer of one
+	// GB of KV cache.
+	movedGigabyte = 150 * time.Millisecond
+	// homeSlack is how much longer the queue of a subject's home may be than
+	// that of another engine, beside the time to process the shared parts again.
+	homeSlack = 20 * time.Millisecond
+	// typicalPrefillTokens is assumed for requests of other nodes.
+	typicalPrefillTokens = 1500.0
+	// decodeSharePrefilling is the part of the requests at a decode engine whose
+	// prompt is not processed yet.
+	decodeSharePrefilling = 0.3
+	// slotMilli is the delay that one more running request adds.
+	slotMilli = 0.5
+	// fullDelay is added for an engine whose slots are all taken.
+	fullDelay = 500.0
+)
+
+// engineCost estimates the time to process a prompt at one engine.
+type engineCost struct {
+	server *Server
+	// millis is the queue and the processing of what is not cached.
+	millis   float64
+	uncached int
+	queue    float64
+}
+
+func (b *Balancer) engineCost(now time.Time, s *Server, p *Prompt, home bool) engineCost {
+	cached := s.stats.cachedTokens(p.Shared(), now)
+	rate, share := prefillTokensPerMilli, 1.0
+	if s.Role == RoleDecode {
+		rate, share = decodeTokensPerMilli, decodeSharePrefilling
+	}
+	others := s.stats.others(now)
+	inflight := float64(s.stats.inflight.Load()) + others
+	queued := float64(s.stats.prefillTokens.Load()) + others*share*typicalPrefillTokens
+	uncached := p.Tokens - cached
+	c := engineCost{server: s, uncached: uncached, queue: queued / rate}
+	c.millis = c.queue + float64(uncached)/rate + slotMilli*inflight
+	if s.Slots > 0 && inflight >= float64(s.Slots) {
+		c.millis += fullDelay
+	}
+	_, failures := s.stats.health(now)
+	c.millis += fullDelay * failures
+	if home {
+		c.millis -= float64(homeSlack / time.Millisecond)
+	}
+	return c
+}
+
+// chooseEngine picks one engine, or one for the prefill and one for the rest.
+func (b *Balancer) chooseEngine(now time.Time, w *Work, servers []*Server) (*Choice, error) {
+	prefill := b.cheapest(now, w, servers, RolePrefill)
+	decode := b.cheapest(now, w, servers, RoleDecode)
+	if decode == nil {
+		return nil, ErrFull
+	}
+	directMillis := decode.millis
+	if prefill == nil || w.Resumed {
+		return newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+	}
+	bytes := float64(w.Prompt.Tokens) * w.KVTokenBytes
+	transferMillis := float64(transferSetup / time.Millisecond)
+	if w.LinkBitsPerSecond > 0 {
+		transferMillis += bytes * 8 / w.LinkBitsPerSecond * 1000
+	}
+	if prefill.server.FailureDomain != decode.server.FailureDomain {
+		transferMillis *= 2
+	}
+	splitMillis := prefill.millis + transferMillis + bytes/1e9*float64(movedGigabyte/time.Millisecond)
+	if splitMillis < directMillis {
+		return newChoice(decode.server, prefill.server, w.Prompt, prefill.uncached, splitMillis), nil
+	}
+	return newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+}
+
+// cheapest returns the engine of a role with the least cost, or nil.
+func (b *Balancer) cheapest(now time.Time, w *Work, servers []*Server, role Role) *engineCost {
+	home := homeOf(w.Prompt.Subject(), servers, role)
+	var best *engineCost
+	for _, s := range servers {
+		if s.Role != role || !s.serves(w.Prompt.Model) {
+			continue
+		}
+		c := b.engineCost(now, s, w.Prompt, s == home)
+		c.millis += 1e-3 * rand.Float64()
+		if best == nil || c.millis < best.millis {
+			best = &c
+		}
+	}
+	return best
+}
+
+// homeOf returns the engine of a role on which all nodes place a subject, by
+// rendezvous hashing.
+func homeOf(subject string, servers []*Server, role Role) *Server {
+	if subject == "" {
+		return nil
+	}
+	var home *Server
+	var highest uint64
+	for _, s := range servers {
+		if s.Role != role {
+			continue
+		}
+		if r := rank(subject, s); home == nil || r > highest {
+			home, highest = s, r
+		}
+	}
+	return home
+}
+
+func (s *Server) serves(model string) bool {
+	for _, m := range s.Models {
+		if m == model {
+			return true
+		}
+	}
+	return len(s.Models) == 0 || model == ""
+}
--- /dev/null
+++ b/backends/choice.go
@@ -0,0 +1,93 @@
+package backends
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Choice is a backend server, or an engine for the prefill and one for the
+// rest, with this node's part of their load. Its methods may be called once
+// each, in the order of a request's life; Done ends it.
+type Choice struct {
+	Server *Server
+	// Prefill is nil unless the prompt is to be processed apart.
+	Prefill *Server
+	// Estimate is the expected time to the first event; 0 if there is none.
+	Estimate time.Duration
+
+	prompt *Prompt
+	// pending are the tokens that count as unprocessed at holder.
+	pending atomic.Int64
+	holder  *stats
+	done    atomic.Bool
+}
+
+func newChoice(s, prefill *Server, p *Prompt, uncached int, estimateMillis float64) *Choice {
+	c := &Choice{Server: s, Prefill: prefill, prompt: p, Estimate: time.Duration(estimateMillis * float64(time.Millisecond))}
+	s.stats.inflight.Add(1)
+	c.holder = s.stats
+	if prefill != nil {
+		prefill.stats.inflight.Add(1)
+		c.holder = prefill.stats
+	}
+	c.pending.Store(int64(uncached))
+	c.holder.prefillTokens.Add(int64(uncached))
+	return c
+}
+
+// settle takes the unprocessed tokens out of the load.
+func (c *Choice) settle() { c.holder.prefillTokens.Add(-c.pending.Swap(0)) }
+
+// Prefilled says that the prompt has been processed apart.
+func (c *Choice) Prefilled(now time.Time) {
+	c.settle()
+	c.Prefill.stats.inflight.Add(-1)
+	c.Prefill.stats.observe(false)
+	c.Prefill.stats.touch(c.prompt.Shared(), now)
+	c.holder = c.Server.stats
+	c.Prefill = nil
+}
+
+// PrefillFailed says that the engine for the prefill did not do it.
+func (c *Choice) PrefillFailed(now time.Time, unreachable bool) {
+	if unreachable {
+		c.Prefill.stats.unreachable(now)
+	} else {
+		c.Prefill.stats.observe(true)
+	}
+}
+
+// Started says that the backend server has begun its answer.
+func (c *Choice) Started(time.Time) {}
+
+// FirstEvent says that the prompt has been processed.
+func (c *Choice) FirstEvent(now time.Time) {
+	c.settle()
+	if c.prompt != nil {
+		c.Server.stats.touch(c.prompt.Shared(), now)
+	}
+}
+
+// Succeeded notes a whole answer.
+func (c *Choice) Succeeded(time.Time) { c.Server.stats.observe(false) }
+
+// Failed notes an attempt that failed at the server.
+func (c *Choice) Failed(time.Time) { c.Server.stats.observe(true) }
+
+// Refused notes that the server did not take the request.
+func (c *Choice) Refused(time.Time) {}
+
+// Unreachable notes that no connection to the server could be made.
+func (c *Choice) Unreachable(now time.Time) { c.Server.stats.unreachable(now) }
+
+// Done takes the request out of the load.
+func (c *Choice) Done() {
+	if c.done.Swap(true) {
+		return
+	}
+	c.settle()
+	c.Server.stats.inflight.Add(-1)
+	if c.Prefill != nil {
+		c.Prefill.stats.inflight.Add(-1)
+	}
+}
--- /dev/null
+++ b/backends/server.go
@@ -0,0 +1,254 @@
+// Package backends knows the backend servers of a deployment and picks one for
+// each attempt. It does no input or output.
+package backends
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Role is what an engine does.
+type Role int
+
+// The roles. Servers that are not engines have RoleNone.
+const (
+	RoleNone Role = iota
+	RolePrefill
+	RoleDecode
+)
+
+// State says whether a backend server takes new requests.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Info is what a backend server's registration says.
+type Info struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	State         State
+	Role          Role
+	Models        []string
+	// BornMillis is the Unix time of the server's start; it tells two
+	// incarnations with one id apart.
+	BornMillis int64
+	// Reclaimable servers may be taken away with their whole failure domain.
+	Reclaimable bool
+}
+
+// Server is a backend server with what this node has seen of it. Info does not
+// change; a registration that does makes a new Server with the same stats.
+type Server struct {
+	Info
+	stats *stats
+}
+
+// stats is what this node knows of one incarnation of a backend server.
+type stats struct {
+	inflight atomic.Int64
+	// prefillTokens are prompt tokens that this node has sent and that are not
+	// processed yet, less what is expected to be cached.
+	prefillTokens atomic.Int64
+
+	report atomic.Pointer[report]
+
+	mu sync.Mutex
+	// failures is a moving average of 1 for a failed attempt and 0 for others.
+	failures float64
+	// suspectUntil is when the server is tried again after it could not be
+	// reached; suspectFor is the length of that pause.
+	suspectUntil time.Time
+	suspectFor   time.Duration
+	// cached is when this node last had each shared part processed here.
+	cached map[string]time.Time
+}
+
+// report is the load that the server stated with an answer.
+type report struct {
+	running, waiting, slots int64
+	// own is how many of these were requests of this node.
+	own int64
+	at  time.Time
+}
+
+func newStats() *stats { return &stats{cached: make(map[string]time.Time)} }
+
+// Load notes the load that the server stated.
+func (s *Server) Load(now time.Time, running, waiting, slots int) {
+	s.stats.report.Store(&report{int64(running), int64(waiting), int64(slots), s.stats.inflight.Load(), now})
+}
+
+const (
+	// failureWeight is the weight of the newest attempt in the moving average
+	// of failures.
+	failureWeight = 0.2
+	// minSuspect and maxSuspect bound the pause after a failure to connect.
+	minSuspect = 300 * time.Millisecond
+	maxSuspect = 3 * time.Second
+	// reportDecay is the time in which a stated load loses most of its meaning.
+	reportDecay = 500 * time.Millisecond
+	// cacheMemory is how long a shared part counts as cached after its last use.
+	cacheMemory = 20 * time.Second
+	// maxCachedParts bounds the memory for cached parts of one server.
+	maxCachedParts = 512
+)
+
+func (s *stats) observe(failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures *= 1 - failureWeight
+	if failed {
+		s.failures += failureWeight
+		return
+	}
+	s.suspectFor = 0
+	s.suspectUntil = time.Time{}
+}
+
+func (s *stats) unreachable(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspectFor = min(max(minSuspect, 2*s.suspectFor), maxSuspect)
+	s.suspectUntil = now.Add(s.suspectFor)
+}
+
+func (s *stats) health(now time.Time) (suspect bool, failures float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.suspectUntil), s.failures
+}
+
+func (s *stats) touch(parts []Part, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.cached) > maxCachedParts {
+		s.forgetOldParts(now)
+	}
+	for _, p := range parts {
+		s.cached[p.ID] = now
+	}
+}
+
+func (s *stats) forgetOldParts(now time.Time) {
+	for id, at := range s.cached {
+		if now.Sub(at) > cacheMemory/2 {
+			delete(s.cached, id)
+		}
+	}
+}
+
+// cachedTokens returns the tokens of the leading parts that are likely cached.
+func (s *stats) cachedTokens(parts []Part, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tokens := 0
+	for _, p := range parts {
+		at, ok := s.cached[p.ID]
+		if !ok || now.Sub(at) > cacheMemory {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// others estimates how many requests of other nodes the server holds.
+func (s *stats) others(now time.Time) float64 {
+	r := s.report.Load()
+	if r == nil {
+		return 0
+	}
+	n := float64(max(0, r.running+r.waiting-r.own))
+	age := now.Sub(r.at)
+	if age >= 2*reportDecay {
+		return n / 4
+	}
+	return n * (1 - 0.75*float64(age)/float64(2*reportDecay))
+}
+
+// Prompt is what a request says of its prompt.
+type Prompt struct {
+	Model string
+	// Tokens is the length of the prompt, MaxOutputTokens bounds the answer.
+	Tokens          int
+	MaxOutputTokens int
+	// LengthHint is the caller's estimate of the answer in tokens; 0 if none.
+	LengthHint int
+	// Parts are the parts of the prompt in order. All but the last may be
+	// shared with other requests.
+	Parts []Part
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Shared returns the parts that other requests may have too.
+func (p *Prompt) Shared() []Part {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
+// Subject is the last shared part: requests of one subject are best served by
+// the same engine. It is empty if nothing is shared.
+func (p *Prompt) Subject() string {
+	shared := p.Shared()
+	if len(shared) == 0 {
+		return ""
+	}
+	return shared[len(shared)-1].ID
+}
+
+// Work is what has to be known of a request to choose a backend server.
+type Work struct {
+	Service string
+	// Prompt is nil for services that do not serve models.
+	Prompt *Prompt
+	// Excluded are the ids of servers that must not be chosen.
+	Excluded []string
+	// Left is the time until the deadline, Target the one within which the
+	// first event is on time.
+	Left, Target time.Duration
+	// Urgency is the rank; 0 is the most urgent.
+	Urgency int
+	// Resumed requests go on after an event and need no prefill apart.
+	Resumed bool
+
+	MaxConnections    int
+	Slots             int
+	KVCacheTokens     int
+	KVTokenBytes      float64
+	LinkBitsPerSecond float64
+}
+
+func (w *Work) excluded(id string) bool {
+	for _, x := range w.Excluded {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Errors of Choose.
+var (
+	// ErrNoServer means that no backend server of the service is known.
+	ErrNoServer = errors.New("backends: no backend server")
+	// ErrFull means that all that are known are full or were tried.
+	ErrFull = errors.New("backends: all backend servers are full or were tried")
+	// ErrTooLate means that no backend server can answer before the deadline.
+	ErrTooLate = errors.New("backends: the deadline is out of reach")
+)
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -37,6 +37,7 @@
 // commands is the root of the command line.
 type commands struct {
 	Node      nodeCommand      `cmd:"" help:"Run a node until it is told to stop."`
+	Gateway   gatewayCommand   `cmd:"" help:"Run a node on the users' platform."`
 	Init      initCommand      `cmd:"" help:"Print the questionnaire, or generate a deployment from its answers."`
 	Check     checkCommand     `cmd:"" help:"Check files and report every finding, or print a JSON Schema."`
 	Apply     applyCommand     `cmd:"" help:"Replace the configuration."`
--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/figweir/figweir/gateway"
+	"github.com/figweir/figweir/logging"
+	"github.com/figweir/figweir/platform"
+)
+
+type gatewayCommand struct {
+	Settings string `type:"path" env:"FIGWEIR_NODE_FILE" placeholder:"FILE" required:"" help:"Settings of the node, as the platform renders deploy/settings.json."`
+}
+
+// Help implements kong.HelpProvider.
+func (*gatewayCommand) Help() string {
+	return `Runs a node on the users' platform. SIGTERM stops it as planned within the grace period of the settings; SIGHUP reads the settings again.`
+}
+
+// Run runs a node until it gets SIGTERM or SIGINT.
+func (c *gatewayCommand) Run(env *environment) error {
+	s, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	return gateway.New(s, logging.New(os.Stdout, false)).Run(env.context)
+}
--- /dev/null
+++ b/discovery/config.go
@@ -0,0 +1,80 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"github.com/figweir/figweir/core"
+	"github.com/figweir/figweir/store"
+)
+
+// Config keeps the newest configuration in force. Versions only grow.
+type Config struct {
+	table  *atomic.Pointer[core.Table]
+	key    string
+	decode func(raw []byte) (*core.Table, error)
+	log    logr.Logger
+
+	mu  sync.Mutex
+	raw []byte
+}
+
+// NewConfig returns a follower of the configuration under key, which puts
+// tables into table.
+func NewConfig(table *atomic.Pointer[core.Table], key string, decode func([]byte) (*core.Table, error), log logr.Logger) *Config {
+	return &Config{table: table, key: key, decode: decode, log: log}
+}
+
+// Run follows the configuration until ctx ends.
+func (c *Config) Run(ctx context.Context, st store.Store, onRead func()) {
+	f := follower{store: st, prefix: c.key, log: c.log, onRead: onRead}
+	f.run(ctx, c)
+}
+
+// Raw returns the configuration in force as it was read, and its version.
+func (c *Config) Raw() ([]byte, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table.Load()
+	if t == nil {
+		return nil, 0
+	}
+	return c.raw, t.Version
+}
+
+// Offer puts a configuration in force if it is newer. source says where it
+// comes from, for the log.
+func (c *Config) Offer(raw []byte, source string) {
+	t, err := c.decode(raw)
+	if err != nil {
+		c.log.Info("configuration not usable", "source", source, "cause", err.Error())
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.table.Load(); old != nil && old.Version >= t.Version {
+		return
+	}
+	c.raw = raw
+	c.table.Store(t)
+	c.log.Info("configuration in force", "version", t.Version, "source", source)
+}
+
+func (c *Config) reset(entries []store.Entry, _ bool) {
+	for _, e := range entries {
+		if e.Key == c.key {
+			c.Offer(e.Value, "store")
+		}
+	}
+}
+
+func (c *Config) apply(events []store.Event, _ bool) {
+	for _, e := range events {
+		if e.Entry.Key == c.key && !e.Deleted {
+			c.Offer(e.Entry.Value, "store")
+		}
+	}
+}
--- /dev/null
+++ b/discovery/follow.go
@@ -0,0 +1,110 @@
+// Package discovery keeps what a node believes current: the configuration, the
+// backend servers and the other nodes, as they stand in the platform's store.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/figweir/figweir/boottime"
+	"github.com/figweir/figweir/store"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. A watch counts as one
+	// call, so longer ones cost less.
+	watchWait = 25 * time.Second
+	// watchPause collects changes that come together into one call.
+	watchPause = 100 * time.Millisecond
+	// minRetry and maxRetry bound the pause after a failed call.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 600 * time.Millisecond
+	// awayAfter is how long calls must have failed before the store counts as
+	// away. A watch that is cut and comes back at once is no outage.
+	awayAfter = time.Second
+)
+
+// handler takes what a follower reads.
+type handler interface {
+	// reset replaces all entries under the prefix. away tells that the store was
+	// away before.
+	reset(entries []store.Entry, away bool)
+	// apply takes changes in order.
+	apply(events []store.Event, away bool)
+}
+
+// follower reads a prefix of the store and follows its changes.
+type follower struct {
+	store  store.Store
+	prefix string
+	log    logr.Logger
+	// lastRead is the boot time of the last answer; onRead is told of it.
+	onRead func()
+}
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context, h handler) {
+	contact := boottime.Now()
+	failing := false
+	pause := minRetry
+	var revision store.Revision
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		var deliver func(away bool)
+		if !listed {
+			var entries []store.Entry
+			entries, revision, err = f.store.List(ctx, f.prefix)
+			deliver = func(away bool) { h.reset(entries, away) }
+		} else {
+			var events []store.Event
+			var at store.Revision
+			events, at, err = f.store.Watch(ctx, f.prefix, revision, watchWait)
+			deliver = func(away bool) {
+				revision = at
+				h.apply(events, away)
+			}
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			f.log.Info("store history lost, reading again", "prefix", f.prefix, "revision", revision)
+			listed, err = false, nil
+			continue
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			if !failing {
+				f.log.Info("store lost", "prefix", f.prefix, "cause", err.Error())
+				failing = true
+			}
+			// A list finds changes that a broken watch can't tell of.
+			listed = false
+			sleep(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, maxRetry)
+			continue
+		}
+		now := boottime.Now()
+		away := failing && now-contact > awayAfter
+		if failing {
+			f.log.Info("store regained", "prefix", f.prefix, "after_ms", (now - contact).Milliseconds())
+		}
+		failing, pause, listed, contact = false, minRetry, true, now
+		deliver(away)
+		f.onRead()
+		sleep(ctx, watchPause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/discovery/nodes.go
@@ -0,0 +1,167 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/figweir/figweir/store"
+)
+
+// nodesPrefix starts the keys of the nodes' leased entries.
+const nodesPrefix = "figweir/nodes/"
+
+const (
+	// nodeLease is how long a node that falls silent stays in the list.
+	nodeLease = 6 * time.Second
+	// nodeRenewEvery lets two renewals fail before the entry lapses.
+	nodeRenewEvery = 2 * time.Second
+)
+
+// Node is the entry of one node.
+type Node struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	// Peers is the address for calls between nodes.
+	Peers string `json:"peers"`
+}
+
+// Nodes announces this node and follows the list of all.
+type Nodes struct {
+	self Node
+	log  logr.Logger
+
+	mu    sync.Mutex
+	nodes map[string]Node
+}
+
+// NewNodes returns the list of nodes, with only this one in it.
+func NewNodes(self Node, log logr.Logger) *Nodes {
+	return &Nodes{self: self, log: log, nodes: map[string]Node{self.Name: self}}
+}
+
+// Count returns the number of nodes, at least 1.
+func (n *Nodes) Count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(1, len(n.nodes))
+}
+
+// List returns the nodes ordered by name.
+func (n *Nodes) List() []Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]Node, 0, len(n.nodes))
+	for _, node := range n.nodes {
+		list = append(list, node)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Rank returns how many nodes come before this one.
+func (n *Nodes) Rank() int {
+	for i, node := range n.List() {
+		if node.Name == n.self.Name {
+			return i
+		}
+	}
+	return 0
+}
+
+// Follow follows the list until ctx ends.
+func (n *Nodes) Follow(ctx context.Context, st store.Store, onRead func()) {
+	f := follower{store: st, prefix: nodesPrefix, log: n.log, onRead: onRead}
+	f.run(ctx, n)
+}
+
+// Announce keeps this node's entry in the list until ctx ends, and removes it
+// then.
+func (n *Nodes) Announce(ctx context.Context, st store.Store) {
+	raw, err := json.Marshal(n.self)
+	if err != nil {
+		n.log.Error(err, "node entry not encoded")
+		return
+	}
+	var lease store.LeaseID
+	for ctx.Err() == nil {
+		lease = n.keep(ctx, st, raw, lease)
+		sleep(ctx, nodeRenewEvery)
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), nodeRenewEvery/2)
+	defer cancel()
+	if err := st.Revoke(ctx, lease); err != nil {
+		n.log.Info("node entry not removed, its lease lapses", "cause", err.Error())
+	}
+}
+
+// keep renews the entry, or writes it anew, and returns its lease.
+func (n *Nodes) keep(ctx context.Context, st store.Store, raw []byte, lease store.LeaseID) store.LeaseID {
+	if lease != 0 {
+		err := st.Renew(ctx, lease)
+		if !errors.Is(err, store.ErrNotFound) {
+			return lease
+		}
+		n.log.Info("node lease lapsed")
+	}
+	lease, err := st.Grant(ctx, nodeLease)
+	if err != nil {
+		return 0
+	}
+	key := nodesPrefix + n.self.Name
+	_, err = st.Put(ctx, key, raw, 0, lease)
+	if !errors.Is(err, store.ErrConflict) {
+		return lease
+	}
+	// An entry of an earlier incarnation stands there until its lease lapses.
+	old, err := st.Get(ctx, key)
+	if err == nil {
+		_, err = st.Put(ctx, key, raw, old.Revision, lease)
+	}
+	if err != nil {
+		n.log.Info("node entry not written", "cause", err.Error())
+		return 0
+	}
+	return lease
+}
+
+func (n *Nodes) reset(entries []store.Entry, _ bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes = map[string]Node{n.self.Name: n.self}
+	for _, e := range entries {
+		n.take(e)
+	}
+}
+
+func (n *Nodes) apply(events []store.Event, _ bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range events {
+		name := strings.TrimPrefix(e.Entry.Key, nodesPrefix)
+		switch {
+		case !e.Deleted:
+			n.take(e.Entry)
+		case name != n.self.Name:
+			delete(n.nodes, name)
+		}
+	}
+}
+
+func (n *Nodes) take(e store.Entry) {
+	var node Node
+	if err := json.Unmarshal(e.Value, &node); err != nil || node.Name == "" {
+		n.log.Info("node entry not readable", "key", e.Key)
+		return
+	}
+	n.nodes[node.Name] = node
+}
--- /dev/null
+++ b/discovery/servers.go
@@ -0,0 +1,170 @@
+package discovery
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/figweir/figweir/backends"
+	"github.com/figweir/figweir/boottime"
+	"github.com/figweir/figweir/store"
+)
+
+// lapseGrace is how long after the store's return a registration that lapsed
+// meanwhile still counts: living backend servers are back by then.
+const lapseGrace = 2 * time.Second
+
+// Servers keeps a registry equal to the registrations in the store.
+type Servers struct {
+	registry *backends.Registry
+	prefix   string
+	decode   func(id string, raw []byte) (backends.Info, error)
+	log      logr.Logger
+
+	mu      sync.Mutex
+	entries map[string]entry
+	// graceUntil is the boot time until which registrations that vanish count
+	// as lapsed and not as gone.
+	graceUntil time.Duration
+	read       bool
+}
+
+// entry is one registration as last read.
+type entry struct {
+	info     backends.Info
+	revision store.Revision
+	// lapsed is set while a registration that vanished during an outage of the
+	// store still counts.
+	lapsed bool
+}
+
+// NewServers returns a follower of the registrations under prefix.
+func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), log logr.Logger) *Servers {
+	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, entries: make(map[string]entry)}
+}
+
+// Run follows the registrations until ctx ends.
+func (s *Servers) Run(ctx context.Context, st store.Store, onRead func()) {
+	go s.expire(ctx)
+	f := follower{store: st, prefix: s.prefix, log: s.log, onRead: onRead}
+	f.run(ctx, s)
+}
+
+// Known reports whether the registrations have been read.
+func (s *Servers) Known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read
+}
+
+func (s *Servers) reset(entries []store.Entry, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteReturn(away)
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Key] = true
+		s.take(e)
+	}
+	for key := range s.entries {
+		if !seen[key] {
+			s.vanish(key)
+		}
+	}
+	s.read = true
+	s.publish()
+}
+
+func (s *Servers) apply(events []store.Event, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteReturn(away)
+	for _, e := range events {
+		if e.Deleted {
+			s.vanish(e.Entry.Key)
+		} else {
+			s.take(e.Entry)
+		}
+	}
+	if len(events) > 0 {
+		s.publish()
+	}
+}
+
+func (s *Servers) noteReturn(away bool) {
+	if away {
+		s.graceUntil = boottime.Now() + lapseGrace
+	}
+}
+
+func (s *Servers) take(e store.Entry) {
+	old, known := s.entries[e.Key]
+	if known && old.revision == e.Revision && !old.lapsed {
+		return
+	}
+	id := strings.TrimPrefix(e.Key, s.prefix)
+	info, err := s.decode(id, e.Value)
+	if err != nil {
+		s.log.Info("registration not usable", "key", e.Key, "revision", e.Revision, "cause", err.Error())
+		delete(s.entries, e.Key)
+		return
+	}
+	if !known || old.info.State != info.State || old.info.Role != info.Role || old.info.Address != info.Address {
+		s.log.Info("backend server known", "backend_server", id, "service", info.Service, "state", int(info.State),
+			"role", int(info.Role), "failure_domain", info.FailureDomain, "reclaimable", info.Reclaimable, "revision", e.Revision)
+	}
+	s.entries[e.Key] = entry{info: info, revision: e.Revision}
+}
+
+// vanish takes a registration that is no longer in the store as gone, or as
+// lapsed shortly after an outage.
+func (s *Servers) vanish(key string) {
+	e, known := s.entries[key]
+	if !known {
+		return
+	}
+	if boottime.Now() < s.graceUntil && e.info.State == backends.Ready {
+		if !e.lapsed {
+			s.log.Info("registration lapsed during the outage", "key", key)
+		}
+		e.lapsed = true
+		s.entries[key] = e
+		return
+	}
+	s.log.Info("backend server gone", "key", key, "service", e.info.Service)
+	delete(s.entries, key)
+}
+
+// expire removes registrations that have not come back in time.
+func (s *Servers) expire(ctx context.Context) {
+	const every = 200 * time.Millisecond
+	for ctx.Err() == nil {
+		sleep(ctx, every)
+		s.mu.Lock()
+		removed := false
+		if boottime.Now() >= s.graceUntil {
+			for key, e := range s.entries {
+				if e.lapsed {
+					s.log.Info("backend server gone", "key", key, "service", e.info.Service)
+					delete(s.entries, key)
+					removed = true
+				}
+			}
+		}
+		if removed {
+			s.publish()
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Servers) publish() {
+	infos := make([]backends.Info, 0, len(s.entries))
+	for _, e := range s.entries {
+		infos = append(infos, e.info)
+	}
+	s.registry.Replace(infos)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,352 @@
+// Package gateway wires a node on the users' platform: the core between its two
+// ends, what it follows in the store, and its duties.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+	"golang.org/x/sys/unix"
+
+	"github.com/figweir/figweir/admit"
+	"github.com/figweir/figweir/authority"
+	"github.com/figweir/figweir/backends"
+	"github.com/figweir/figweir/boottime"
+	"github.com/figweir/figweir/core"
+	"github.com/figweir/figweir/discovery"
+	"github.com/figweir/figweir/metering"
+	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/upstream"
+)
+
+const (
+	// storeTimeout bounds one call to the store; a slow store takes some
+	// hundred milliseconds.
+	storeTimeout = 1500 * time.Millisecond
+	// cloudTimeout bounds one call to the platform's other interfaces.
+	cloudTimeout = 2 * time.Second
+	// sweepEvery is the time between two rounds of closing idle connections.
+	sweepEvery = time.Second
+	// serveAfterStop is how long a stopping node still takes connections: the
+	// balancer notices a node that is not ready after two questions, a second
+	// apart.
+	serveAfterStop = 3 * time.Second
+	// stopMargin is how much earlier than the end by force the node ends.
+	stopMargin = 400 * time.Millisecond
+	// budgetShare keeps the retries of all nodes below the shared budget while
+	// nodes come and go.
+	budgetShare = 0.8
+	// memoryShare is the part of the machine's memory that the Go heap may use.
+	memoryShare = 0.6
+)
+
+// Gateway is one node.
+type Gateway struct {
+	settings platform.Settings
+	log      logr.Logger
+	table    atomic.Pointer[core.Table]
+	registry *backends.Registry
+	pool     *upstream.Pool
+	store    *platform.Store
+	servers  *discovery.Servers
+	config   *discovery.Config
+	nodes    *discovery.Nodes
+	front    *platform.Front
+	observer *observer
+	truth    *boottime.TrueTime
+	lease    *authority.Lease
+	duty     *authority.Duty
+	reporter *metering.Reporter
+	ready    atomic.Bool
+	stopping atomic.Bool
+}
+
+// New returns a node.
+func New(s platform.Settings, log logr.Logger) *Gateway {
+	g := &Gateway{settings: s, log: log, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
+	g.pool = upstream.NewPool(upstream.DefaultOptions)
+	g.store = platform.NewStore(s.Store.Address, storeTimeout)
+	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, log)
+	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
+	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers}, log)
+	g.observer = newObserver(log)
+	windows := metering.Windows{Length: s.UsageWindow()}
+	counter := metering.NewCounter(windows, g.truth)
+	g.front = &platform.Front{Tables: &g.table, OnReject: g.observer.rejected}
+	g.front.Core = &core.Core{
+		Tables:   &g.table,
+		Chooser:  backends.NewBalancer(g.registry, s.FailureDomain, g.nodes.Count),
+		Budget:   g.newBudget(),
+		Upstream: &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed},
+		Meter:    counter,
+		Observer: g.observer,
+	}
+	g.newDuties(counter, windows)
+	return g
+}
+
+func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows) {
+	process := authority.NewProcess(g.settings.IPAddress)
+	g.lease = authority.NewLease(g.store, process, boottime.Clock{}, authority.LeaseOptions{
+		LeaseTime: g.settings.Lease(), Margin: g.settings.Lease() / 6,
+		RenewEvery: g.settings.Lease() / 3, StoreTimeout: g.settings.Lease() / 4,
+	})
+	g.duty = g.lease.Duty("platform", g.dutyCandidate)
+	cloud := platform.NewCloud(g.settings.Cloud.Address, g.settings.Name, cloudTimeout)
+	g.reporter = &metering.Reporter{
+		Counter: counter, Windows: windows, Clock: g.truth, Store: g.store, Duty: g.duty, Sender: cloud,
+		Incarnation: g.settings.Name + "." + process.Incarnation,
+		Delay:       time.Duration(g.settings.Bounds.UsageDelaySeconds * float64(time.Second)),
+		Fenced:      func(err error) bool { return errors.Is(err, platform.ErrFenced) },
+		Log:         g.log,
+	}
+}
+
+// dutyCandidates is how many nodes try to take the duty while it is free.
+const dutyCandidates = 2
+
+func (g *Gateway) dutyCandidate() bool {
+	return g.settings.Cloud.Address != "" && g.ready.Load() && g.nodes.Rank() < dutyCandidates
+}
+
+// Run serves until SIGTERM, then stops as planned.
+func (g *Gateway) Run(ctx context.Context) error {
+	limitMemory(g.settings.Limits.MemoryMB)
+	callers, err := listen(g.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(g.settings.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	admin, err := listen(fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]))
+	if err != nil {
+		return err
+	}
+	stop, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancelStop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	g.log.Info("start", "node", g.settings.Name, "failure_domain", g.settings.FailureDomain, "store", g.settings.Store.Address)
+
+	background, cancelBackground := context.WithCancel(context.WithoutCancel(ctx))
+	duties, cancelDuties := context.WithCancel(background)
+	var dutyGroup, group sync.WaitGroup
+	g.follow(background, &group)
+	dutyGroup.Go(func() { g.lease.Run(duties) })
+	dutyGroup.Go(func() { g.reporter.Run(duties) })
+	dutyGroup.Go(func() { g.nodes.Announce(duties, g.store) })
+	group.Go(func() { g.sweep(background) })
+	group.Go(func() { g.reload(background, hangup) })
+
+	wrapped := platform.NewListener(callers, &g.table)
+	callerServer := &http.Server{
+		Handler: g.callerRoutes(), ConnContext: platform.KeepConnection, ConnState: platform.NoteState,
+		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
+	}
+	readyServer := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: callerHeaderTimeout}
+	adminServer := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: callerHeaderTimeout}
+	go g.serve(callerServer, wrapped)
+	go g.serve(readyServer, readiness)
+	go g.serve(adminServer, admin)
+
+	<-stop.Done()
+	g.log.Info("stop requested", "in_flight", g.front.InFlight.Load(), "connections", wrapped.Connections())
+	g.stop(wrapped, cancelDuties, &dutyGroup)
+	cancelDuties()
+	dutyGroup.Wait()
+	cancelBackground()
+	group.Wait()
+	_ = callerServer.Close()
+	_ = readyServer.Close()
+	_ = adminServer.Close()
+	g.log.Info("stop", "in_flight", g.front.InFlight.Load())
+	return nil
+}
+
+const (
+	// callerHeaderTimeout bounds the time of a request's head.
+	callerHeaderTimeout = 5 * time.Second
+	// callerMaxHeaderBytes is the most that is read of a head; the limit of the
+	// configuration is checked after that.
+	callerMaxHeaderBytes = 64 << 10
+)
+
+// stop serves on until the balancer has taken the node out and the open
+// requests are answered, within the grace period.
+func (g *Gateway) stop(l *platform.Listener, cancelDuties func(), duties *sync.WaitGroup) {
+	deadline := time.Now().Add(g.settings.Grace() - stopMargin)
+	g.stopping.Store(true)
+	g.front.Stopping.Store(true)
+	// The duty goes to another node at once; counts are published again at the
+	// end.
+	time.Sleep(serveAfterStop)
+	for time.Now().Before(deadline) {
+		l.CloseIdle(idleAfterStop)
+		if g.front.InFlight.Load() == 0 && l.Connections() == 0 {
+			return
+		}
+		time.Sleep(stopPoll)
+	}
+}
+
+const (
+	// idleAfterStop is how long a connection must have been idle before a
+	// stopping node closes it.
+	idleAfterStop = 300 * time.Millisecond
+	// stopPoll is the time between two looks at the open connections.
+	stopPoll = 50 * time.Millisecond
+)
+
+func (g *Gateway) follow(ctx context.Context, group *sync.WaitGroup) {
+	onRead := func() { g.updateReady() }
+	group.Go(func() { g.config.Run(ctx, g.store, onRead) })
+	group.Go(func() { g.servers.Run(ctx, g.store, onRead) })
+	group.Go(func() { g.nodes.Follow(ctx, g.store, onRead) })
+}
+
+func (g *Gateway) updateReady() {
+	if g.ready.Load() || g.table.Load() == nil || !g.servers.Known() {
+		return
+	}
+	if !g.ready.Swap(true) {
+		g.log.Info("ready", "config_version", g.table.Load().Version, "backend_servers", len(g.registry.View().All()))
+	}
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pool.Sweep()
+			g.store.Sweep()
+		}
+	}
+}
+
+// reload reads the settings again on SIGHUP. Addresses can't change while the
+// process runs, so only errors and the fact are logged.
+func (g *Gateway) reload(ctx context.Context, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				g.log.Info("reload failed, settings unchanged", "cause", err.Error())
+				continue
+			}
+			g.log.Info("reload")
+		}
+	}
+}
+
+func (g *Gateway) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error(err, "listener ended", "address", l.Addr().String())
+	}
+}
+
+func (g *Gateway) callerRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/*", g.front)
+	r.NotFound(g.front.ServeHTTP)
+	r.MethodNotAllowed(g.front.ServeHTTP)
+	return r
+}
+
+func (g *Gateway) readyRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready.Load() || g.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+func (g *Gateway) adminRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", g.observer.serveMetrics)
+	return r
+}
+
+// listen opens a listener whose connections notice a peer that has fallen
+// silent.
+func listen(address string) (net.Listener, error) {
+	userTimeout := upstream.DefaultOptions.UserTimeout
+	config := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			controlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+			return errors.Join(controlErr, err)
+		},
+	}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// callerKeepAlive is the time between keep-alive probes to callers.
+const callerKeepAlive = 5 * time.Second
+
+func limitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+}
+
+// budget is this node's part of the retry budget of each service.
+type budget struct {
+	ratio, extra float64
+	nodes        func() int
+
+	mu       sync.Mutex
+	services map[string]*admit.RetryBudget
+}
+
+func (g *Gateway) newBudget() *budget {
+	return &budget{
+		ratio: g.settings.Bounds.RetryRatio * budgetShare, extra: g.settings.Bounds.RetryExtra * budgetShare,
+		nodes: g.nodes.Count, services: make(map[string]*admit.RetryBudget),
+	}
+}
+
+func (b *budget) of(service string) *admit.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil {
+		s = admit.NewRetryBudget(b.ratio, int(b.extra)/max(minBudgetNodes, b.nodes()))
+		b.services[service] = s
+	}
+	return s
+}
+
+// minBudgetNodes is assumed while the list of nodes is not known yet.
+const minBudgetNodes = 8
+
+// First implements core.Budget.
+func (b *budget) First(service string) { b.of(service).FirstAttempt() }
+
+// Retry implements core.Budget.
+func (b *budget) Retry(service string) bool { return b.of(service).Retry() }
