Share load between nodes, order roles and reclaimable servers

Ruled out: the load that engines state with answers alone (a second old at this traffic).

Nodes send their work by datagrams, prompts are processed apart, four of five engines prefill, and reclaimable engines are ordered.

Standard servers are not reduced yet.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -2,23 +2,66 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// Peers is what a node knows of the work of the other nodes.
+type Peers interface {
+	// Load returns the requests and the unprocessed prompt tokens that they have
+	// on the server with the given hash.
+	Load(server uint64) (requests, prefillTokens int64)
+	// Peers returns how many other nodes were heard of lately.
+	Peers() int
+}
+
 // Balancer chooses backend servers for one node.
 type Balancer struct {
 	registry *Registry
 	// domain is the node's failure domain.
 	domain string
-	// nodes returns the number of nodes that share the backend servers.
-	nodes func() int
+	peers  Peers
+	// changed is called when this node's work has changed.
+	changed func()
+	// promptTokens counts the tokens that were sent to engines and not expected
+	// to be cached.
+	promptTokens atomic.Uint64
+	prefillRate  rate
+	decodeRate   rate
+}
+
+// PromptTokens returns the prompt tokens that this node has sent to engines and
+// that were not expected to be cached. It only grows.
+func (b *Balancer) PromptTokens() uint64 { return b.promptTokens.Load() }
+
+// PrefillTokensPerSecond returns what one prefill engine is seen to process.
+func (b *Balancer) PrefillTokensPerSecond() float64 {
+	const millisPerSecond = 1000
+	return b.prefillRate.perMilli(prefillTokensPerMilli) * millisPerSecond
 }
 
 // NewBalancer returns a balancer for a node in a failure domain.
-func NewBalancer(r *Registry, domain string, nodes func() int) *Balancer {
-	return &Balancer{registry: r, domain: domain, nodes: nodes}
+func NewBalancer(r *Registry, domain string, peers Peers, changed func()) *Balancer {
+	return &Balancer{registry: r, domain: domain, peers: peers, changed: changed}
+}
+
+// load estimates the requests and the unprocessed prompt tokens at a server. It
+// goes by the load that the server states while no other node is heard of.
+func (b *Balancer) load(now time.Time, s *Server) (requests, prefillTokens float64) {
+	requests = float64(s.stats.inflight.Load())
+	prefillTokens = float64(s.stats.prefillTokens.Load())
+	if b.peers.Peers() > 0 {
+		r, t := b.peers.Load(s.Hash)
+		return requests + float64(r), prefillTokens + float64(t)
+	}
+	others := s.stats.others(now)
+	share := 1.0
+	if s.Role == RoleDecode {
+		share = decodeSharePrefilling
+	}
+	return requests + others, prefillTokens + others*share*typicalPrefillTokens
 }
 
 const (
@@ -85,7 +128,8 @@
 	for _, s := range servers {
 		_, failures := s.stats.health(now)
 		slots := float64(max(1, s.Slots))
-		score := (float64(s.stats.inflight.Load()) + s.stats.others(now)) / slots
+		requests, _ := b.load(now, s)
+		score := requests / slots
 		score += failurePenalty * failures
 		if s.FailureDomain != b.domain {
 			score += farPenalty
@@ -95,7 +139,7 @@
 			best, bestScore = s, score
 		}
 	}
-	return newChoice(best, nil, nil, 0, 0)
+	return b.newChoice(best, nil, nil, 0, 0)
 }
 
 // rank orders servers for a subject equally on all nodes.
@@ -109,8 +153,8 @@
 }
 
 const (
-	// prefillTokensPerMilli and decodeTokensPerMilli are how fast an engine
-	// processes prompts in each role.
+	// prefillTokensPerMilli and decodeTokensPerMilli are how fast an engine is
+	// assumed to process prompts in each role until that has been seen.
 	prefillTokensPerMilli = 50.0
 	decodeTokensPerMilli  = 25.0
 	// transferSetup is the time to set up a transfer of KV cache and the extra
@@ -144,13 +188,11 @@
 
 func (b *Balancer) engineCost(now time.Time, s *Server, p *Prompt, home bool) engineCost {
 	cached := s.stats.cachedTokens(p.Shared(), now)
-	rate, share := prefillTokensPerMilli, 1.0
+	rate := b.prefillRate.perMilli(prefillTokensPerMilli)
 	if s.Role == RoleDecode {
-		rate, share = decodeTokensPerMilli, decodeSharePrefilling
+		rate = b.decodeRate.perMilli(decodeTokensPerMilli)
 	}
-	others := s.stats.others(now)
-	inflight := float64(s.stats.inflight.Load()) + others
-	queued := float64(s.stats.prefillTokens.Load()) + others*share*typicalPrefillTokens
+	inflight, queued := b.load(now, s)
 	uncached := p.Tokens - cached
 	c := engineCost{server: s, uncached: uncached, queue: queued / rate}
 	c.millis = c.queue + float64(uncached)/rate + slotMilli*inflight
@@ -173,8 +215,11 @@
 		return nil, ErrFull
 	}
 	directMillis := decode.millis
+	if w.Prefilled {
+		return b.newChoice(decode.server, nil, w.Prompt, 0, 0), nil
+	}
 	if prefill == nil || w.Resumed {
-		return newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+		return b.newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
 	}
 	bytes := float64(w.Prompt.Tokens) * w.KVTokenBytes
 	transferMillis := float64(transferSetup / time.Millisecond)
@@ -186,9 +231,9 @@
 	}
 	splitMillis := prefill.millis + transferMillis + bytes/1e9*float64(movedGigabyte/time.Millisecond)
 	if splitMillis < directMillis {
-		return newChoice(decode.server, prefill.server, w.Prompt, prefill.uncached, splitMillis), nil
+		return b.newChoice(decode.server, prefill.server, w.Prompt, prefill.uncached, splitMillis), nil
 	}
-	return newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+	return b.newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
 }
 
 // cheapest returns the engine of a role with the least cost, or nil.
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -20,27 +20,44 @@
 	pending atomic.Int64
 	holder  *stats
 	done    atomic.Bool
+	b       *Balancer
+	// alone tells that no other work was known at the engine that processes the
+	// prompt; begun is when the choice was made.
+	alone    bool
+	begun    time.Time
+	uncached int
 }
 
-func newChoice(s, prefill *Server, p *Prompt, uncached int, estimateMillis float64) *Choice {
-	c := &Choice{Server: s, Prefill: prefill, prompt: p, Estimate: time.Duration(estimateMillis * float64(time.Millisecond))}
+func (b *Balancer) newChoice(s, prefill *Server, p *Prompt, uncached int, estimateMillis float64) *Choice {
+	c := &Choice{Server: s, Prefill: prefill, prompt: p, b: b, begun: time.Now(), uncached: uncached, Estimate: time.Duration(estimateMillis * float64(time.Millisecond))}
 	s.stats.inflight.Add(1)
 	c.holder = s.stats
 	if prefill != nil {
 		prefill.stats.inflight.Add(1)
 		c.holder = prefill.stats
 	}
+	c.alone = c.holder.prefillTokens.Load() == 0
 	c.pending.Store(int64(uncached))
 	c.holder.prefillTokens.Add(int64(uncached))
+	b.promptTokens.Add(uint64(max(0, uncached)))
+	b.changed()
 	return c
 }
 
 // settle takes the unprocessed tokens out of the load.
-func (c *Choice) settle() { c.holder.prefillTokens.Add(-c.pending.Swap(0)) }
+func (c *Choice) settle() {
+	if tokens := c.pending.Swap(0); tokens != 0 {
+		c.holder.prefillTokens.Add(-tokens)
+		c.b.changed()
+	}
+}
 
 // Prefilled says that the prompt has been processed apart.
 func (c *Choice) Prefilled(now time.Time) {
 	c.settle()
+	if c.alone {
+		c.b.prefillRate.observe(c.uncached, now.Sub(c.begun), prefillTokensPerMilli)
+	}
 	c.Prefill.stats.inflight.Add(-1)
 	c.Prefill.stats.observe(false)
 	c.Prefill.stats.touch(c.prompt.Shared(), now)
@@ -51,12 +68,15 @@
 // PrefillFailed says that the engine for the prefill did not do it.
 func (c *Choice) PrefillFailed(now time.Time, unreachable bool) {
 	if unreachable {
-		c.Prefill.stats.unreachable(now)
+		c.Prefill.stats.pause(now, minSuspect, maxSuspect)
 	} else {
 		c.Prefill.stats.observe(true)
 	}
 }
 
+// PrefillRefused notes that the engine for the prefill did not take the request.
+func (c *Choice) PrefillRefused(now time.Time) { c.Prefill.stats.refused(now) }
+
 // Started says that the backend server has begun its answer.
 func (c *Choice) Started(time.Time) {}
 
@@ -75,10 +95,10 @@
 func (c *Choice) Failed(time.Time) { c.Server.stats.observe(true) }
 
 // Refused notes that the server did not take the request.
-func (c *Choice) Refused(time.Time) {}
+func (c *Choice) Refused(now time.Time) { c.Server.stats.refused(now) }
 
 // Unreachable notes that no connection to the server could be made.
-func (c *Choice) Unreachable(now time.Time) { c.Server.stats.unreachable(now) }
+func (c *Choice) Unreachable(now time.Time) { c.Server.stats.pause(now, minSuspect, maxSuspect) }
 
 // Done takes the request out of the load.
 func (c *Choice) Done() {
@@ -90,4 +110,5 @@
 	if c.Prefill != nil {
 		c.Prefill.stats.inflight.Add(-1)
 	}
+	c.b.changed()
 }
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // View is an immutable snapshot of the backend servers by service.
@@ -42,7 +44,7 @@
 	old := r.view.Load()
 	next := &View{services: make(map[string][]*Server), byID: make(map[string]*Server, len(infos))}
 	for _, info := range infos {
-		s := &Server{Info: info}
+		s := &Server{Info: info, Hash: xxhash.Sum64String(info.ID)}
 		if o := old.byID[info.ID]; o != nil && o.BornMillis == info.BornMillis && o.Address == info.Address {
 			s.stats = o.stats
 		} else {
--- a/backends/server.go
+++ b/backends/server.go
@@ -49,9 +49,17 @@
 // change; a registration that does makes a new Server with the same stats.
 type Server struct {
 	Info
+	// Hash is that of the id; nodes name the server by it among each other.
+	Hash  uint64
 	stats *stats
 }
 
+// Work returns the requests and the unprocessed prompt tokens that this node
+// has on the server.
+func (s *Server) Work() (requests, prefillTokens int64) {
+	return s.stats.inflight.Load(), s.stats.prefillTokens.Load()
+}
+
 // stats is what this node knows of one incarnation of a backend server.
 type stats struct {
 	inflight atomic.Int64
@@ -94,6 +102,13 @@
 	// minSuspect and maxSuspect bound the pause after a failure to connect.
 	minSuspect = 300 * time.Millisecond
 	maxSuspect = 3 * time.Second
+	// minRefused and maxRefused bound the pause after a full server did not take
+	// a request.
+	minRefused = 100 * time.Millisecond
+	maxRefused = 800 * time.Millisecond
+	// busyPause is the pause after a server with free slots did not take a
+	// request: it changes its role or is about to leave.
+	busyPause = 1200 * time.Millisecond
 	// reportDecay is the time in which a stated load loses most of its meaning.
 	reportDecay = 500 * time.Millisecond
 	// cacheMemory is how long a shared part counts as cached after its last use.
@@ -114,13 +129,24 @@
 	s.suspectUntil = time.Time{}
 }
 
-func (s *stats) unreachable(now time.Time) {
+// pause keeps requests away from the server for a while that doubles with each
+// failure in a row, between least and most.
+func (s *stats) pause(now time.Time, least, most time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspectFor = min(max(minSuspect, 2*s.suspectFor), maxSuspect)
+	s.suspectFor = min(max(least, 2*s.suspectFor), most)
 	s.suspectUntil = now.Add(s.suspectFor)
 }
 
+// refused pauses a server that did not take a request.
+func (s *stats) refused(now time.Time) {
+	if r := s.report.Load(); r != nil && r.running < r.slots && r.waiting == 0 && now.Sub(r.at) < reportDecay {
+		s.pause(now, busyPause, busyPause)
+		return
+	}
+	s.pause(now, minRefused, maxRefused)
+}
+
 func (s *stats) health(now time.Time) (suspect bool, failures float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -224,6 +250,8 @@
 	Left, Target time.Duration
 	// Urgency is the rank; 0 is the most urgent.
 	Urgency int
+	// Prefilled tells that the prompt is processed already.
+	Prefilled bool
 	// Resumed requests go on after an event and need no prefill apart.
 	Resumed bool
 
--- a/core/core.go
+++ b/core/core.go
@@ -24,6 +24,9 @@
 	// attemptTargets is how many times its target an idempotent attempt may
 	// take while another attempt is allowed.
 	attemptTargets = 4
+	// maxHandleUses bounds the attempts with one handle; after that it counts as
+	// gone.
+	maxHandleUses = 2
 	// minServerTime is the least time for which a request is worth sending.
 	minServerTime = 5 * time.Millisecond
 )
@@ -109,9 +112,19 @@
 	deadline  time.Time
 	ledger    ledger
 	excluded  []string
-	counted   bool
-	began     bool
-	record    Record
+	// arrivals counts the attempts that reached a backend server and that the
+	// retry budget counts.
+	arrivals int
+	// handle is KV cache that waits to be used; handleUses counts attempts with
+	// it.
+	handle     *Handle
+	handleUses int
+	prefilled  bool
+	began      bool
+	settled    bool
+	// retryTaken tells that the retry budget has been asked for the next attempt.
+	retryTaken bool
+	record     Record
 }
 
 // Serve carries one request. ctx ends when the caller hangs up.
@@ -164,6 +177,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline, context.DeadlineExceeded)
 	defer cancel()
+	defer e.freeHandle()
 	service := e.route.Service(xxhash.Sum64String(e.request.ID))
 	e.record.Service = service
 	for {
@@ -205,7 +219,7 @@
 	w := &backends.Work{
 		Service: service, Prompt: e.request.Prompt, Excluded: e.excluded,
 		Left: time.Until(e.deadline), Target: e.route.Target, Urgency: e.priority(),
-		Resumed: e.request.LastEventID != "",
+		Resumed: e.request.LastEventID != "", Prefilled: e.handle != nil,
 	}
 	if s := e.table.Services[service]; s != nil {
 		w.MaxConnections = s.MaxConnections
@@ -232,47 +246,93 @@
 	}
 	e.record.Server, e.record.Prefill, e.record.Estimate = choice.Server, choice.Prefill, choice.Estimate
 	if choice.Prefill != nil && !e.prefill(ctx, a, choice) {
-		return false
+		return e.settled
+	}
+	if !e.mayArrive() {
+		e.giveUp(e.budgetReason())
+		return true
 	}
 	attemptCtx, cancel, started := e.limitAttempt(ctx)
 	defer cancel()
 	defer started()
 	sentAt := time.Now()
 	a.Left = time.Until(e.deadline)
-	if !e.counted {
-		e.counted = true
-		e.Budget.First(e.record.Service)
-	}
+	a.Source = e.handle
 	o := e.Upstream.Send(attemptCtx, a)
 	e.ledger.note(o)
-	if a.Source != nil && !tookSource(o) {
-		e.Upstream.Free(a.Source)
-	}
+	e.noteArrival(o)
+	e.noteHandle(o)
 	switch o := o.(type) {
 	case Answered:
 		choice.Started(time.Now())
 		return e.relay(ctx, started, a, choice, o.Answer, sentAt)
 	case Refused:
 		choice.Refused(time.Now())
-		return e.afterRefused(choice.Server, o)
+		return e.afterRefused(choice.Server)
 	case NotSent:
-		choice.Unreachable(time.Now())
+		if ctx.Err() == nil {
+			choice.Unreachable(time.Now())
+		}
 		return e.afterUnsent(choice.Server, o.Cause)
 	case Lost:
 		e.beganAt(sentAt)
-		choice.Failed(time.Now())
+		if ctx.Err() == nil {
+			choice.Failed(time.Now())
+		}
 		return e.afterLost(choice.Server, o.Cause)
 	}
 	return true
 }
 
-// tookSource reports whether the engine may have taken the KV cache.
-func tookSource(o Outcome) bool {
+// mayArrive takes a retry for every arrival at a backend server beyond the first
+// one of the request.
+func (e *exchange) mayArrive() bool {
+	if e.arrivals == 0 || e.retryTaken {
+		e.retryTaken = false
+		return true
+	}
+	return e.Budget.Retry(e.record.Service)
+}
+
+func (e *exchange) budgetReason() Reason {
+	if e.ledger.mayHaveRun > 0 {
+		return ReasonAnswerLost
+	}
+	return ReasonServersFull
+}
+
+func (e *exchange) noteArrival(o Outcome) {
+	if _, unsent := o.(NotSent); unsent {
+		return
+	}
+	if e.arrivals == 0 {
+		e.Budget.First(e.record.Service)
+	}
+	e.arrivals++
+}
+
+// noteHandle keeps KV cache for another attempt if the engine did not take it.
+func (e *exchange) noteHandle(o Outcome) {
+	if e.handle == nil {
+		return
+	}
+	e.handleUses++
 	switch o.(type) {
 	case NotSent, Refused:
-		return false
+		if e.handleUses >= maxHandleUses {
+			e.freeHandle()
+		}
+	default:
+		e.handle = nil
+	}
+}
+
+// freeHandle gives up KV cache that no attempt has taken.
+func (e *exchange) freeHandle() {
+	if e.handle != nil {
+		e.Upstream.Free(e.handle)
+		e.handle = nil
 	}
-	return true
 }
 
 // limitAttempt bounds the time to the first event of an idempotent request while
@@ -295,18 +355,22 @@
 // prefill has the prompt processed apart and reports whether the attempt goes
 // on. Without a handle the request is chosen for again.
 func (e *exchange) prefill(ctx context.Context, a *Attempt, choice *backends.Choice) bool {
+	if !e.mayArrive() {
+		e.giveUp(e.budgetReason())
+		return false
+	}
 	p := *a
 	p.Server, p.Left = choice.Prefill, time.Until(e.deadline)
-	if !e.counted {
-		e.counted = true
-		e.Budget.First(e.record.Service)
-	}
 	handle, o := e.Upstream.Prefill(ctx, &p)
 	if handle != nil {
+		if e.prefilled {
+			e.noteArrival(nil)
+		}
 		choice.Prefilled(time.Now())
-		a.Source = handle
+		e.handle, e.handleUses, e.prefilled = handle, 0, true
 		return true
 	}
+	e.noteArrival(o)
 	e.excluded = append(e.excluded, choice.Prefill.ID)
 	event, cause := "prefill_lost", error(nil)
 	switch o := o.(type) {
@@ -314,10 +378,12 @@
 		choice.PrefillFailed(time.Now(), true)
 		event, cause = "prefill_unsent", o.Cause
 	case Refused:
-		choice.PrefillFailed(time.Now(), false)
+		choice.PrefillRefused(time.Now())
 		event = "prefill_refused"
 	case Lost:
-		choice.PrefillFailed(time.Now(), false)
+		if ctx.Err() == nil {
+			choice.PrefillFailed(time.Now(), false)
+		}
 		cause = o.Cause
 	}
 	e.Observer.Attempt(&e.record, choice.Prefill, event, cause)
@@ -332,12 +398,10 @@
 	e.Meter.Began(e.workspace.Name, at)
 }
 
-func (e *exchange) afterRefused(server *backends.Server, o Refused) bool {
+func (e *exchange) afterRefused(server *backends.Server) bool {
 	e.Observer.Attempt(&e.record, server, "refused", nil)
-	if !o.SourceGone {
-		e.excluded = append(e.excluded, server.ID)
-	}
-	if e.ledger.refused > maxRefused || !e.Budget.Retry(e.record.Service) {
+	e.excluded = append(e.excluded, server.ID)
+	if e.ledger.refused > maxRefused {
 		e.giveUp(ReasonServersFull)
 		return true
 	}
@@ -372,11 +436,11 @@
 	return true
 }
 
-// mayRunAgain takes a retry for a request that may have run already.
+// mayRunAgain reports whether a request that may have run already may run at
+// another backend server. The retry budget is asked when it is sent.
 func (e *exchange) mayRunAgain() bool {
 	return e.route.Idempotent() && e.ledger.mayHaveRun < e.route.MaxAttempts &&
-		e.ctx.Err() == nil && time.Until(e.deadline) >= minServerTime &&
-		e.Budget.Retry(e.record.Service)
+		e.ctx.Err() == nil && time.Until(e.deadline) >= minServerTime
 }
 
 // giveUp sends the final answer to a request that no backend server answers.
@@ -385,6 +449,7 @@
 }
 
 func (e *exchange) refuse(r Refusal) {
+	e.settled = true
 	e.record.Reason = r.reason
 	e.sink.Refuse(r)
 }
@@ -408,7 +473,9 @@
 	head := answer.Head()
 	if serverFailed(head.Status) {
 		choice.Failed(time.Now())
-		if e.mayRunAgain() {
+		if e.mayRunAgain() && e.Budget.Retry(e.record.Service) {
+			// Without a retry the failure is the answer, so it is taken here.
+			e.retryTaken = true
 			e.Observer.Attempt(&e.record, choice.Server, "server_error", nil)
 			e.excluded = append(e.excluded, choice.Server.ID)
 			return false
@@ -444,8 +511,12 @@
 	last := a.After
 	for {
 		if !e.forward(answer, event, err, &last) {
+			if e.record.Reason == "" {
+				choice.Succeeded(time.Now())
+			}
 			return true
 		}
+		choice.Failed(time.Now())
 		next := e.resume(ctx, choice.Server, last)
 		if next == nil {
 			e.sink.Abort()
@@ -509,12 +580,16 @@
 		return nil
 	}
 	defer choice.Done()
+	if !e.mayArrive() {
+		return nil
+	}
 	e.record.Server = choice.Server
 	o := e.Upstream.Send(ctx, &Attempt{
 		Request: e.request, Server: choice.Server, Workspace: e.record.Workspace,
 		Priority: e.priority(), Left: time.Until(e.deadline), After: last,
 	})
 	e.ledger.note(o)
+	e.noteArrival(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	answered, ok := o.(Answered)
 	if !ok {
--- a/core/request.go
+++ b/core/request.go
@@ -98,8 +98,6 @@
 	Status int
 	// WrongServer means that another backend server has the address.
 	WrongServer bool
-	// SourceGone means that the KV cache to go on from could not be had.
-	SourceGone bool
 }
 
 // Lost means that the request may have run and there is no answer.
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -25,7 +25,7 @@
 	maxRetry = 600 * time.Millisecond
 	// awayAfter is how long calls must have failed before the store counts as
 	// away. A watch that is cut and comes back at once is no outage.
-	awayAfter = time.Second
+	awayAfter = 400 * time.Millisecond
 )
 
 // handler takes what a follower reads.
@@ -42,13 +42,13 @@
 	store  store.Store
 	prefix string
 	log    logr.Logger
-	// lastRead is the boot time of the last answer; onRead is told of it.
+	// onRead is called after each answer.
 	onRead func()
 }
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context, h handler) {
-	contact := boottime.Now()
+	var failingSince time.Duration
 	failing := false
 	pause := minRetry
 	var revision store.Revision
@@ -80,7 +80,7 @@
 			}
 			if !failing {
 				f.log.Info("store lost", "prefix", f.prefix, "cause", err.Error())
-				failing = true
+				failing, failingSince = true, boottime.Now()
 			}
 			// A list finds changes that a broken watch can't tell of.
 			listed = false
@@ -88,12 +88,12 @@
 			pause = min(2*pause, maxRetry)
 			continue
 		}
-		now := boottime.Now()
-		away := failing && now-contact > awayAfter
+		failed := boottime.Now() - failingSince
+		away := failing && failed > awayAfter
 		if failing {
-			f.log.Info("store regained", "prefix", f.prefix, "after_ms", (now - contact).Milliseconds())
+			f.log.Info("store regained", "prefix", f.prefix, "after_ms", failed.Milliseconds())
 		}
-		failing, pause, listed, contact = false, minRetry, true, now
+		failing, pause, listed = false, minRetry, true
 		deliver(away)
 		f.onRead()
 		sleep(ctx, watchPause)
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -30,6 +30,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Peers is the address for calls between nodes.
 	Peers string `json:"peers"`
+	// Load is the address for datagrams with the work of nodes.
+	Load string `json:"load"`
 }
 
 // Nodes announces this node and follows the list of all.
@@ -65,6 +67,19 @@
 	return list
 }
 
+// LoadPeers returns the addresses of the other nodes for datagrams.
+func (n *Nodes) LoadPeers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]string, 0, len(n.nodes))
+	for _, node := range n.nodes {
+		if node.Name != n.self.Name && node.Load != "" {
+			list = append(list, node.Load)
+		}
+	}
+	return list
+}
+
 // Rank returns how many nodes come before this one.
 func (n *Nodes) Rank() int {
 	for i, node := range n.List() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,8 @@
 	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/discovery"
+	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
+	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/platform"
 	"github.com/figweir/figweir/upstream"
@@ -66,9 +69,13 @@
 	front    *platform.Front
 	observer *observer
 	truth    *boottime.TrueTime
+	loads    *loadshare.Table
+	balancer *backends.Balancer
+	sharer   *loadshare.Sharer
 	lease    *authority.Lease
 	duty     *authority.Duty
 	reporter *metering.Reporter
+	staffer  *staffer
 	ready    atomic.Bool
 	stopping atomic.Bool
 }
@@ -80,24 +87,28 @@
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
-	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers}, log)
+	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress()}, log)
+	g.loads = loadshare.NewTable()
+	g.sharer = loadshare.NewSharer(rand.Uint64()|1, g.loads, g.ownWork, g.nodes.LoadPeers, log)
 	g.observer = newObserver(log)
 	windows := metering.Windows{Length: s.UsageWindow()}
 	counter := metering.NewCounter(windows, g.truth)
 	g.front = &platform.Front{Tables: &g.table, OnReject: g.observer.rejected}
+	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.loads, g.sharer.Changed)
+	backend := &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed}
 	g.front.Core = &core.Core{
 		Tables:   &g.table,
-		Chooser:  backends.NewBalancer(g.registry, s.FailureDomain, g.nodes.Count),
+		Chooser:  g.balancer,
 		Budget:   g.newBudget(),
-		Upstream: &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed},
+		Upstream: backend,
 		Meter:    counter,
 		Observer: g.observer,
 	}
-	g.newDuties(counter, windows)
+	g.newDuties(counter, windows, backend)
 	return g
 }
 
-func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows) {
+func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows, backend *platform.Backend) {
 	process := authority.NewProcess(g.settings.IPAddress)
 	g.lease = authority.NewLease(g.store, process, boottime.Clock{}, authority.LeaseOptions{
 		LeaseTime: g.settings.Lease(), Margin: g.settings.Lease() / 6,
@@ -105,6 +116,7 @@
 	})
 	g.duty = g.lease.Duty("platform", g.dutyCandidate)
 	cloud := platform.NewCloud(g.settings.Cloud.Address, g.settings.Name, cloudTimeout)
+	g.staffer = newStaffer(g, cloud, backend)
 	g.reporter = &metering.Reporter{
 		Counter: counter, Windows: windows, Clock: g.truth, Store: g.store, Duty: g.duty, Sender: cloud,
 		Incarnation: g.settings.Name + "." + process.Incarnation,
@@ -114,6 +126,23 @@
 	}
 }
 
+// loadAddress is the address for datagrams: the second port of the range.
+func (g *Gateway) loadAddress() string {
+	return fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]+1)
+}
+
+// ownWork returns the work of this node on backend servers.
+func (g *Gateway) ownWork() *figweirv1.LoadUpdate {
+	u := &figweirv1.LoadUpdate{PromptTokens: g.balancer.PromptTokens()}
+	for _, s := range g.registry.View().All() {
+		requests, tokens := s.Work()
+		if requests > 0 {
+			u.Servers = append(u.Servers, &figweirv1.ServerLoad{Server: s.Hash, Requests: uint32(requests), PrefillTokens: uint32(max(0, tokens))})
+		}
+	}
+	return u
+}
+
 // dutyCandidates is how many nodes try to take the duty while it is free.
 const dutyCandidates = 2
 
@@ -136,6 +165,10 @@
 	if err != nil {
 		return err
 	}
+	datagrams, err := net.ListenPacket("udp4", g.loadAddress())
+	if err != nil {
+		return err
+	}
 	stop, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
 	hangup := make(chan os.Signal, 1)
@@ -148,8 +181,11 @@
 	g.follow(background, &group)
 	dutyGroup.Go(func() { g.lease.Run(duties) })
 	dutyGroup.Go(func() { g.reporter.Run(duties) })
+	dutyGroup.Go(func() { g.staffer.run(duties) })
 	dutyGroup.Go(func() { g.nodes.Announce(duties, g.store) })
 	group.Go(func() { g.sweep(background) })
+	group.Go(func() { g.sharer.Run(background, datagrams) })
+	go g.sharer.Receive(datagrams)
 	group.Go(func() { g.reload(background, hangup) })
 
 	wrapped := platform.NewListener(callers, &g.table)
@@ -173,6 +209,7 @@
 	_ = callerServer.Close()
 	_ = readyServer.Close()
 	_ = adminServer.Close()
+	_ = datagrams.Close()
 	g.log.Info("stop", "in_flight", g.front.InFlight.Load())
 	return nil
 }
--- /dev/null
+++ b/gateway/staffing.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"github.com/figweir/figweir/backends"
+	"github.com/figweir/figweir/core"
+	"github.com/figweir/figweir/plan"
+	"github.com/figweir/figweir/platform"
+)
+
+const (
+	// staffEvery is the time between two looks at the backend servers.
+	staffEvery = 500 * time.Millisecond
+	// orderPause is how long an order has to take effect before it is repeated.
+	orderPause = 5 * time.Second
+	// unavailableFor is how long a failure domain without reclaimable servers
+	// is not asked again.
+	unavailableFor = 8 * time.Second
+	// maxRoleShare bounds the part of the engines that changes its role at a
+	// time, since they serve nothing meanwhile; idle engines may all change.
+	maxRoleShare = 0.15
+	// settleTime is how long registrations are collected before the first order.
+	settleTime = 2 * time.Second
+)
+
+// staffer orders backend servers and their roles while this node holds the duty.
+type staffer struct {
+	*Gateway
+	cloud   *platform.Cloud
+	backend *platform.Backend
+	since   time.Time
+	// ordered is what was last ordered, and when, by service, failure domain
+	// and class.
+	ordered     map[platform.ServerOrder]time.Time
+	counts      map[platform.ServerOrder]int
+	roleOrders  map[string]time.Time
+	unavailable map[string]time.Time
+	demand      demand
+	// least is the number of engines of each service when this node took the
+	// duty. Fewer are not ordered: the demand seen so far may be low by chance.
+	// It grows with the demand.
+	least map[string]int
+}
+
+// demand follows the prompt tokens per second of all nodes.
+type demand struct {
+	at     time.Time
+	tokens uint64
+	// mean is a moving average, peak the highest one lately.
+	mean, peak float64
+}
+
+const (
+	// demandWeight is the weight of the newest sample in the moving average.
+	demandWeight = 0.15
+	// peakDecay is the part of the peak that is forgotten at each sample.
+	peakDecay = 0.005
+)
+
+func (d *demand) observe(now time.Time, tokens uint64) {
+	if !d.at.IsZero() && tokens >= d.tokens {
+		sample := float64(tokens-d.tokens) / now.Sub(d.at).Seconds()
+		d.mean += demandWeight * (sample - d.mean)
+		d.peak = max(d.mean, d.peak*(1-peakDecay))
+	}
+	d.at, d.tokens = now, tokens
+}
+
+func newStaffer(g *Gateway, cloud *platform.Cloud, backend *platform.Backend) *staffer {
+	return &staffer{
+		Gateway: g, cloud: cloud, backend: backend, ordered: make(map[platform.ServerOrder]time.Time),
+		counts: make(map[platform.ServerOrder]int), roleOrders: make(map[string]time.Time),
+		unavailable: make(map[string]time.Time), least: make(map[string]int),
+	}
+}
+
+func (s *staffer) run(ctx context.Context) {
+	ticker := time.NewTicker(staffEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.PromptTokens())
+			token, held := s.duty.Fence()
+			if !held {
+				s.since = time.Time{}
+				clear(s.ordered)
+				clear(s.counts)
+				clear(s.least)
+				continue
+			}
+			if s.since.IsZero() {
+				s.since = now
+			}
+			table := s.table.Load()
+			if table == nil || now.Sub(s.since) < settleTime {
+				continue
+			}
+			for _, service := range table.Services {
+				s.staff(ctx, now, token, service)
+			}
+		}
+	}
+}
+
+func (s *staffer) staff(ctx context.Context, now time.Time, token uint64, service *core.Service) {
+	engines := s.engines(service.Name)
+	if service.Engine != nil {
+		s.changeRoles(ctx, now, token, engines)
+	}
+	if service.Scaling == nil {
+		return
+	}
+	if s.least[service.Name] == 0 {
+		s.least[service.Name] = len(engines)
+	}
+	v := &plan.StaffView{
+		Least:   s.least[service.Name],
+		Engines: engines, MinPerDomain: service.Scaling.Min, MaxPerDomain: service.Scaling.Max,
+		ReclaimablePrice: service.Scaling.ReclaimablePrice, Unavailable: make(map[string]bool),
+		PromptTokensPerSecond: s.demand.peak, EngineTokensPerSecond: s.balancer.PrefillTokensPerSecond(),
+	}
+	for d := range service.Scaling.Prices {
+		v.FailureDomains = append(v.FailureDomains, d)
+		v.Unavailable[d] = now.Before(s.unavailable[d])
+	}
+	sort.Strings(v.FailureDomains)
+	targets := plan.Staff(v)
+	// A server that is given up and ordered again costs its start twice, and
+	// the cache it had, so the number follows peaks of the demand only.
+	s.least[service.Name] = max(s.least[service.Name], v.PerDomain()*len(v.FailureDomains))
+	for _, d := range v.FailureDomains {
+		t := targets[d]
+		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, t.Reclaimable, len(engines))
+		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, t.Standard, len(engines))
+	}
+}
+
+func (s *staffer) engines(service string) []plan.Engine {
+	var list []plan.Engine
+	for _, b := range s.registry.View().Servers(service) {
+		requests, _ := b.Work()
+		others, _ := s.loads.Load(b.Hash)
+		list = append(list, plan.Engine{
+			ID: b.ID, FailureDomain: b.FailureDomain, Prefill: b.Role == backends.RolePrefill,
+			Reclaimable: b.Reclaimable, Requests: int(requests + others),
+		})
+	}
+	return list
+}
+
+// order orders a number of servers unless the same order was sent lately.
+func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count, engines int) {
+	last, known := s.ordered[key]
+	if known && (s.counts[key] == count || now.Sub(last) < orderPause) {
+		return
+	}
+	if key.Reclaimable && count == 0 && !known {
+		return
+	}
+	o := key
+	o.Count = count
+	err := s.cloud.OrderServers(ctx, token, o)
+	s.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
+		"count", count, "fencing_token", token, "engines", engines,
+		"prompt_tokens_per_s", int(s.demand.peak), "engine_tokens_per_s", int(s.balancer.PrefillTokensPerSecond()), "error", errorText(err))
+	s.ordered[key] = now
+	s.counts[key] = count
+	if err != nil {
+		s.counts[key] = -1
+	}
+	if errors.Is(err, platform.ErrFenced) && key.Reclaimable {
+		s.unavailable[key.FailureDomain] = now.Add(unavailableFor)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (s *staffer) changeRoles(ctx context.Context, now time.Time, token uint64, engines []plan.Engine) {
+	changing := 0
+	for id, at := range s.roleOrders {
+		if now.Sub(at) < orderPause {
+			changing++
+		} else {
+			delete(s.roleOrders, id)
+		}
+	}
+	view := s.registry.View().All()
+	limit := max(1, int(maxRoleShare*float64(len(engines))))
+	if idle(engines) {
+		limit = len(engines)
+	}
+	for _, c := range plan.Roles(engines, limit-changing) {
+		if _, ordered := s.roleOrders[c.ID]; ordered {
+			continue
+		}
+		role := backends.RoleDecode
+		if c.Prefill {
+			role = backends.RolePrefill
+		}
+		err := s.backend.ChangeRole(ctx, view[c.ID], role, s.settings.Name, token)
+		s.log.Info("role ordered", "backend_server", c.ID, "prefill", c.Prefill, "fencing_token", token, "error", errorText(err))
+		s.roleOrders[c.ID] = now
+	}
+}
+
+// idle reports whether no engine has a request.
+func idle(engines []plan.Engine) bool {
+	for _, e := range engines {
+		if e.Requests > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/plan/staff.go
@@ -0,0 +1,183 @@
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Engine is a running engine as Staff sees it.
+type Engine struct {
+	ID            string
+	FailureDomain string
+	// Prefill tells whether the engine processes prompts for others; otherwise
+	// it decodes.
+	Prefill     bool
+	Reclaimable bool
+	// Requests is the number of requests in progress.
+	Requests int
+}
+
+// StaffView is what Staff decides on.
+type StaffView struct {
+	// Engines are the running engines of one service. Leaving ones are not among
+	// them.
+	Engines []Engine
+	// FailureDomains are those in which engines can be ordered, sorted.
+	FailureDomains []string
+	// MinPerDomain and MaxPerDomain bound the engines of a failure domain, both
+	// classes together.
+	MinPerDomain, MaxPerDomain int
+	// ReclaimablePrice is the price of a reclaimable engine as a share of the
+	// price of a standard one; 0 if there are none.
+	ReclaimablePrice float64
+	// Unavailable names failure domains that have no reclaimable engines now.
+	Unavailable map[string]bool
+	// PromptTokensPerSecond is the demand for prefill at its recent peak; 0 if
+	// it is not known.
+	PromptTokensPerSecond float64
+	// Least is the number of engines to keep whatever the demand is.
+	Least int
+	// EngineTokensPerSecond is what one prefill engine processes.
+	EngineTokensPerSecond float64
+}
+
+// Staffing is the number of engines of each class in one failure domain.
+type Staffing struct {
+	Standard, Reclaimable int
+}
+
+const (
+	// prefillLoad is the load of prefill engines that keeps queues short while
+	// the demand varies.
+	prefillLoad = 0.45
+	// decodeShare is the part of a failure domain's engines that decodes; one
+	// always does. Decoding needs little time beside prefill, but all streams
+	// of a failure domain depend on it.
+	decodeShare = 0.2
+)
+
+// Staff returns how many engines of each class each failure domain should have.
+// A failure domain keeps its least number as standard engines, so that it serves
+// through a reclaim; the rest are reclaimable where they can be had.
+func Staff(v *StaffView) map[string]Staffing {
+	perDomain := v.PerDomain()
+	out := make(map[string]Staffing, len(v.FailureDomains))
+	for _, d := range v.FailureDomains {
+		present := v.count(d)
+		s := Staffing{Standard: perDomain}
+		if v.ReclaimablePrice > 0 && v.ReclaimablePrice < 1 {
+			s.Standard = min(perDomain, max(1, v.MinPerDomain))
+			s.Reclaimable = perDomain - s.Standard
+		}
+		if v.Unavailable[d] {
+			s.Reclaimable = present.Reclaimable
+		}
+		// Standard engines leave only once the reclaimable ones that replace
+		// them are there.
+		if missing := s.Reclaimable - present.Reclaimable; missing > 0 && present.Standard > s.Standard {
+			s.Standard = min(present.Standard, max(s.Standard, min(perDomain, s.Standard+missing)))
+		}
+		if over := s.Standard + s.Reclaimable - v.MaxPerDomain; over > 0 {
+			s.Reclaimable = max(0, s.Reclaimable-over)
+		}
+		out[d] = s
+	}
+	return out
+}
+
+// PerDomain returns how many engines of both classes each failure domain should
+// have.
+func (v *StaffView) PerDomain() int {
+	domains := max(1, len(v.FailureDomains))
+	total := float64(v.Least)
+	if v.PromptTokensPerSecond > 0 && v.EngineTokensPerSecond > 0 {
+		prefill := v.PromptTokensPerSecond / (v.EngineTokensPerSecond * prefillLoad)
+		total = max(total, prefill/(1-decodeShare))
+	}
+	n := int(math.Ceil(total / float64(domains)))
+	return min(max(n, v.MinPerDomain, 2), max(v.MaxPerDomain, 1))
+}
+
+func (v *StaffView) count(domain string) Staffing {
+	var s Staffing
+	for _, e := range v.Engines {
+		if e.FailureDomain != domain {
+			continue
+		}
+		if e.Reclaimable {
+			s.Reclaimable++
+		} else {
+			s.Standard++
+		}
+	}
+	return s
+}
+
+// RoleChange gives an engine another role.
+type RoleChange struct {
+	ID      string
+	Prefill bool
+}
+
+// Roles returns the engines that should change their role, at most limit. Each
+// failure domain needs one decode engine at least, standard ones first: the
+// streams of reclaimable ones have to move when they leave.
+func Roles(engines []Engine, limit int) []RoleChange {
+	byDomain := make(map[string][]Engine)
+	for _, e := range engines {
+		byDomain[e.FailureDomain] = append(byDomain[e.FailureDomain], e)
+	}
+	domains := make([]string, 0, len(byDomain))
+	for d := range byDomain {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	var changes []RoleChange
+	for _, d := range domains {
+		changes = append(changes, domainRoles(byDomain[d], len(engines))...)
+	}
+	// Engines that start to decode come first: without one no stream runs.
+	slices.SortStableFunc(changes, func(a, b RoleChange) int {
+		return cmp.Compare(boolToInt(a.Prefill), boolToInt(b.Prefill))
+	})
+	return changes[:min(len(changes), max(0, limit))]
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func domainRoles(engines []Engine, total int) []RoleChange {
+	want := int(math.Round(decodeShare * float64(len(engines))))
+	if len(engines) > 1 || total == 1 {
+		want = max(1, want)
+	}
+	if len(engines) == 1 && total > 1 {
+		want = boolToInt(!engines[0].Prefill)
+	}
+	var decode, prefill []Engine
+	for _, e := range engines {
+		if e.Prefill {
+			prefill = append(prefill, e)
+		} else {
+			decode = append(decode, e)
+		}
+	}
+	idleFirst := func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Requests, b.Requests), cmp.Compare(a.ID, b.ID))
+	}
+	slices.SortFunc(decode, idleFirst)
+	slices.SortFunc(prefill, idleFirst)
+	var changes []RoleChange
+	for i := 0; i < len(decode)-want; i++ {
+		changes = append(changes, RoleChange{decode[i].ID, true})
+	}
+	for i := 0; i < want-len(decode) && i < len(prefill); i++ {
+		changes = append(changes, RoleChange{prefill[i].ID, false})
+	}
+	return changes
+}
