Size decode engines by running streams and keep long prompts off them

Cause: an event holds eleven tokens, so streams last seconds; with one decode engine in five their slots were full (1.1 s from handle to first event). Prompts processed by decode engines made all streams there pause beyond the target.

Also mended: a stream that could not be resumed tried again in a loop until its deadline.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -173,6 +173,11 @@
 	decodeSharePrefilling = 0.3
 	// slotMilli is the delay that one more running request adds.
 	slotMilli = 0.5
+	// pauseShare is the part of the pause allowed between events that prompts
+	// may take up at a decode engine; pauseDelay is the delay that is accepted
+	// for each millisecond beyond it.
+	pauseShare = 0.25
+	pauseDelay = 6.0
 	// fullDelay is added for an engine whose slots are all taken.
 	fullDelay = 500.0
 )
@@ -230,12 +235,29 @@
 		transferMillis *= 2
 	}
 	splitMillis := prefill.millis + transferMillis + bytes/1e9*float64(movedGigabyte/time.Millisecond)
-	if splitMillis < directMillis {
+	if splitMillis < directMillis+b.pauseMillis(decode, w) {
 		return b.newChoice(decode.server, prefill.server, w.Prompt, prefill.uncached, splitMillis), nil
 	}
 	return b.newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
 }
 
+// pauseMillis returns the delay that is accepted to keep a prompt away from a
+// decode engine. The chunks of a prompt lie between the tokens of the streams
+// there, and an event may hold several tokens, so long prompts make all of them
+// pause.
+func (b *Balancer) pauseMillis(decode *engineCost, w *Work) float64 {
+	if w.TargetPause <= 0 {
+		return 0
+	}
+	allowed := pauseShare * float64(w.TargetPause/time.Millisecond)
+	rate := b.decodeRate.perMilli(decodeTokensPerMilli)
+	prompt := float64(decode.uncached)/rate + decode.queue
+	if prompt <= allowed {
+		return 0
+	}
+	return pauseDelay * (prompt - allowed)
+}
+
 // cheapest returns the engine of a role with the least cost, or nil.
 func (b *Balancer) cheapest(now time.Time, w *Work, servers []*Server, role Role) *engineCost {
 	home := homeOf(w.Prompt.Subject(), servers, role)
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -14,6 +14,8 @@
 	Prefill *Server
 	// Estimate is the expected time to the first event; 0 if there is none.
 	Estimate time.Duration
+	// Uncached are the prompt tokens that are not expected to be cached.
+	Uncached int
 
 	prompt *Prompt
 	// pending are the tokens that count as unprocessed at holder.
@@ -23,13 +25,12 @@
 	b       *Balancer
 	// alone tells that no other work was known at the engine that processes the
 	// prompt; begun is when the choice was made.
-	alone    bool
-	begun    time.Time
-	uncached int
+	alone bool
+	begun time.Time
 }
 
 func (b *Balancer) newChoice(s, prefill *Server, p *Prompt, uncached int, estimateMillis float64) *Choice {
-	c := &Choice{Server: s, Prefill: prefill, prompt: p, b: b, begun: time.Now(), uncached: uncached, Estimate: time.Duration(estimateMillis * float64(time.Millisecond))}
+	c := &Choice{Server: s, Prefill: prefill, prompt: p, b: b, begun: time.Now(), Uncached: uncached, Estimate: time.Duration(estimateMillis * float64(time.Millisecond))}
 	s.stats.inflight.Add(1)
 	c.holder = s.stats
 	if prefill != nil {
@@ -55,8 +56,8 @@
 // Prefilled says that the prompt has been processed apart.
 func (c *Choice) Prefilled(now time.Time) {
 	c.settle()
-	if c.alone {
-		c.b.prefillRate.observe(c.uncached, now.Sub(c.begun), prefillTokensPerMilli)
+	if c.alone && c.Uncached == c.prompt.Own() {
+		c.b.prefillRate.observe(c.Uncached, now.Sub(c.begun), prefillTokensPerMilli)
 	}
 	c.Prefill.stats.inflight.Add(-1)
 	c.Prefill.stats.observe(false)
--- a/backends/server.go
+++ b/backends/server.go
@@ -228,6 +228,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// Own returns the tokens that no other request shares.
+func (p *Prompt) Own() int {
+	own := p.Tokens
+	for _, part := range p.Shared() {
+		own -= part.Tokens
+	}
+	return own
+}
+
 // Subject is the last shared part: requests of one subject are best served by
 // the same engine. It is empty if nothing is shared.
 func (p *Prompt) Subject() string {
@@ -248,6 +257,9 @@
 	// Left is the time until the deadline, Target the one within which the
 	// first event is on time.
 	Left, Target time.Duration
+	// TargetPause is the longest pause between events that is on time; 0 if
+	// there is no bound.
+	TargetPause time.Duration
 	// Urgency is the rank; 0 is the most urgent.
 	Urgency int
 	// Prefilled tells that the prompt is processed already.
--- a/core/core.go
+++ b/core/core.go
@@ -75,6 +75,8 @@
 	Prefill *backends.Server
 	// Estimate is the time to the first event that the choice expected.
 	Estimate time.Duration
+	// Uncached are the prompt tokens that were not expected to be cached.
+	Uncached int
 	Sent     int
 	Unsent   int
 	Refused  int
@@ -83,6 +85,9 @@
 	Status int
 	// Reason is empty for an answer of a backend server that was sent whole.
 	Reason Reason
+	// PrefilledAfter is the time from the arrival until the prompt had been
+	// processed apart; 0 if it was not.
+	PrefilledAfter time.Duration
 	// FirstEvent is the time from the arrival to the first event or the answer;
 	// 0 if there was none.
 	FirstEvent time.Duration
@@ -120,8 +125,10 @@
 	handle     *Handle
 	handleUses int
 	prefilled  bool
-	began      bool
-	settled    bool
+	// resumed are the choices of continued streams.
+	resumed []*backends.Choice
+	began   bool
+	settled bool
 	// retryTaken tells that the retry budget has been asked for the next attempt.
 	retryTaken bool
 	record     Record
@@ -178,6 +185,11 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline, context.DeadlineExceeded)
 	defer cancel()
 	defer e.freeHandle()
+	defer func() {
+		for _, c := range e.resumed {
+			c.Done()
+		}
+	}()
 	service := e.route.Service(xxhash.Sum64String(e.request.ID))
 	e.record.Service = service
 	for {
@@ -218,7 +230,7 @@
 func (e *exchange) work(service string) *backends.Work {
 	w := &backends.Work{
 		Service: service, Prompt: e.request.Prompt, Excluded: e.excluded,
-		Left: time.Until(e.deadline), Target: e.route.Target, Urgency: e.priority(),
+		Left: time.Until(e.deadline), Target: e.route.Target, TargetPause: e.route.TargetPause, Urgency: e.priority(),
 		Resumed: e.request.LastEventID != "", Prefilled: e.handle != nil,
 	}
 	if s := e.table.Services[service]; s != nil {
@@ -245,6 +257,7 @@
 		Priority: e.priority(), After: e.request.LastEventID,
 	}
 	e.record.Server, e.record.Prefill, e.record.Estimate = choice.Server, choice.Prefill, choice.Estimate
+	e.record.Uncached = choice.Uncached
 	if choice.Prefill != nil && !e.prefill(ctx, a, choice) {
 		return e.settled
 	}
@@ -367,6 +380,7 @@
 			e.noteArrival(nil)
 		}
 		choice.Prefilled(time.Now())
+		e.record.PrefilledAfter = time.Since(e.request.Arrived)
 		e.handle, e.handleUses, e.prefilled = handle, 0, true
 		return true
 	}
@@ -562,27 +576,29 @@
 	}
 	e.excluded = append(e.excluded, failed.ID)
 	for e.ledger.refused <= maxRefused && e.ledger.unsent < maxUnsent && e.mayRunAgain() {
-		answer := e.resumeOnce(ctx, last)
+		w := e.work(e.record.Service)
+		w.Resumed = true
+		choice, err := e.Chooser.Choose(time.Now(), w)
+		if err != nil || !e.mayArrive() {
+			if err == nil {
+				choice.Done()
+			}
+			return nil
+		}
+		answer := e.resumeAt(ctx, choice, last)
 		if answer != nil {
 			e.record.Resumed++
 			e.record.Reason = ""
 			return answer
 		}
+		choice.Done()
 	}
 	return nil
 }
 
-func (e *exchange) resumeOnce(ctx context.Context, last string) Answer {
-	w := e.work(e.record.Service)
-	w.Resumed = true
-	choice, err := e.Chooser.Choose(time.Now(), w)
-	if err != nil {
-		return nil
-	}
-	defer choice.Done()
-	if !e.mayArrive() {
-		return nil
-	}
+// resumeAt continues a stream at one backend server. The choice stays open while
+// there is an answer.
+func (e *exchange) resumeAt(ctx context.Context, choice *backends.Choice, last string) Answer {
 	e.record.Server = choice.Server
 	o := e.Upstream.Send(ctx, &Attempt{
 		Request: e.request, Server: choice.Server, Workspace: e.record.Workspace,
@@ -591,17 +607,15 @@
 	e.ledger.note(o)
 	e.noteArrival(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
-	answered, ok := o.(Answered)
-	if !ok {
-		e.Observer.Attempt(&e.record, choice.Server, "resume_failed", nil)
-		return nil
-	}
-	if !answered.Answer.Stream() {
+	if answered, ok := o.(Answered); ok {
+		if answered.Answer.Stream() {
+			e.resumed = append(e.resumed, choice)
+			return answered.Answer
+		}
 		answered.Answer.Close()
-		e.Observer.Attempt(&e.record, choice.Server, "resume_failed", nil)
-		return nil
 	}
-	return answered.Answer
+	e.Observer.Attempt(&e.record, choice.Server, "resume_failed", nil)
+	return nil
 }
 
 func (e *exchange) cutReason(reason Reason) Reason {
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -54,6 +54,12 @@
 	if r.Route != nil {
 		fields = append(fields, "route", r.Route.Name)
 	}
+	if r.Request.Prompt != nil {
+		fields = append(fields, "prefilled_ms", r.PrefilledAfter.Milliseconds(), "prompt_tokens", r.Request.Prompt.Tokens, "uncached_tokens", r.Uncached)
+	}
+	if r.Prefill != nil {
+		fields = append(fields, "prefill_server", r.Prefill.ID)
+	}
 	if r.Server != nil {
 		fields = append(fields, logging.BackendServer, r.Server.ID)
 	}
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -46,14 +46,18 @@
 	least map[string]int
 }
 
-// demand follows the prompt tokens per second of all nodes.
+// demand follows the prompt tokens per second of all nodes and the streams that
+// run.
 type demand struct {
-	at     time.Time
-	tokens uint64
-	// mean is a moving average, peak the highest one lately.
-	mean, peak float64
+	at      time.Time
+	counted uint64
+	tokens  peak
+	streams peak
 }
 
+// peak follows a moving average and its highest value lately.
+type peak struct{ mean, highest float64 }
+
 const (
 	// demandWeight is the weight of the newest sample in the moving average.
 	demandWeight = 0.15
@@ -61,13 +65,22 @@
 	peakDecay = 0.005
 )
 
-func (d *demand) observe(now time.Time, tokens uint64) {
-	if !d.at.IsZero() && tokens >= d.tokens {
-		sample := float64(tokens-d.tokens) / now.Sub(d.at).Seconds()
-		d.mean += demandWeight * (sample - d.mean)
-		d.peak = max(d.mean, d.peak*(1-peakDecay))
+func (p *peak) observe(sample float64) {
+	p.mean += demandWeight * (sample - p.mean)
+	p.highest = max(p.mean, p.highest*(1-peakDecay))
+}
+
+func (d *demand) observe(now time.Time, counted uint64, streams int) {
+	elapsed := now.Sub(d.at)
+	if elapsed < staffEvery/2 {
+		// A tick that comes late is followed by one that comes at once.
+		return
 	}
-	d.at, d.tokens = now, tokens
+	if !d.at.IsZero() && counted >= d.counted {
+		d.tokens.observe(float64(counted-d.counted) / elapsed.Seconds())
+		d.streams.observe(float64(streams))
+	}
+	d.at, d.counted = now, counted
 }
 
 func newStaffer(g *Gateway, cloud *platform.Cloud, backend *platform.Backend) *staffer {
@@ -86,7 +99,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.PromptTokens())
+			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.PromptTokens(), s.streams())
 			token, held := s.duty.Fence()
 			if !held {
 				s.since = time.Time{}
@@ -110,36 +123,67 @@
 }
 
 func (s *staffer) staff(ctx context.Context, now time.Time, token uint64, service *core.Service) {
-	engines := s.engines(service.Name)
+	if service.Engine == nil && service.Scaling == nil {
+		return
+	}
+	v := s.view(now, service)
 	if service.Engine != nil {
-		s.changeRoles(ctx, now, token, engines)
+		s.changeRoles(ctx, now, token, v)
 	}
 	if service.Scaling == nil {
 		return
 	}
+	// A server that is given up and ordered again costs its start twice, and
+	// the cache it had, so the number follows peaks of the demand only.
+	if v.PromptTokensPerSecond > 0 || len(s.ordered) == 0 {
+		s.least[service.Name] = max(s.least[service.Name], v.PerDomain()*len(v.FailureDomains))
+		v.Least = s.least[service.Name]
+	}
+	targets := plan.Staff(v)
+	for _, d := range v.FailureDomains {
+		t := targets[d]
+		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, t.Reclaimable, v)
+		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, t.Standard, v)
+	}
+}
+
+func (s *staffer) view(now time.Time, service *core.Service) *plan.StaffView {
+	engines := s.engines(service.Name)
 	if s.least[service.Name] == 0 {
 		s.least[service.Name] = len(engines)
 	}
 	v := &plan.StaffView{
-		Least:   s.least[service.Name],
-		Engines: engines, MinPerDomain: service.Scaling.Min, MaxPerDomain: service.Scaling.Max,
-		ReclaimablePrice: service.Scaling.ReclaimablePrice, Unavailable: make(map[string]bool),
-		PromptTokensPerSecond: s.demand.peak, EngineTokensPerSecond: s.balancer.PrefillTokensPerSecond(),
+		Engines: engines, Least: s.least[service.Name], Unavailable: make(map[string]bool),
+		PromptTokensPerSecond: s.demand.tokens.highest, Streams: s.demand.streams.highest,
+		EngineTokensPerSecond: s.balancer.PrefillTokensPerSecond(),
 	}
-	for d := range service.Scaling.Prices {
-		v.FailureDomains = append(v.FailureDomains, d)
-		v.Unavailable[d] = now.Before(s.unavailable[d])
+	if service.Engine != nil {
+		v.Slots = service.Engine.Slots
 	}
-	sort.Strings(v.FailureDomains)
-	targets := plan.Staff(v)
-	// A server that is given up and ordered again costs its start twice, and
-	// the cache it had, so the number follows peaks of the demand only.
-	s.least[service.Name] = max(s.least[service.Name], v.PerDomain()*len(v.FailureDomains))
-	for _, d := range v.FailureDomains {
-		t := targets[d]
-		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, t.Reclaimable, len(engines))
-		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, t.Standard, len(engines))
+	if service.Scaling != nil {
+		v.MinPerDomain, v.MaxPerDomain = service.Scaling.Min, service.Scaling.Max
+		v.ReclaimablePrice = service.Scaling.ReclaimablePrice
+		for d := range service.Scaling.Prices {
+			v.FailureDomains = append(v.FailureDomains, d)
+			v.Unavailable[d] = now.Before(s.unavailable[d])
+		}
+		sort.Strings(v.FailureDomains)
+	}
+	return v
+}
+
+// streams returns the requests at decode engines.
+func (s *staffer) streams() int {
+	n := 0
+	for _, b := range s.registry.View().All() {
+		if b.Role != backends.RoleDecode {
+			continue
+		}
+		own, _ := b.Work()
+		others, _ := s.loads.Load(b.Hash)
+		n += int(own + others)
 	}
+	return n
 }
 
 func (s *staffer) engines(service string) []plan.Engine {
@@ -156,7 +200,7 @@
 }
 
 // order orders a number of servers unless the same order was sent lately.
-func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count, engines int) {
+func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
 	last, known := s.ordered[key]
 	if known && (s.counts[key] == count || now.Sub(last) < orderPause) {
 		return
@@ -168,8 +212,8 @@
 	o.Count = count
 	err := s.cloud.OrderServers(ctx, token, o)
 	s.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
-		"count", count, "fencing_token", token, "engines", engines,
-		"prompt_tokens_per_s", int(s.demand.peak), "engine_tokens_per_s", int(s.balancer.PrefillTokensPerSecond()), "error", errorText(err))
+		"count", count, "fencing_token", token, "engines", len(v.Engines),
+		"prompt_tokens_per_s", int(v.PromptTokensPerSecond), "engine_tokens_per_s", int(v.EngineTokensPerSecond), "streams", int(v.Streams), "error", errorText(err))
 	s.ordered[key] = now
 	s.counts[key] = count
 	if err != nil {
@@ -187,7 +231,7 @@
 	return err.Error()
 }
 
-func (s *staffer) changeRoles(ctx context.Context, now time.Time, token uint64, engines []plan.Engine) {
+func (s *staffer) changeRoles(ctx context.Context, now time.Time, token uint64, v *plan.StaffView) {
 	changing := 0
 	for id, at := range s.roleOrders {
 		if now.Sub(at) < orderPause {
@@ -197,11 +241,11 @@
 		}
 	}
 	view := s.registry.View().All()
-	limit := max(1, int(maxRoleShare*float64(len(engines))))
-	if idle(engines) {
-		limit = len(engines)
+	limit := max(1, int(maxRoleShare*float64(len(v.Engines))))
+	if idle(v.Engines) {
+		limit = len(v.Engines)
 	}
-	for _, c := range plan.Roles(engines, limit-changing) {
+	for _, c := range v.Roles(limit - changing) {
 		if _, ordered := s.roleOrders[c.ID]; ordered {
 			continue
 		}
@@ -210,7 +254,7 @@
 			role = backends.RolePrefill
 		}
 		err := s.backend.ChangeRole(ctx, view[c.ID], role, s.settings.Name, token)
-		s.log.Info("role ordered", "backend_server", c.ID, "prefill", c.Prefill, "fencing_token", token, "error", errorText(err))
+		s.log.Info("role ordered", "backend_server", c.ID, "prefill", c.Prefill, "streams", int(v.Streams), "decode_engines", v.DecodeEngines(), "fencing_token", token, "error", errorText(err))
 		s.roleOrders[c.ID] = now
 	}
 }
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -38,6 +38,11 @@
 	PromptTokensPerSecond float64
 	// Least is the number of engines to keep whatever the demand is.
 	Least int
+	// Streams is the number of running streams at the recent peak; 0 if it is
+	// not known.
+	Streams float64
+	// Slots is how many streams one engine decodes at a time.
+	Slots int
 	// EngineTokensPerSecond is what one prefill engine processes.
 	EngineTokensPerSecond float64
 }
@@ -51,10 +56,16 @@
 	// prefillLoad is the load of prefill engines that keeps queues short while
 	// the demand varies.
 	prefillLoad = 0.45
-	// decodeShare is the part of a failure domain's engines that decodes; one
-	// always does. Decoding needs little time beside prefill, but all streams
-	// of a failure domain depend on it.
-	decodeShare = 0.2
+	// spareShare is ordered on top of the engines that a deployment starts with,
+	// before its demand is known.
+	spareShare = 0.4
+	// decodeLoad is the part of the slots of decode engines that running streams
+	// may take at the recent peak: a request that finds no slot waits as long as
+	// a stream lasts.
+	decodeLoad = 0.5
+	// decodeShare is the part of the engines that decodes while the demand is
+	// not known.
+	decodeShare = 0.4
 )
 
 // Staff returns how many engines of each class each failure domain should have.
@@ -91,18 +102,22 @@
 func (v *StaffView) PerDomain() int {
 	domains := max(1, len(v.FailureDomains))
 	total := float64(v.Least)
+	if v.PromptTokensPerSecond <= 0 && v.count("").Reclaimable == 0 {
+		total *= 1 + spareShare
+	}
 	if v.PromptTokensPerSecond > 0 && v.EngineTokensPerSecond > 0 {
 		prefill := v.PromptTokensPerSecond / (v.EngineTokensPerSecond * prefillLoad)
-		total = max(total, prefill/(1-decodeShare))
+		total = max(total, prefill+float64(v.DecodeEngines()))
 	}
 	n := int(math.Ceil(total / float64(domains)))
 	return min(max(n, v.MinPerDomain, 2), max(v.MaxPerDomain, 1))
 }
 
+// count counts the engines of a failure domain, or all of them if it is empty.
 func (v *StaffView) count(domain string) Staffing {
 	var s Staffing
 	for _, e := range v.Engines {
-		if e.FailureDomain != domain {
+		if domain != "" && e.FailureDomain != domain {
 			continue
 		}
 		if e.Reclaimable {
@@ -120,12 +135,27 @@
 	Prefill bool
 }
 
-// Roles returns the engines that should change their role, at most limit. Each
-// failure domain needs one decode engine at least, standard ones first: the
-// streams of reclaimable ones have to move when they leave.
-func Roles(engines []Engine, limit int) []RoleChange {
+// DecodeEngines returns how many engines should decode: as many as the streams
+// need, but at least one in each failure domain and never all.
+func (v *StaffView) DecodeEngines() int {
+	want := decodeShare * float64(len(v.Engines))
+	if v.Streams > 0 && v.Slots > 0 {
+		want = math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
+	}
+	domains := make(map[string]bool)
+	for _, e := range v.Engines {
+		domains[e.FailureDomain] = true
+	}
+	n := max(int(math.Round(want)), len(domains), 1)
+	return min(n, max(1, len(v.Engines)-1))
+}
+
+// Roles returns the engines that should change their role so that as many as
+// wanted decode, spread over the failure domains by their numbers of engines. At
+// most limit change.
+func (v *StaffView) Roles(limit int) []RoleChange {
 	byDomain := make(map[string][]Engine)
-	for _, e := range engines {
+	for _, e := range v.Engines {
 		byDomain[e.FailureDomain] = append(byDomain[e.FailureDomain], e)
 	}
 	domains := make([]string, 0, len(byDomain))
@@ -133,9 +163,10 @@
 		domains = append(domains, d)
 	}
 	slices.Sort(domains)
+	want := spread(v.DecodeEngines(), domains, byDomain)
 	var changes []RoleChange
 	for _, d := range domains {
-		changes = append(changes, domainRoles(byDomain[d], len(engines))...)
+		changes = append(changes, domainRoles(byDomain[d], want[d])...)
 	}
 	// Engines that start to decode come first: without one no stream runs.
 	slices.SortStableFunc(changes, func(a, b RoleChange) int {
@@ -144,6 +175,28 @@
 	return changes[:min(len(changes), max(0, limit))]
 }
 
+// spread divides the decode engines among the failure domains, each time giving
+// one to the domain with the smallest part of its engines decoding.
+func spread(total int, domains []string, byDomain map[string][]Engine) map[string]int {
+	want := make(map[string]int, len(domains))
+	for range total {
+		best := ""
+		for _, d := range domains {
+			if want[d] >= len(byDomain[d]) {
+				continue
+			}
+			if best == "" || (want[d]+1)*len(byDomain[best]) < (want[best]+1)*len(byDomain[d]) {
+				best = d
+			}
+		}
+		if best == "" {
+			break
+		}
+		want[best]++
+	}
+	return want
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -151,14 +204,7 @@
 	return 0
 }
 
-func domainRoles(engines []Engine, total int) []RoleChange {
-	want := int(math.Round(decodeShare * float64(len(engines))))
-	if len(engines) > 1 || total == 1 {
-		want = max(1, want)
-	}
-	if len(engines) == 1 && total > 1 {
-		want = boolToInt(!engines[0].Prefill)
-	}
+func domainRoles(engines []Engine, want int) []RoleChange {
 	var decode, prefill []Engine
 	for _, e := range engines {
 		if e.Prefill {
