Pass usage counts between nodes; take a subject's home as cached

Cause: a node that is cut off from the store could not publish its counts (window off by 105 of 849), and a node sees a subject too seldom to know what its home has cached.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -193,6 +193,10 @@
 
 func (b *Balancer) engineCost(now time.Time, s *Server, p *Prompt, home bool) engineCost {
 	cached := s.stats.cachedTokens(p.Shared(), now)
+	if home {
+		// All nodes send a subject to its home, so its shared parts are there.
+		cached = p.Tokens - p.Own()
+	}
 	rate := b.prefillRate.perMilli(prefillTokensPerMilli)
 	if s.Role == RoleDecode {
 		rate = b.decodeRate.perMilli(decodeTokensPerMilli)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,9 +75,14 @@
 	lease    *authority.Lease
 	duty     *authority.Duty
 	reporter *metering.Reporter
-	staffer  *staffer
-	ready    atomic.Bool
-	stopping atomic.Bool
+	counter  *metering.Counter
+	heard    *metering.Heard
+	// incarnation names this run of the node among the others; it is not 0.
+	incarnation uint64
+	usageSentAt time.Time
+	staffer     *staffer
+	ready       atomic.Bool
+	stopping    atomic.Bool
 }
 
 // New returns a node.
@@ -89,10 +94,13 @@
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress()}, log)
 	g.loads = loadshare.NewTable()
-	g.sharer = loadshare.NewSharer(rand.Uint64()|1, g.loads, g.ownWork, g.nodes.LoadPeers, log)
+	g.incarnation = rand.Uint64() | 1
+	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.nodes.LoadPeers, log)
+	g.sharer.OnUpdate = g.noteUsage
 	g.observer = newObserver(log)
 	windows := metering.Windows{Length: s.UsageWindow()}
 	counter := metering.NewCounter(windows, g.truth)
+	g.counter, g.heard = counter, metering.NewHeard()
 	g.front = &platform.Front{Tables: &g.table, OnReject: g.observer.rejected}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.loads, g.sharer.Changed)
 	backend := &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed}
@@ -119,10 +127,10 @@
 	g.staffer = newStaffer(g, cloud, backend)
 	g.reporter = &metering.Reporter{
 		Counter: counter, Windows: windows, Clock: g.truth, Store: g.store, Duty: g.duty, Sender: cloud,
-		Incarnation: g.settings.Name + "." + process.Incarnation,
-		Delay:       time.Duration(g.settings.Bounds.UsageDelaySeconds * float64(time.Second)),
-		Fenced:      func(err error) bool { return errors.Is(err, platform.ErrFenced) },
-		Log:         g.log,
+		Incarnation: incarnationName(g.incarnation), Heard: g.heard,
+		Delay:  time.Duration(g.settings.Bounds.UsageDelaySeconds * float64(time.Second)),
+		Fenced: func(err error) bool { return errors.Is(err, platform.ErrFenced) },
+		Log:    g.log,
 	}
 }
 
@@ -140,9 +148,32 @@
 			u.Servers = append(u.Servers, &figweirv1.ServerLoad{Server: s.Hash, Requests: uint32(requests), PrefillTokens: uint32(max(0, tokens))})
 		}
 	}
+	if now := time.Now(); now.Sub(g.usageSentAt) >= usageEvery {
+		g.usageSentAt = now
+		for window, counts := range g.counter.Latest(usageWindows) {
+			u.Usage = append(u.Usage, &figweirv1.WindowUsage{Window: window, Counts: counts})
+		}
+	}
 	return u
 }
 
+const (
+	// usageEvery is the time between two updates that carry usage counts.
+	usageEvery = 500 * time.Millisecond
+	// usageWindows is how many windows such an update carries.
+	usageWindows = 2
+)
+
+// incarnationName is the name of an incarnation in the store.
+func incarnationName(incarnation uint64) string { return fmt.Sprintf("%016x", incarnation) }
+
+// noteUsage takes the usage counts of another node.
+func (g *Gateway) noteUsage(u *figweirv1.LoadUpdate) {
+	for _, w := range u.Usage {
+		g.heard.Update(incarnationName(u.Incarnation), w.Window, w.Counts)
+	}
+}
+
 // dutyCandidates is how many nodes try to take the duty while it is free.
 const dutyCandidates = 2
 
--- a/loadshare/sharer.go
+++ b/loadshare/sharer.go
@@ -31,6 +31,9 @@
 	peers func() []string
 	log   logr.Logger
 
+	// OnUpdate is called for each update of another node; it must not block.
+	OnUpdate func(*figweirv1.LoadUpdate)
+
 	changed  chan struct{}
 	sequence uint64
 
@@ -115,6 +118,7 @@
 		}
 		if u.Incarnation != s.incarnation {
 			s.table.Update(time.Now(), &u)
+			s.OnUpdate(&u)
 		}
 	}
 }
--- a/metering/counter.go
+++ b/metering/counter.go
@@ -59,8 +59,21 @@
 	counts[workspace]++
 }
 
-// take returns the counts of the windows up to last that have changed since
-// they were taken, by window. Counts stay until forget.
+// Latest returns the counts of the running window and the ones before it, by
+// window.
+func (c *Counter) Latest(windows int64) map[int64]Counts {
+	running := c.windows.At(c.clock.At(time.Now()))
+	latest := c.snapshot(running)
+	for window := range latest {
+		if window <= running-windows {
+			delete(latest, window)
+		}
+	}
+	return latest
+}
+
+// snapshot returns the counts of the windows up to last, by window. Counts stay
+// until forget.
 func (c *Counter) snapshot(last int64) map[int64]Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -62,6 +62,8 @@
 	Duty        Duty
 	Sender      Sender
 	Incarnation string
+	// Heard is what other nodes have said of their counts.
+	Heard *Heard
 	// Delay is how long after its end the report of a window is due.
 	Delay time.Duration
 	// Fenced reports whether an error means that another holder has acted.
@@ -256,13 +258,22 @@
 	if err != nil {
 		return nil, err
 	}
-	sum := make(Counts)
+	nodes := r.Heard.in(window)
+	if nodes == nil {
+		nodes = make(map[string]Counts)
+	}
 	for _, e := range entries {
 		counts, err := decodeCounts(e.Value)
 		if err != nil {
 			r.Log.Info("usage counts not readable", "key", e.Key, "cause", err.Error())
 			continue
 		}
+		incarnation := strings.TrimPrefix(e.Key, countsKey(window))
+		nodes[incarnation] = greater(nodes[incarnation], counts)
+	}
+	nodes[r.Incarnation] = greater(nodes[r.Incarnation], r.Counter.snapshot(window)[window])
+	sum := make(Counts)
+	for _, counts := range nodes {
 		sum.add(counts)
 	}
 	if len(sum) == 0 {
