--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -176,7 +176,7 @@
 	// pauseShare is the part of the pause allowed between events that prompts
 	// may take up at a decode engine; pauseDelay is the delay that is accepted
 	// for each millisecond beyond it.
-	pauseShare = 0.25
+	pauseShare = 0.12
 	pauseDelay = 6.0
 	// fullDelay is added for an engine whose slots are all taken.
 	fullDelay = 500.0
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -62,7 +62,10 @@
 	// decodeLoad is the part of the slots of decode engines that running streams
 	// may take at the recent peak: a request that finds no slot waits as long as
 	// a stream lasts.
-	decodeLoad = 0.5
+	decodeLoad = 0.35
+	// minSurplus is how many decode engines must be too many before one becomes
+	// a prefill engine: a change takes seconds, and the demand varies.
+	minSurplus = 3
 	// decodeShare is the part of the engines that decodes while the demand is
 	// not known.
 	decodeShare = 0.4
@@ -163,7 +166,11 @@
 		domains = append(domains, d)
 	}
 	slices.Sort(domains)
-	want := spread(v.DecodeEngines(), domains, byDomain)
+	total := v.DecodeEngines()
+	if surplus := v.decoding() - total; surplus > 0 && surplus < minSurplus {
+		total = v.decoding()
+	}
+	want := spread(total, domains, byDomain)
 	var changes []RoleChange
 	for _, d := range domains {
 		changes = append(changes, domainRoles(byDomain[d], want[d])...)
@@ -175,6 +182,15 @@
 	return changes[:min(len(changes), max(0, limit))]
 }
 
+// decoding returns the number of engines that decode.
+func (v *StaffView) decoding() int {
+	n := 0
+	for _, e := range v.Engines {
+		n += boolToInt(!e.Prefill)
+	}
+	return n
+}
+
 // spread divides the decode engines among the failure domains, each time giving
 // one to the domain with the smallest part of its engines decoding.
 func spread(total int, domains []string, byDomain map[string][]Engine) map[string]int {
