Pass configuration and registrations between nodes; one store protocol

Cause: a node that the store turns away kept its old configuration and list of servers. The old store protocol stood beside the platform's.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -18,6 +18,8 @@
 	decode func(raw []byte) (*core.Table, error)
 	log    logr.Logger
 
+	follower follower
+
 	mu  sync.Mutex
 	raw []byte
 }
@@ -25,13 +27,24 @@
 // NewConfig returns a follower of the configuration under key, which puts
 // tables into table.
 func NewConfig(table *atomic.Pointer[core.Table], key string, decode func([]byte) (*core.Table, error), log logr.Logger) *Config {
-	return &Config{table: table, key: key, decode: decode, log: log}
+	return &Config{table: table, key: key, decode: decode, log: log, follower: follower{prefix: key, log: log}}
 }
 
 // Run follows the configuration until ctx ends.
 func (c *Config) Run(ctx context.Context, st store.Store, onRead func()) {
-	f := follower{store: st, prefix: c.key, log: c.log, onRead: onRead}
-	f.run(ctx, c)
+	c.follower.store, c.follower.onRead = st, onRead
+	c.follower.run(ctx, c)
+}
+
+// Following reports whether the store is within reach.
+func (c *Config) Following() bool { return c.follower.following.Load() }
+
+// Version returns the version in force; 0 if there is none.
+func (c *Config) Version() int64 {
+	if t := c.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
 }
 
 // Raw returns the configuration in force as it was read, and its version.
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,6 +45,8 @@
 	log    logr.Logger
 	// onRead is called after each answer.
 	onRead func()
+	// following tells that the last call was answered.
+	following atomic.Bool
 }
 
 // run follows until ctx ends.
@@ -84,6 +87,7 @@
 			}
 			// A list finds changes that a broken watch can't tell of.
 			listed = false
+			f.following.Store(false)
 			sleep(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, maxRetry)
 			continue
@@ -95,6 +99,7 @@
 		}
 		failing, pause, listed = false, minRetry, true
 		deliver(away)
+		f.following.Store(true)
 		f.onRead()
 		sleep(ctx, watchPause)
 	}
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -67,6 +67,19 @@
 	return list
 }
 
+// PeerAddresses returns the addresses of the other nodes for calls.
+func (n *Nodes) PeerAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]string, 0, len(n.nodes))
+	for _, node := range n.nodes {
+		if node.Name != n.self.Name && node.Peers != "" {
+			list = append(list, node.Peers)
+		}
+	}
+	return list
+}
+
 // LoadPeers returns the addresses of the other nodes for datagrams.
 func (n *Nodes) LoadPeers() []string {
 	n.mu.Lock()
@@ -92,7 +105,7 @@
 
 // Follow follows the list until ctx ends.
 func (n *Nodes) Follow(ctx context.Context, st store.Store, onRead func()) {
-	f := follower{store: st, prefix: nodesPrefix, log: n.log, onRead: onRead}
+	f := &follower{store: st, prefix: nodesPrefix, log: n.log, onRead: onRead}
 	f.run(ctx, n)
 }
 
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -30,11 +30,14 @@
 	// as lapsed and not as gone.
 	graceUntil time.Duration
 	read       bool
+	revision   store.Revision
+	follower   follower
 }
 
 // entry is one registration as last read.
 type entry struct {
 	info     backends.Info
+	raw      []byte
 	revision store.Revision
 	// lapsed is set while a registration that vanished during an outage of the
 	// store still counts.
@@ -43,14 +46,65 @@
 
 // NewServers returns a follower of the registrations under prefix.
 func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), log logr.Logger) *Servers {
-	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, entries: make(map[string]entry)}
+	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, entries: make(map[string]entry),
+		follower: follower{prefix: prefix, log: log}}
 }
 
 // Run follows the registrations until ctx ends.
 func (s *Servers) Run(ctx context.Context, st store.Store, onRead func()) {
 	go s.expire(ctx)
-	f := follower{store: st, prefix: s.prefix, log: s.log, onRead: onRead}
-	f.run(ctx, s)
+	s.follower.store, s.follower.onRead = st, onRead
+	s.follower.run(ctx, s)
+}
+
+// Following reports whether the store is within reach.
+func (s *Servers) Following() bool { return s.follower.following.Load() }
+
+// Revision returns the greatest revision of the registrations that were read.
+func (s *Servers) Revision() store.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Entries returns the registrations as they were read.
+func (s *Servers) Entries() []store.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]store.Entry, 0, len(s.entries))
+	for key, e := range s.entries {
+		list = append(list, store.Entry{Key: key, Value: e.raw, Revision: e.revision})
+	}
+	return list
+}
+
+// Offer takes the registrations that another node has read. What a node that
+// reaches the store says replaces what is known while this node does not reach
+// it; otherwise only newer entries are taken.
+func (s *Servers) Offer(entries []store.Entry, following bool, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(entries) == 0 {
+		return
+	}
+	replace := following && !s.Following()
+	if !s.read || replace {
+		s.log.V(1).Info("registrations taken", "source", source, "following", following, "count", len(entries))
+	}
+	seen := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Key] = true
+		if old, known := s.entries[e.Key]; !known || old.revision < e.Revision {
+			s.take(e)
+		}
+	}
+	for key := range s.entries {
+		if replace && !seen[key] {
+			s.vanish(key)
+		}
+	}
+	s.read = true
+	s.publish()
 }
 
 // Known reports whether the registrations have been read.
@@ -83,6 +137,7 @@
 	defer s.mu.Unlock()
 	s.noteReturn(away)
 	for _, e := range events {
+		s.revision = max(s.revision, e.Entry.Revision)
 		if e.Deleted {
 			s.vanish(e.Entry.Key)
 		} else {
@@ -101,6 +156,7 @@
 }
 
 func (s *Servers) take(e store.Entry) {
+	s.revision = max(s.revision, e.Revision)
 	old, known := s.entries[e.Key]
 	if known && old.revision == e.Revision && !old.lapsed {
 		return
@@ -116,7 +172,7 @@
 		s.log.Info("backend server known", "backend_server", id, "service", info.Service, "state", int(info.State),
 			"role", int(info.Role), "failure_domain", info.FailureDomain, "reclaimable", info.Reclaimable, "revision", e.Revision)
 	}
-	s.entries[e.Key] = entry{info: info, revision: e.Revision}
+	s.entries[e.Key] = entry{info: info, raw: e.Value, revision: e.Revision}
 }
 
 // vanish takes a registration that is no longer in the store as gone, or as
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,9 @@
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/metering"
+	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/store"
 	"github.com/figweir/figweir/upstream"
 )
 
@@ -69,6 +71,7 @@
 	front    *platform.Front
 	observer *observer
 	truth    *boottime.TrueTime
+	relay    *discovery.Relay
 	loads    *loadshare.Table
 	balancer *backends.Balancer
 	sharer   *loadshare.Sharer
@@ -80,9 +83,12 @@
 	// incarnation names this run of the node among the others; it is not 0.
 	incarnation uint64
 	usageSentAt time.Time
-	staffer     *staffer
-	ready       atomic.Bool
-	stopping    atomic.Bool
+	// peersPort is the port of the peers' listener, equal on all nodes; empty if
+	// there is none.
+	peersPort string
+	staffer   *staffer
+	ready     atomic.Bool
+	stopping  atomic.Bool
 }
 
 // New returns a node.
@@ -96,8 +102,11 @@
 	g.loads = loadshare.NewTable()
 	g.incarnation = rand.Uint64() | 1
 	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.nodes.LoadPeers, log)
-	g.sharer.OnUpdate = g.noteUsage
+	g.sharer.OnUpdate = g.noteUpdate
 	g.observer = newObserver(log)
+	_, g.peersPort, _ = net.SplitHostPort(s.Listen.Peers)
+	client := peer.NewStateClient(peer.NewHTTPClient(), peer.NewAuth(""))
+	g.relay = discovery.NewRelay(g.config, g.servers, client, g.peerAddresses, log)
 	windows := metering.Windows{Length: s.UsageWindow()}
 	counter := metering.NewCounter(windows, g.truth)
 	g.counter, g.heard = counter, metering.NewHeard()
@@ -134,6 +143,20 @@
 	}
 }
 
+// peerAddresses returns the other nodes, and the seeds while none is known.
+func (g *Gateway) peerAddresses() []string {
+	if list := g.nodes.PeerAddresses(); len(list) > 0 {
+		return list
+	}
+	var list []string
+	for _, seed := range g.settings.Seeds {
+		if seed != g.settings.Listen.Peers {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
 // loadAddress is the address for datagrams: the second port of the range.
 func (g *Gateway) loadAddress() string {
 	return fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]+1)
@@ -141,7 +164,10 @@
 
 // ownWork returns the work of this node on backend servers.
 func (g *Gateway) ownWork() *figweirv1.LoadUpdate {
-	u := &figweirv1.LoadUpdate{PromptTokens: g.balancer.PromptTokens()}
+	u := &figweirv1.LoadUpdate{
+		PromptTokens:  g.balancer.PromptTokens(),
+		ConfigVersion: g.config.Version(), RegistrationsRevision: uint64(g.servers.Revision()),
+	}
 	for _, s := range g.registry.View().All() {
 		requests, tokens := s.Work()
 		if requests > 0 {
@@ -167,8 +193,12 @@
 // incarnationName is the name of an incarnation in the store.
 func incarnationName(incarnation uint64) string { return fmt.Sprintf("%016x", incarnation) }
 
-// noteUsage takes the usage counts of another node.
-func (g *Gateway) noteUsage(u *figweirv1.LoadUpdate) {
+// noteUpdate takes the usage counts of another node, and what it has read of the
+// store.
+func (g *Gateway) noteUpdate(from net.Addr, u *figweirv1.LoadUpdate) {
+	if udp, ok := from.(*net.UDPAddr); ok && g.peersPort != "" {
+		g.relay.Hint(net.JoinHostPort(udp.IP.String(), g.peersPort), u.ConfigVersion, store.Revision(u.RegistrationsRevision))
+	}
 	for _, w := range u.Usage {
 		g.heard.Update(incarnationName(u.Incarnation), w.Window, w.Counts)
 	}
@@ -192,6 +222,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := listen(g.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
 	admin, err := listen(fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]))
 	if err != nil {
 		return err
@@ -228,7 +262,9 @@
 	adminServer := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: callerHeaderTimeout}
 	go g.serve(callerServer, wrapped)
 	go g.serve(readyServer, readiness)
+	peerServer := &http.Server{Handler: g.peerRoutes(), ReadHeaderTimeout: callerHeaderTimeout, Protocols: peer.Protocols()}
 	go g.serve(adminServer, admin)
+	go g.serve(peerServer, peers)
 
 	<-stop.Done()
 	g.log.Info("stop requested", "in_flight", g.front.InFlight.Load(), "connections", wrapped.Connections())
@@ -240,6 +276,7 @@
 	_ = callerServer.Close()
 	_ = readyServer.Close()
 	_ = adminServer.Close()
+	_ = peerServer.Close()
 	_ = datagrams.Close()
 	g.log.Info("stop", "in_flight", g.front.InFlight.Load())
 	return nil
@@ -284,10 +321,11 @@
 	group.Go(func() { g.config.Run(ctx, g.store, onRead) })
 	group.Go(func() { g.servers.Run(ctx, g.store, onRead) })
 	group.Go(func() { g.nodes.Follow(ctx, g.store, onRead) })
+	group.Go(func() { g.relay.Run(ctx) })
 }
 
 func (g *Gateway) updateReady() {
-	if g.ready.Load() || g.table.Load() == nil || !g.servers.Known() {
+	if g.ready.Load() || g.config.Version() == 0 || !g.servers.Known() {
 		return
 	}
 	if !g.ready.Swap(true) {
@@ -303,6 +341,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			g.updateReady()
 			g.pool.Sweep()
 			g.store.Sweep()
 		}
@@ -353,6 +392,13 @@
 	return r
 }
 
+func (g *Gateway) peerRoutes() http.Handler {
+	r := chi.NewRouter()
+	path, handler := peer.NewStateHandler(g.relay, peer.NewAuth(""))
+	r.Mount(path, handler)
+	return r
+}
+
 func (g *Gateway) adminRoutes() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", g.observer.serveMetrics)
--- a/loadshare/sharer.go
+++ b/loadshare/sharer.go
@@ -15,7 +15,8 @@
 const (
 	// minInterval is the time in which changes are collected into one update.
 	minInterval = 15 * time.Millisecond
-	// repeatEvery repeats an update while there is work, in case one was lost.
+	// repeatEvery repeats an update, in case one was lost, and shows that the
+	// node is alive.
 	repeatEvery = 500 * time.Millisecond
 	// maxDatagramBytes is the largest update that is taken.
 	maxDatagramBytes = 8 << 10
@@ -32,7 +33,7 @@
 	log   logr.Logger
 
 	// OnUpdate is called for each update of another node; it must not block.
-	OnUpdate func(*figweirv1.LoadUpdate)
+	OnUpdate func(from net.Addr, u *figweirv1.LoadUpdate)
 
 	changed  chan struct{}
 	sequence uint64
@@ -58,35 +59,28 @@
 func (s *Sharer) Run(ctx context.Context, conn net.PacketConn) {
 	ticker := time.NewTicker(repeatEvery)
 	defer ticker.Stop()
-	idle := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.changed:
 			time.Sleep(minInterval)
-			idle = false
 		case now := <-ticker.C:
 			s.table.Expire(now)
-			if idle {
-				continue
-			}
 		}
-		// The update after the last change says that there is no work any more;
-		// it is repeated once.
-		idle = !s.send(conn)
+		s.send(conn)
 	}
 }
 
-// send sends one update to every peer and reports whether there is work.
-func (s *Sharer) send(conn net.PacketConn) bool {
+// send sends one update to every peer.
+func (s *Sharer) send(conn net.PacketConn) {
 	u := s.snapshot()
 	s.sequence++
 	u.Incarnation, u.Sequence = s.incarnation, s.sequence
 	raw, err := proto.Marshal(u)
 	if err != nil {
 		s.log.Error(err, "load update not encoded")
-		return false
+		return
 	}
 	for _, peer := range s.peers() {
 		address, err := net.ResolveUDPAddr("udp4", peer)
@@ -99,14 +93,13 @@
 			s.Sent.Add(1)
 		}
 	}
-	return len(u.Servers) > 0
 }
 
 // Receive takes updates from conn until it is closed.
 func (s *Sharer) Receive(conn net.PacketConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := conn.ReadFrom(buffer)
+		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
 			return
 		}
@@ -118,7 +111,7 @@
 		}
 		if u.Incarnation != s.incarnation {
 			s.table.Update(time.Now(), &u)
-			s.OnUpdate(&u)
+			s.OnUpdate(from, &u)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/operator"
 	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/platform"
 	"github.com/figweir/figweir/service"
 	"github.com/figweir/figweir/settings"
 	"github.com/figweir/figweir/store"
@@ -85,7 +86,7 @@
 		peerHTTP: peer.NewHTTPClient(),
 		auth:     peer.NewAuth(s.Secrets.Peer),
 	}
-	n.store = countCalls(store.NewClient(base, timeout), n.metrics.StoreCallsTotal)
+	n.store = countCalls(platform.NewStore(s.Platform.Address, timeout), n.metrics.StoreCallsTotal)
 	n.repository = config.NewRepository(n.store)
 	var err error
 	if n.listeners, err = openListeners(s); err != nil {
--- /dev/null
+++ b/peer/state.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/figweir/figweir/discovery"
+	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
+	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
+	"github.com/figweir/figweir/store"
+)
+
+// StateSource is what a node passes on to others; discovery.Relay is one.
+type StateSource interface {
+	State(knownConfig int64) discovery.State
+}
+
+// StateClient asks other nodes for what they have read of the store. It is a
+// discovery.Peers.
+type StateClient struct {
+	clients clients[figweirv1connect.StateServiceClient]
+}
+
+var _ discovery.Peers = (*StateClient)(nil)
+
+// NewStateClient returns a client that authenticates with auth.
+func NewStateClient(httpClient connect.HTTPClient, auth *Auth) *StateClient {
+	return &StateClient{clients[figweirv1connect.StateServiceClient]{
+		make: figweirv1connect.NewStateServiceClient, http: httpClient,
+		options: []connect.ClientOption{connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes)},
+	}}
+}
+
+// Pull implements discovery.Peers.
+func (c *StateClient) Pull(ctx context.Context, address string, knownConfig int64) (discovery.State, error) {
+	r, err := c.clients.get(address).Pull(ctx, &figweirv1.PullRequest{ConfigVersion: knownConfig})
+	if err != nil {
+		return discovery.State{}, err
+	}
+	s := discovery.State{Config: r.GetConfig(), Following: r.GetFollowing()}
+	for _, e := range r.GetRegistrations() {
+		s.Registrations = append(s.Registrations, store.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: store.Revision(e.GetRevision())})
+	}
+	return s, nil
+}
+
+// NewStateHandler returns the path and the HTTP handler of the service.
+func NewStateHandler(source StateSource, auth *Auth) (string, http.Handler) {
+	return figweirv1connect.NewStateServiceHandler(stateServer{source},
+		connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes), connect.WithCompressMinBytes(1<<10))
+}
+
+type stateServer struct{ source StateSource }
+
+// Pull implements figweirv1connect.StateServiceHandler.
+func (s stateServer) Pull(_ context.Context, request *figweirv1.PullRequest) (*figweirv1.PullResponse, error) {
+	state := s.source.State(request.GetConfigVersion())
+	r := &figweirv1.PullResponse{Config: state.Config, Following: state.Following}
+	for _, e := range state.Registrations {
+		r.Registrations = append(r.Registrations, &figweirv1.Registration{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision)})
+	}
+	return r, nil
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -5,15 +5,14 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	client "github.com/figweir/figweir/billing"
 	"github.com/figweir/figweir/fleet"
+	"github.com/figweir/figweir/platform/kvserver"
 	"github.com/figweir/figweir/standin/billing"
 	"github.com/figweir/figweir/standin/fault"
 	"github.com/figweir/figweir/standin/memstore"
@@ -63,7 +62,10 @@
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post("/v1/store/{op}", s.storeCall)
+	r.Group(func(r chi.Router) {
+		r.Use(s.storeDown)
+		kvserver.Register(r, s.Store)
+	})
 	r.Get("/v1/vms", s.listVMs)
 	r.Put("/v1/vms", s.replaceVMs)
 	r.Post("/v1/orders", s.order)
@@ -117,70 +119,18 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Server) storeCall(w http.ResponseWriter, r *http.Request) {
-	var req store.Request
-	if !decode(w, r, &req) {
-		return
-	}
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	if down {
-		encode(w, http.StatusServiceUnavailable, store.Response{Error: store.CodeUnavailable})
-		return
-	}
-	resp, err := s.dispatch(r, chi.URLParam(r, "op"), req)
-	if err != nil {
-		resp.Error = codeOf(err)
-	}
-	encode(w, http.StatusOK, resp)
-}
-
-func (s *Server) dispatch(r *http.Request, op string, req store.Request) (store.Response, error) {
-	ctx := r.Context()
-	var resp store.Response
-	var err error
-	switch op {
-	case "get":
-		var entry store.Entry
-		entry, err = s.Store.Get(ctx, req.Key)
-		if err == nil {
-			resp.Entry = &entry
+// storeDown refuses the calls to the key-value service while it is down.
+func (s *Server) storeDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
-	case "list":
-		resp.Entries, resp.Revision, err = s.Store.List(ctx, req.Prefix)
-	case "put":
-		resp.Revision, err = s.Store.Put(ctx, req.Key, req.Value, req.Expected, req.Lease)
-	case "delete":
-		err = s.Store.Delete(ctx, req.Key, req.Expected)
-	case "watch":
-		wait := time.Duration(req.WaitMillis) * time.Millisecond
-		resp.Events, resp.Revision, err = s.Store.Watch(ctx, req.Prefix, req.After, wait)
-	case "grant":
-		resp.Lease, err = s.Store.Grant(ctx, time.Duration(req.TTLMillis)*time.Millisecond)
-	case "renew":
-		err = s.Store.Renew(ctx, req.Lease)
-	case "revoke":
-		err = s.Store.Revoke(ctx, req.Lease)
-	default:
-		err = store.ErrNotFound
-	}
-	return resp, err
-}
-
-func codeOf(err error) string {
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-		return store.CodeNotFound
-	case errors.Is(err, store.ErrConflict):
-		return store.CodeConflict
-	case errors.Is(err, store.ErrCompacted):
-		return store.CodeCompacted
-	case errors.Is(err, store.ErrTooLarge):
-		return store.CodeTooLarge
-	default:
-		return store.CodeUnavailable
-	}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
