--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/store"
 )
 
@@ -83,7 +82,7 @@
 			}
 			if !failing {
 				f.log.Info("store lost", "prefix", f.prefix, "cause", err.Error())
-				failing, failingSince = true, boottime.Now()
+				failing, failingSince = true, now()
 			}
 			// A list finds changes that a broken watch can't tell of.
 			listed = false
@@ -92,7 +91,7 @@
 			pause = min(2*pause, maxRetry)
 			continue
 		}
-		failed := boottime.Now() - failingSince
+		failed := now() - failingSince
 		away := failing && failed > awayAfter
 		if failing {
 			f.log.Info("store regained", "prefix", f.prefix, "after_ms", failed.Milliseconds())
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -17,6 +17,9 @@
 // meanwhile still counts: living backend servers are back by then.
 const lapseGrace = 2 * time.Second
 
+// now is the clock of ages and graces. Tests replace it.
+var now = boottime.Now
+
 // Servers keeps a registry equal to the registrations in the store.
 type Servers struct {
 	registry *backends.Registry
@@ -151,7 +154,7 @@
 
 func (s *Servers) noteReturn(away bool) {
 	if away {
-		s.graceUntil = boottime.Now() + lapseGrace
+		s.graceUntil = now() + lapseGrace
 	}
 }
 
@@ -182,7 +185,7 @@
 	if !known {
 		return
 	}
-	if boottime.Now() < s.graceUntil && e.info.State == backends.Ready {
+	if now() < s.graceUntil && e.info.State == backends.Ready {
 		if !e.lapsed {
 			s.log.Info("registration lapsed during the outage", "key", key)
 		}
@@ -194,26 +197,32 @@
 	delete(s.entries, key)
 }
 
-// expire removes registrations that have not come back in time.
+// expire removes registrations that have not come back in time, until ctx ends.
 func (s *Servers) expire(ctx context.Context) {
 	const every = 200 * time.Millisecond
 	for ctx.Err() == nil {
 		sleep(ctx, every)
-		s.mu.Lock()
-		removed := false
-		if boottime.Now() >= s.graceUntil {
-			for key, e := range s.entries {
-				if e.lapsed {
-					s.log.Info("backend server gone", "key", key, "service", e.info.Service)
-					delete(s.entries, key)
-					removed = true
-				}
-			}
-		}
-		if removed {
-			s.publish()
+		s.dropLapsed()
+	}
+}
+
+// dropLapsed removes lapsed registrations whose time is over.
+func (s *Servers) dropLapsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now() < s.graceUntil {
+		return
+	}
+	removed := false
+	for key, e := range s.entries {
+		if e.lapsed {
+			s.log.Info("backend server gone", "key", key, "service", e.info.Service)
+			delete(s.entries, key)
+			removed = true
 		}
-		s.mu.Unlock()
+	}
+	if removed {
+		s.publish()
 	}
 }
 
