--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -139,7 +139,7 @@
 			best, bestScore = s, score
 		}
 	}
-	return b.newChoice(best, nil, nil, 0, 0)
+	return b.newChoice(best, false, nil, 0, 0)
 }
 
 // rank orders servers for a subject equally on all nodes.
@@ -160,6 +160,9 @@
 	// transferSetup is the time to set up a transfer of KV cache and the extra
 	// call for a prefill apart.
 	transferSetup = 12 * time.Millisecond
+	// farTransfer is how many times longer a transfer between failure domains
+	// takes.
+	farTransfer = 2
 	// movedGigabyte is the delay that is accepted to save the transfer of one
 	// GB of KV cache.
 	movedGigabyte = 150 * time.Millisecond
@@ -191,18 +194,21 @@
 	queue    float64
 }
 
-func (b *Balancer) engineCost(now time.Time, s *Server, p *Prompt, home bool) engineCost {
-	cached := s.stats.cachedTokens(p.Shared(), now)
-	if home {
-		// All nodes send a subject to its home, so its shared parts are there.
-		cached = p.Tokens - p.Own()
+func (b *Balancer) engineCost(now time.Time, s *Server, w *Work, home bool) engineCost {
+	p := w.Prompt
+	uncached := 0
+	if !w.Prefilled {
+		uncached = p.Tokens - s.stats.cachedTokens(p.Shared(), now)
+		if home {
+			// All nodes send a subject to its home, so its shared parts are there.
+			uncached = p.Own()
+		}
 	}
 	rate := b.prefillRate.perMilli(prefillTokensPerMilli)
 	if s.Role == RoleDecode {
 		rate = b.decodeRate.perMilli(decodeTokensPerMilli)
 	}
 	inflight, queued := b.load(now, s)
-	uncached := p.Tokens - cached
 	c := engineCost{server: s, uncached: uncached, queue: queued / rate}
 	c.millis = c.queue + float64(uncached)/rate + slotMilli*inflight
 	if s.Slots > 0 && inflight >= float64(s.Slots) {
@@ -213,36 +219,57 @@
 	if home {
 		c.millis -= float64(homeSlack / time.Millisecond)
 	}
+	if w.Prefilled && s.FailureDomain != w.HandleDomain {
+		c.millis += float64(transferSetup / time.Millisecond)
+	}
 	return c
 }
 
-// chooseEngine picks one engine, or one for the prefill and one for the rest.
+// chooseEngine picks the engine for the prompt, or for the rest of a request
+// whose prompt is processed already.
 func (b *Balancer) chooseEngine(now time.Time, w *Work, servers []*Server) (*Choice, error) {
-	prefill := b.cheapest(now, w, servers, RolePrefill)
 	decode := b.cheapest(now, w, servers, RoleDecode)
 	if decode == nil {
 		return nil, ErrFull
 	}
-	directMillis := decode.millis
 	if w.Prefilled {
-		return b.newChoice(decode.server, nil, w.Prompt, 0, 0), nil
+		return b.newChoice(decode.server, false, w.Prompt, 0, decode.millis), nil
+	}
+	direct := b.newDirect(decode, w)
+	if w.Resumed {
+		return direct(), nil
+	}
+	prefill := b.cheapest(now, w, servers, RolePrefill)
+	if prefill == nil {
+		return direct(), nil
 	}
-	if prefill == nil || w.Resumed {
-		return b.newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+	splitMillis := prefill.millis + transferMillis(w, prefill.server, decode.server)
+	if splitMillis < decode.millis+b.pauseMillis(decode, w) {
+		return b.newChoice(prefill.server, true, w.Prompt, prefill.uncached, splitMillis), nil
 	}
+	return direct(), nil
+}
+
+func (b *Balancer) newDirect(decode *engineCost, w *Work) func() *Choice {
+	return func() *Choice {
+		return b.newChoice(decode.server, false, w.Prompt, decode.uncached, decode.millis)
+	}
+}
+
+// transferMillis is the delay of moving KV cache between two engines, and what is
+// accepted to save the move.
+func transferMillis(w *Work, from, to *Server) float64 {
 	bytes := float64(w.Prompt.Tokens) * w.KVTokenBytes
-	transferMillis := float64(transferSetup / time.Millisecond)
+	const bitsPerByte, millisPerSecond = 8, 1000
+	millis := float64(transferSetup / time.Millisecond)
 	if w.LinkBitsPerSecond > 0 {
-		transferMillis += bytes * 8 / w.LinkBitsPerSecond * 1000
-	}
-	if prefill.server.FailureDomain != decode.server.FailureDomain {
-		transferMillis *= 2
+		millis += bytes * bitsPerByte / w.LinkBitsPerSecond * millisPerSecond
 	}
-	splitMillis := prefill.millis + transferMillis + bytes/1e9*float64(movedGigabyte/time.Millisecond)
-	if splitMillis < directMillis+b.pauseMillis(decode, w) {
-		return b.newChoice(decode.server, prefill.server, w.Prompt, prefill.uncached, splitMillis), nil
+	if from.FailureDomain != to.FailureDomain {
+		millis *= farTransfer
 	}
-	return b.newChoice(decode.server, nil, w.Prompt, decode.uncached, directMillis), nil
+	const gigabyte = 1e9
+	return millis + bytes/gigabyte*float64(movedGigabyte/time.Millisecond)
 }
 
 // pauseMillis returns the delay that is accepted to keep a prompt away from a
@@ -270,7 +297,7 @@
 		if s.Role != role || !s.serves(w.Prompt.Model) {
 			continue
 		}
-		c := b.engineCost(now, s, w.Prompt, s == home)
+		c := b.engineCost(now, s, w, s == home)
 		c.millis += 1e-3 * rand.Float64()
 		if best == nil || c.millis < best.millis {
 			best = &c
--- a/backends/server.go
+++ b/backends/server.go
@@ -264,6 +264,8 @@
 	Urgency int
 	// Prefilled tells that the prompt is processed already.
 	Prefilled bool
+	// HandleDomain is the failure domain of the engine that processed it.
+	HandleDomain string
 	// Resumed requests go on after an event and need no prefill apart.
 	Resumed bool
 
--- a/core/core.go
+++ b/core/core.go
@@ -231,7 +231,10 @@
 	w := &backends.Work{
 		Service: service, Prompt: e.request.Prompt, Excluded: e.excluded,
 		Left: time.Until(e.deadline), Target: e.route.Target, TargetPause: e.route.TargetPause, Urgency: e.priority(),
-		Resumed: e.request.LastEventID != "", Prefilled: e.handle != nil,
+		Resumed: e.request.LastEventID != "",
+	}
+	if e.handle != nil {
+		w.Prefilled, w.HandleDomain = true, e.record.Prefill.FailureDomain
 	}
 	if s := e.table.Services[service]; s != nil {
 		w.MaxConnections = s.MaxConnections
@@ -256,11 +259,14 @@
 		Request: e.request, Server: choice.Server, Workspace: e.record.Workspace,
 		Priority: e.priority(), After: e.request.LastEventID,
 	}
-	e.record.Server, e.record.Prefill, e.record.Estimate = choice.Server, choice.Prefill, choice.Estimate
-	e.record.Uncached = choice.Uncached
-	if choice.Prefill != nil && !e.prefill(ctx, a, choice) {
+	if choice.Prefill {
+		e.prefill(ctx, a, choice)
 		return e.settled
 	}
+	e.record.Server = choice.Server
+	if e.handle == nil {
+		e.record.Estimate, e.record.Uncached = choice.Estimate, choice.Uncached
+	}
 	if !e.mayArrive() {
 		e.giveUp(e.budgetReason())
 		return true
@@ -277,7 +283,6 @@
 	e.noteHandle(o)
 	switch o := o.(type) {
 	case Answered:
-		choice.Started(time.Now())
 		return e.relay(ctx, started, a, choice, o.Answer, sentAt)
 	case Refused:
 		choice.Refused(time.Now())
@@ -290,7 +295,7 @@
 	case Lost:
 		e.beganAt(sentAt)
 		if ctx.Err() == nil {
-			choice.Failed(time.Now())
+			choice.Failed()
 		}
 		return e.afterLost(choice.Server, o.Cause)
 	}
@@ -365,43 +370,46 @@
 
 var errAttemptTime = errors.New("no answer within the time of one attempt")
 
-// prefill has the prompt processed apart and reports whether the attempt goes
-// on. Without a handle the request is chosen for again.
-func (e *exchange) prefill(ctx context.Context, a *Attempt, choice *backends.Choice) bool {
+// prefill has the prompt processed apart. The engine that goes on is chosen after
+// that, because much may change meanwhile. Without a handle the request is chosen
+// for again.
+func (e *exchange) prefill(ctx context.Context, a *Attempt, choice *backends.Choice) {
 	if !e.mayArrive() {
 		e.giveUp(e.budgetReason())
-		return false
+		return
 	}
-	p := *a
-	p.Server, p.Left = choice.Prefill, time.Until(e.deadline)
-	handle, o := e.Upstream.Prefill(ctx, &p)
+	e.record.Prefill, e.record.Estimate, e.record.Uncached = choice.Server, choice.Estimate, choice.Uncached
+	a.Left = time.Until(e.deadline)
+	handle, o := e.Upstream.Prefill(ctx, a)
 	if handle != nil {
 		if e.prefilled {
+			// Only the first prompt that is processed apart is free of the budget.
 			e.noteArrival(nil)
 		}
 		choice.Prefilled(time.Now())
 		e.record.PrefilledAfter = time.Since(e.request.Arrived)
 		e.handle, e.handleUses, e.prefilled = handle, 0, true
-		return true
+		return
 	}
 	e.noteArrival(o)
-	e.excluded = append(e.excluded, choice.Prefill.ID)
+	e.excluded = append(e.excluded, choice.Server.ID)
 	event, cause := "prefill_lost", error(nil)
 	switch o := o.(type) {
 	case NotSent:
-		choice.PrefillFailed(time.Now(), true)
+		if ctx.Err() == nil {
+			choice.Unreachable(time.Now())
+		}
 		event, cause = "prefill_unsent", o.Cause
 	case Refused:
-		choice.PrefillRefused(time.Now())
+		choice.Refused(time.Now())
 		event = "prefill_refused"
 	case Lost:
 		if ctx.Err() == nil {
-			choice.PrefillFailed(time.Now(), false)
+			choice.Failed()
 		}
 		cause = o.Cause
 	}
-	e.Observer.Attempt(&e.record, choice.Prefill, event, cause)
-	return false
+	e.Observer.Attempt(&e.record, choice.Server, event, cause)
 }
 
 func (e *exchange) beganAt(at time.Time) {
@@ -481,12 +489,12 @@
 	body, err := answer.Whole()
 	e.beganAt(sentAt)
 	if err != nil {
-		choice.Failed(time.Now())
+		choice.Failed()
 		return e.afterLost(choice.Server, err)
 	}
 	head := answer.Head()
 	if serverFailed(head.Status) {
-		choice.Failed(time.Now())
+		choice.Failed()
 		if e.mayRunAgain() && e.Budget.Retry(e.record.Service) {
 			// Without a retry the failure is the answer, so it is taken here.
 			e.retryTaken = true
@@ -495,7 +503,7 @@
 			return false
 		}
 	} else {
-		choice.Succeeded(time.Now())
+		choice.Succeeded()
 	}
 	e.record.FirstEvent = time.Since(e.request.Arrived)
 	e.record.Status = head.Status
@@ -511,7 +519,7 @@
 	defer func() { answer.Close() }()
 	event, err := answer.Next()
 	if err != nil && err != io.EOF {
-		choice.Failed(time.Now())
+		choice.Failed()
 		return e.afterLost(choice.Server, err)
 	}
 	started()
@@ -526,11 +534,11 @@
 	for {
 		if !e.forward(answer, event, err, &last) {
 			if e.record.Reason == "" {
-				choice.Succeeded(time.Now())
+				choice.Succeeded()
 			}
 			return true
 		}
-		choice.Failed(time.Now())
+		choice.Failed()
 		next := e.resume(ctx, choice.Server, last)
 		if next == nil {
 			e.sink.Abort()
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -362,3 +362,33 @@
 		return answer(200, "ok")
 	}
 }
+
+// leavingUpstream marks an engine as leaving while a prompt is processed.
+type leavingUpstream struct {
+	*fakeUpstream
+	leave func()
+}
+
+func (u leavingUpstream) Prefill(ctx context.Context, a *Attempt) (*Handle, Outcome) {
+	u.leave()
+	return u.fakeUpstream.Prefill(ctx, a)
+}
+
+// TestEngineIsChosenAfterPrefill guards against sending a request to an engine
+// that began to leave while the prompt was processed.
+func TestEngineIsChosenAfterPrefill(t *testing.T) {
+	is := is.New(t)
+	registry := engines()
+	f := newFixtureOn(registry, Streaming, false, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}})
+	f.core.Upstream = leavingUpstream{f.upstream, func() {
+		registry.Replace([]backends.Info{
+			{ID: "p1", Service: "s", Address: "p1:1", Slots: 4, Role: backends.RolePrefill},
+			{ID: "d1", Service: "s", Address: "d1:1", Slots: 4, Role: backends.RoleDecode, State: backends.Draining},
+			{ID: "d2", Service: "s", Address: "d2:1", Slots: 4, Role: backends.RoleDecode, State: backends.Draining},
+			{ID: "d3", Service: "s", Address: "d3:1", Slots: 4, Role: backends.RoleDecode},
+		})
+	}}
+	s := f.serve(longPrompt())
+	is.True(s.ended)
+	is.Equal(f.upstream.attempts[0].Server.ID, "d3")
+}
