--- a/plan/staff.go
+++ b/plan/staff.go
@@ -62,7 +62,7 @@
 	// decodeLoad is the part of the slots of decode engines that running streams
 	// may take at the recent peak: a request that finds no slot waits as long as
 	// a stream lasts.
-	decodeLoad = 0.35
+	decodeLoad = 0.25
 	// minSurplus is how many decode engines must be too many before one becomes
 	// a prefill engine: a change takes seconds, and the demand varies.
 	minSurplus = 3
