Work in cells on large deployments; read registrations together

Ruled out: the load that engines state (a node hears from one of 140 engines every 17 s).

After: nodes share work in cells of about nine, which use their part of the engines; registrations that change within a fifth of the drain bound are read in one call.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -23,6 +23,8 @@
 	// domain is the node's failure domain.
 	domain string
 	peers  Peers
+	// cell returns the cell of this node.
+	cell func() Cell
 	// changed is called when this node's work has changed.
 	changed func()
 	// promptTokens counts the tokens that were sent to engines and not expected
@@ -43,8 +45,8 @@
 }
 
 // NewBalancer returns a balancer for a node in a failure domain.
-func NewBalancer(r *Registry, domain string, peers Peers, changed func()) *Balancer {
-	return &Balancer{registry: r, domain: domain, peers: peers, changed: changed}
+func NewBalancer(r *Registry, domain string, peers Peers, cell func() Cell, changed func()) *Balancer {
+	return &Balancer{registry: r, domain: domain, peers: peers, cell: cell, changed: changed}
 }
 
 // load estimates the requests and the unprocessed prompt tokens at a server. It
@@ -86,10 +88,14 @@
 
 // Choose picks the server of an attempt.
 func (b *Balancer) Choose(now time.Time, w *Work) (*Choice, error) {
-	servers := b.registry.View().Servers(w.Service)
+	view := b.registry.View()
+	servers := view.Servers(w.Service)
 	if len(servers) == 0 {
 		return nil, ErrNoServer
 	}
+	if w.Prompt != nil {
+		servers = view.inCell(w.Service, b.cell())
+	}
 	usable := usable(servers, w, now)
 	if len(usable) == 0 {
 		return nil, ErrFull
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -12,6 +12,8 @@
 type View struct {
 	services map[string][]*Server
 	byID     map[string]*Server
+	// cells is the division of the engines; it is computed when first needed.
+	cells atomic.Pointer[cellViews]
 }
 
 // Servers returns the servers of a service that take requests, ordered by id.
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -143,7 +143,7 @@
 	tables.Store(table)
 	f := &fixture{upstream: &fakeUpstream{steps: steps}, sink: &fakeSink{}, budget: &fakeBudget{retries: 100}}
 	f.core = &Core{
-		Tables: &tables, Chooser: backends.NewBalancer(registry, "z", nobody{}, func() {}), Budget: f.budget,
+		Tables: &tables, Chooser: backends.NewBalancer(registry, "z", nobody{}, func() backends.Cell { return backends.WholeDeployment }, func() {}), Budget: f.budget,
 		Upstream: f.upstream, Meter: nothing{}, Observer: nothing{},
 	}
 	return f
--- a/discovery/config.go
+++ b/discovery/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -11,6 +12,9 @@
 	"github.com/figweir/figweir/store"
 )
 
+// configPause collects versions of the configuration that come together.
+const configPause = 100 * time.Millisecond
+
 // Config keeps the newest configuration in force. Versions only grow.
 type Config struct {
 	table  *atomic.Pointer[core.Table]
@@ -27,7 +31,7 @@
 // NewConfig returns a follower of the configuration under key, which puts
 // tables into table.
 func NewConfig(table *atomic.Pointer[core.Table], key string, decode func([]byte) (*core.Table, error), log logr.Logger) *Config {
-	return &Config{table: table, key: key, decode: decode, log: log, follower: follower{prefix: key, log: log}}
+	return &Config{table: table, key: key, decode: decode, log: log, follower: follower{prefix: key, log: log, pause: configPause}}
 }
 
 // Run follows the configuration until ctx ends.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -63,7 +63,7 @@
 		defer func() { now = boottime.Now }()
 		st := memstore.New()
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { s.Run(ctx, st, func() {}); close(done) }()
@@ -133,7 +133,7 @@
 func TestLapsedRegistrationsAreKeptAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	r := backends.NewRegistry()
-	s := NewServers(r, testPrefix, decodeTest, logr.Discard())
+	s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
 	clock := time.Hour
 	now = func() time.Duration { return clock }
 	defer func() { now = boottime.Now }()
@@ -156,7 +156,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := &compactedStore{Store: memstore.New()}
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
 		put(t, st.Store, testPrefix+"1", "ready", 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.Run(ctx, st, func() {})
@@ -220,7 +220,7 @@
 		return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
 	}, logr.Discard())
 	r := backends.NewRegistry()
-	servers := NewServers(r, testPrefix, decodeTest, logr.Discard())
+	servers := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
 	state := State{Config: []byte("xxxx"), Following: true, Registrations: []store.Entry{
 		{Key: testPrefix + "1", Value: []byte("ready"), Revision: 3},
 		{Key: testPrefix + "2", Value: []byte("ready"), Revision: 4},
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -18,8 +18,6 @@
 	// watchWait is how long one watch waits for a change. A watch counts as one
 	// call, so longer ones cost less.
 	watchWait = 25 * time.Second
-	// watchPause collects changes that come together into one call.
-	watchPause = 100 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
@@ -42,6 +40,8 @@
 	store  store.Store
 	prefix string
 	log    logr.Logger
+	// pause collects changes that come together into one call.
+	pause time.Duration
 	// onRead is called after each answer.
 	onRead func()
 	// following tells that the last call was answered.
@@ -100,7 +100,7 @@
 		deliver(away)
 		f.following.Store(true)
 		f.onRead()
-		sleep(ctx, watchPause)
+		sleep(ctx, f.pause)
 	}
 }
 
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -1,12 +1,15 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -20,6 +23,9 @@
 const (
 	// nodeLease is how long a node that falls silent stays in the list.
 	nodeLease = 6 * time.Second
+	// nodesPause collects changes of the list of nodes. Nothing urgent depends
+	// on it.
+	nodesPause = time.Second
 	// nodeRenewEvery lets two renewals fail before the entry lapses.
 	nodeRenewEvery = 2 * time.Second
 )
@@ -41,6 +47,9 @@
 
 	mu    sync.Mutex
 	nodes map[string]Node
+	// ordered are the nodes by failure domain and name.
+	ordered  []Node
+	position atomic.Pointer[position]
 }
 
 // NewNodes returns the list of nodes, with only this one in it.
@@ -80,19 +89,61 @@
 	return list
 }
 
-// LoadPeers returns the addresses of the other nodes for datagrams.
-func (n *Nodes) LoadPeers() []string {
+// Position returns the index of this node in the list ordered by failure domain
+// and name, and the number of nodes.
+func (n *Nodes) Position() (index, count int) {
+	p := n.position.Load()
+	if p == nil {
+		return 0, 1
+	}
+	return p.index, p.count
+}
+
+type position struct{ index, count int }
+
+// CellPeers returns the addresses for datagrams of the other nodes whose position
+// is that of this node modulo cells.
+func (n *Nodes) CellPeers(cells int) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	list := make([]string, 0, len(n.nodes))
-	for _, node := range n.nodes {
-		if node.Name != n.self.Name && node.Load != "" {
+	self, _ := n.Position()
+	var list []string
+	for i, node := range n.ordered {
+		if node.Name != n.self.Name && node.Load != "" && i%cells == self%cells {
+			list = append(list, node.Load)
+		}
+	}
+	return list
+}
+
+// Candidates returns the addresses for datagrams of the first nodes by name, this
+// one excepted.
+func (n *Nodes) Candidates(count int) []string {
+	var list []string
+	for i, node := range n.List() {
+		if i < count && node.Name != n.self.Name && node.Load != "" {
 			list = append(list, node.Load)
 		}
 	}
 	return list
 }
 
+// reorder computes the positions anew. The caller holds mu.
+func (n *Nodes) reorder() {
+	n.ordered = n.ordered[:0]
+	for _, node := range n.nodes {
+		n.ordered = append(n.ordered, node)
+	}
+	slices.SortFunc(n.ordered, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Name, b.Name))
+	})
+	for i, node := range n.ordered {
+		if node.Name == n.self.Name {
+			n.position.Store(&position{i, len(n.ordered)})
+		}
+	}
+}
+
 // Rank returns how many nodes come before this one.
 func (n *Nodes) Rank() int {
 	for i, node := range n.List() {
@@ -105,7 +156,7 @@
 
 // Follow follows the list until ctx ends.
 func (n *Nodes) Follow(ctx context.Context, st store.Store, onRead func()) {
-	f := &follower{store: st, prefix: nodesPrefix, log: n.log, onRead: onRead}
+	f := &follower{store: st, prefix: nodesPrefix, log: n.log, pause: nodesPause, onRead: onRead}
 	f.run(ctx, n)
 }
 
@@ -169,6 +220,7 @@
 	for _, e := range entries {
 		n.take(e)
 	}
+	n.reorder()
 }
 
 func (n *Nodes) apply(events []store.Event, _ bool) {
@@ -183,6 +235,7 @@
 			delete(n.nodes, name)
 		}
 	}
+	n.reorder()
 }
 
 func (n *Nodes) take(e store.Entry) {
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -47,10 +47,11 @@
 	lapsed bool
 }
 
-// NewServers returns a follower of the registrations under prefix.
-func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), log logr.Logger) *Servers {
+// NewServers returns a follower of the registrations under prefix. Changes within
+// pause are read together.
+func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause time.Duration, log logr.Logger) *Servers {
 	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, entries: make(map[string]entry),
-		follower: follower{prefix: prefix, log: log}}
+		follower: follower{prefix: prefix, log: log, pause: pause}}
 }
 
 // Run follows the registrations until ctx ends.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -96,12 +97,12 @@
 	g := &Gateway{settings: s, log: log, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
 	g.pool = upstream.NewPool(upstream.DefaultOptions)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
-	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, log)
+	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, registrationPause(s), log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress()}, log)
 	g.loads = loadshare.NewTable()
 	g.incarnation = rand.Uint64() | 1
-	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.nodes.LoadPeers, log)
+	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.loadPeers, log)
 	g.sharer.OnUpdate = g.noteUpdate
 	g.observer = newObserver(log)
 	_, g.peersPort, _ = net.SplitHostPort(s.Listen.Peers)
@@ -111,7 +112,7 @@
 	counter := metering.NewCounter(windows, g.truth)
 	g.counter, g.heard = counter, metering.NewHeard()
 	g.front = &platform.Front{Tables: &g.table, OnReject: g.observer.rejected}
-	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.loads, g.sharer.Changed)
+	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.loads, g.cell, g.sharer.Changed)
 	backend := &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed}
 	g.front.Core = &core.Core{
 		Tables:   &g.table,
@@ -125,6 +126,14 @@
 	return g
 }
 
+// drainShare is the part of the time in which a leaving backend server must get no
+// more requests that registrations may wait to be read together.
+const drainShare = 0.2
+
+func registrationPause(s platform.Settings) time.Duration {
+	return time.Duration(drainShare * float64(s.Bounds.DrainMillis) * float64(time.Millisecond))
+}
+
 func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows, backend *platform.Backend) {
 	process := authority.NewProcess(g.settings.IPAddress)
 	g.lease = authority.NewLease(g.store, process, boottime.Clock{}, authority.LeaseOptions{
@@ -162,6 +171,25 @@
 	return fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]+1)
 }
 
+// cell returns the part of the deployment that this node works in.
+func (g *Gateway) cell() backends.Cell { return backends.CellOf(g.nodes.Position()) }
+
+// loadPeers returns the nodes that get an update: those of the cell, and those
+// that may hold the duty if it carries usage counts.
+func (g *Gateway) loadPeers(u *figweirv1.LoadUpdate) []string {
+	cell := g.cell()
+	list := g.nodes.CellPeers(cell.Count)
+	if len(u.Usage) == 0 || cell.Count == 1 {
+		return list
+	}
+	for _, address := range g.nodes.Candidates(dutyCandidates) {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // ownWork returns the work of this node on backend servers.
 func (g *Gateway) ownWork() *figweirv1.LoadUpdate {
 	u := &figweirv1.LoadUpdate{
@@ -185,7 +213,7 @@
 
 const (
 	// usageEvery is the time between two updates that carry usage counts.
-	usageEvery = 500 * time.Millisecond
+	usageEvery = time.Second
 	// usageWindows is how many windows such an update carries.
 	usageWindows = 2
 )
--- a/loadshare/sharer.go
+++ b/loadshare/sharer.go
@@ -28,8 +28,8 @@
 	table       *Table
 	// snapshot returns this node's work.
 	snapshot func() *figweirv1.LoadUpdate
-	// peers returns the addresses of the other nodes.
-	peers func() []string
+	// peers returns the addresses of the nodes that get an update.
+	peers func(u *figweirv1.LoadUpdate) []string
 	log   logr.Logger
 
 	// OnUpdate is called for each update of another node; it must not block.
@@ -43,7 +43,7 @@
 }
 
 // NewSharer returns a sharer for a node with a random incarnation.
-func NewSharer(incarnation uint64, t *Table, snapshot func() *figweirv1.LoadUpdate, peers func() []string, log logr.Logger) *Sharer {
+func NewSharer(incarnation uint64, t *Table, snapshot func() *figweirv1.LoadUpdate, peers func(*figweirv1.LoadUpdate) []string, log logr.Logger) *Sharer {
 	return &Sharer{incarnation: incarnation, table: t, snapshot: snapshot, peers: peers, log: log, changed: make(chan struct{}, 1)}
 }
 
@@ -82,7 +82,7 @@
 		s.log.Error(err, "load update not encoded")
 		return
 	}
-	for _, peer := range s.peers() {
+	for _, peer := range s.peers(u) {
 		address, err := net.ResolveUDPAddr("udp4", peer)
 		if err != nil {
 			s.log.Info("peer address not usable", "address", peer, "cause", err.Error())
