Log in the background; metrics with histograms; optional settings

Cause: a reader that stops reading standard output would have delayed answers, and a deployment without duties or with fewer bounds would not have started.

After: lines are queued and dropped when there is no room, failures last (TestBlockedReaderDelaysNobody); metrics are text with histograms of first event, prefill and whole answer; settings that a deployment does not state have defaults (TestSettingsOfOtherDeployments).

--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -23,5 +23,7 @@
 	if err != nil {
 		return err
 	}
-	return gateway.New(s, logging.New(os.Stdout, false)).Run(env.context)
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close()
+	return gateway.New(s, out).Run(env.context)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/figweir/figweir/discovery"
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/loadshare"
+	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
@@ -62,6 +63,8 @@
 type Gateway struct {
 	settings platform.Settings
 	log      logr.Logger
+	level    *logging.Level
+	out      *logging.Async
 	table    atomic.Pointer[core.Table]
 	registry *backends.Registry
 	pool     *upstream.Pool
@@ -93,8 +96,12 @@
 }
 
 // New returns a node.
-func New(s platform.Settings, log logr.Logger) *Gateway {
-	g := &Gateway{settings: s, log: log, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
+func New(s platform.Settings, out *logging.Async) *Gateway {
+	level := &logging.Level{}
+	level.SetVerbose(s.Log.Verbose)
+	log, important := logging.NewPair(out, level)
+	log, important = log.WithValues("node", s.Name), important.WithValues("node", s.Name)
+	g := &Gateway{settings: s, log: log, level: level, out: out, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
 	g.pool = upstream.NewPool(upstream.DefaultOptions)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, registrationPause(s), log)
@@ -104,7 +111,8 @@
 	g.incarnation = rand.Uint64() | 1
 	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.loadPeers, log)
 	g.sharer.OnUpdate = g.noteUpdate
-	g.observer = newObserver(log)
+	g.observer = newObserver(log, important, s.Log.LinesPerSecond)
+	g.observer.gauges = g.gauges
 	_, g.peersPort, _ = net.SplitHostPort(s.Listen.Peers)
 	client := peer.NewStateClient(peer.NewHTTPClient(), peer.NewAuth(""))
 	g.relay = discovery.NewRelay(g.config, g.servers, client, g.peerAddresses, log)
@@ -266,15 +274,19 @@
 	defer cancelStop()
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	g.log.Info("start", "node", g.settings.Name, "failure_domain", g.settings.FailureDomain, "store", g.settings.Store.Address)
+	g.log.Info("start", "failure_domain", g.settings.FailureDomain, "store", g.settings.Store.Address)
 
 	background, cancelBackground := context.WithCancel(context.WithoutCancel(ctx))
 	duties, cancelDuties := context.WithCancel(background)
 	var dutyGroup, group sync.WaitGroup
 	g.follow(background, &group)
 	dutyGroup.Go(func() { g.lease.Run(duties) })
-	dutyGroup.Go(func() { g.reporter.Run(duties) })
-	dutyGroup.Go(func() { g.staffer.run(duties) })
+	if g.settings.Cloud.Has(platform.DutyUsage) {
+		dutyGroup.Go(func() { g.reporter.Run(duties) })
+	}
+	if g.settings.Cloud.Has(platform.DutyOrders) {
+		dutyGroup.Go(func() { g.staffer.run(duties) })
+	}
 	dutyGroup.Go(func() { g.nodes.Announce(duties, g.store) })
 	group.Go(func() { g.sweep(background) })
 	group.Go(func() { g.sharer.Run(background, datagrams) })
@@ -376,20 +388,22 @@
 	}
 }
 
-// reload reads the settings again on SIGHUP. Addresses can't change while the
-// process runs, so only errors and the fact are logged.
+// reload reads the settings again on SIGHUP. Only what is logged changes: addresses
+// and bounds are those of the start.
 func (g *Gateway) reload(ctx context.Context, hangup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
-			_, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 			if err != nil {
 				g.log.Info("reload failed, settings unchanged", "cause", err.Error())
 				continue
 			}
-			g.log.Info("reload")
+			g.level.SetVerbose(s.Log.Verbose)
+			g.observer.setRate(s.Log.LinesPerSecond)
+			g.log.Info("reload", "verbose", s.Log.Verbose, "lines_per_s", s.Log.LinesPerSecond)
 		}
 	}
 }
@@ -457,6 +471,34 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
 }
 
+// gauges returns what the metrics state beside counters.
+func (g *Gateway) gauges() map[string]float64 {
+	pool := g.pool.Stats()
+	token, held := g.duty.Fence()
+	calls := &g.store.Calls
+	return map[string]float64{
+		"config_version": float64(g.config.Version()), "config_following": number(g.config.Following()),
+		"registrations_following": number(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
+		"nodes": float64(g.nodes.Count()), "load_peers": float64(g.loads.Peers()), "ready": number(g.ready.Load()),
+		"stopping": number(g.stopping.Load()), "requests_in_flight": float64(g.front.InFlight.Load()),
+		"duty_held": number(held), "duty_fencing_token": float64(token),
+		"connections_dialed_total": float64(pool.Dials), "connections_dial_failures_total": float64(pool.DialFailures),
+		"connections_reused_total": float64(pool.Reused), "connections_discarded_total": float64(pool.Discarded),
+		"store_reads_total": float64(calls.Reads.Load()), "store_watches_total": float64(calls.Watches.Load()),
+		"store_writes_total": float64(calls.Writes.Load()), "store_renewals_total": float64(calls.Renewals.Load()),
+		"store_failures_total":    float64(calls.Failures.Load()),
+		"load_updates_sent_total": float64(g.sharer.Sent.Load()), "load_updates_received_total": float64(g.sharer.Received.Load()),
+		"log_queue_dropped_total": float64(g.out.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // budget is this node's part of the retry budget of each service.
 type budget struct {
 	ratio, extra float64
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -5,54 +5,117 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/logging"
-	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/metrics"
 )
 
+// defaultLogRate is how many lines of served requests and of attempts a second
+// are logged if the settings do not say.
+const defaultLogRate = 200
+
 // observer logs and counts how requests end.
 type observer struct {
-	log      logr.Logger
-	requests *expvar.Map
-	refusals *expvar.Map
-	attempts *expvar.Map
+	// log takes the lines of served requests and of attempts, within the budget;
+	// important those of failed requests.
+	log, important logr.Logger
+	budget         *rate.Limiter
+
+	requests, refusals, attempts, dropped *expvar.Map
+
+	firstEvent, total, prefilled *metrics.Histogram
+	// gauges returns values that are read when asked for, by name.
+	gauges func() map[string]float64
 }
 
-func newObserver(log logr.Logger) *observer {
-	return &observer{
-		log: log, requests: new(expvar.Map).Init(), refusals: new(expvar.Map).Init(), attempts: new(expvar.Map).Init(),
+func newObserver(log, important logr.Logger, linesPerSecond int) *observer {
+	o := &observer{
+		log: log, important: important, requests: newMap(), refusals: newMap(), attempts: newMap(), dropped: newMap(),
+		firstEvent: metrics.NewHistogram(), total: metrics.NewHistogram(), prefilled: metrics.NewHistogram(),
+		budget: rate.NewLimiter(0, 0),
 	}
+	o.setRate(linesPerSecond)
+	return o
+}
+
+func newMap() *expvar.Map { return new(expvar.Map).Init() }
+
+// setRate changes the budget of lines a second.
+func (o *observer) setRate(linesPerSecond int) {
+	if linesPerSecond <= 0 {
+		linesPerSecond = defaultLogRate
+	}
+	o.budget.SetLimit(rate.Limit(linesPerSecond))
+	o.budget.SetBurst(linesPerSecond)
 }
 
 // Attempt implements core.Observer.
 func (o *observer) Attempt(r *core.Record, server *backends.Server, event string, cause error) {
 	o.attempts.Add(event, 1)
+	if !o.budget.Allow() {
+		o.dropped.Add("attempt", 1)
+		return
+	}
 	message := ""
 	if cause != nil {
 		message = cause.Error()
 	}
-	o.log.Info("attempt", logging.Request, r.Request.ID, logging.BackendServer, server.ID, "event", event, "cause", message)
+	running, tokens := server.Work()
+	o.log.Info("attempt", logging.Request, r.Request.ID, logging.BackendServer, server.ID, "event", event, "cause", message,
+		logging.FailureDomain, server.FailureDomain, "own_requests", running, "own_prefill_tokens", tokens,
+		"config_version", r.ConfigVersion)
 }
 
 // Done implements core.Observer.
 func (o *observer) Done(r *core.Record) {
-	status := r.Status
+	o.count(r)
+	log := o.important
+	if r.Reason == "" || r.Reason == core.ReasonCallerGone {
+		if !o.budget.Allow() {
+			o.dropped.Add("request", 1)
+			return
+		}
+		log = o.log
+	}
+	log.Info("request", requestFields(r)...)
+}
+
+func (o *observer) count(r *core.Record) {
+	o.requests.Add("total", 1)
+	if r.Status != 0 {
+		o.requests.Add("status_"+strconv.Itoa(r.Status), 1)
+	}
 	if r.Reason != "" {
 		o.refusals.Add(string(r.Reason), 1)
 	}
-	o.requests.Add("total", 1)
+	if r.FirstEvent > 0 {
+		o.firstEvent.Observe(r.FirstEvent)
+	}
+	if r.PrefilledAfter > 0 {
+		o.prefilled.Observe(r.PrefilledAfter)
+	}
+	o.total.Observe(r.Total)
+}
+
+// requestFields are the fields of a request's last line. The key is not among
+// them.
+func requestFields(r *core.Record) []any {
 	fields := []any{
 		logging.Request, r.Request.ID, logging.Workspace, r.Workspace, "config_version", r.ConfigVersion,
-		"service", r.Service, "status", status, "reason", string(r.Reason), "sent", r.Sent, "unsent", r.Unsent,
-		"refused", r.Refused, "resumed", r.Resumed, "events", r.Events,
-		"first_ms", r.FirstEvent.Milliseconds(), "estimate_ms", r.Estimate.Milliseconds(), "total_ms", r.Total.Milliseconds(),
+		"service", r.Service, "status", r.Status, "reason", string(r.Reason), "sent", r.Sent, "unsent", r.Unsent,
+		"refused", r.Refused, "resumed", r.Resumed, "events", r.Events, "first_ms", r.FirstEvent.Milliseconds(),
+		"estimate_ms", r.Estimate.Milliseconds(), "total_ms", r.Total.Milliseconds(), "patience_ms", r.Request.Patience.Milliseconds(),
 	}
 	if r.Route != nil {
 		fields = append(fields, "route", r.Route.Name)
+	} else {
+		fields = append(fields, "host", r.Request.Host, "path", r.Request.Path)
 	}
 	if r.Request.Prompt != nil {
 		fields = append(fields, "prefilled_ms", r.PrefilledAfter.Milliseconds(), "prompt_tokens", r.Request.Prompt.Tokens, "uncached_tokens", r.Uncached)
@@ -63,12 +126,12 @@
 	if r.Server != nil {
 		fields = append(fields, logging.BackendServer, r.Server.ID)
 	}
-	o.log.Info("request", fields...)
+	return fields
 }
 
 func (o *observer) rejected(status int, id, cause string) {
 	o.refusals.Add(fmt.Sprintf("status_%d", status), 1)
-	o.log.Info("request rejected", logging.Request, id, "status", status, "cause", cause)
+	o.important.Info("request rejected", logging.Request, id, "status", status, "cause", cause)
 }
 
 func (o *observer) freeFailed(h *core.Handle, cause error) {
@@ -76,17 +139,33 @@
 	o.log.Info("KV cache not freed", "address", h.Address, "handle", h.ID, "cause", cause.Error())
 }
 
-// serveMetrics writes all counters as text, one a line.
+// serveMetrics writes all metrics as text, one a line.
 func (o *observer) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	var lines []string
-	for name, m := range map[string]*expvar.Map{"requests": o.requests, "refusals": o.refusals, "attempts": o.attempts} {
-		m.Do(func(kv expvar.KeyValue) { lines = append(lines, fmt.Sprintf("%s{%s} %s", name, kv.Key, kv.Value)) })
+	var b []byte
+	for _, m := range []struct {
+		name string
+		vars *expvar.Map
+	}{
+		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.dropped},
+	} {
+		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
+	}
+	b = o.firstEvent.AppendText(b, "first_event_ms")
+	b = o.prefilled.AppendText(b, "prefilled_ms")
+	b = o.total.AppendText(b, "answer_ms")
+	gauges := o.gauges()
+	names := make([]string, 0, len(gauges))
+	for name := range gauges {
+		names = append(names, name)
 	}
-	sort.Strings(lines)
-	for _, line := range lines {
-		_, _ = fmt.Fprintln(w, line)
+	sort.Strings(names)
+	for _, name := range names {
+		b = fmt.Appendf(b, "%s %v\n", name, gauges[name])
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if _, err := w.Write(b); err != nil {
+		o.log.V(1).Info("metrics not written", "cause", err.Error())
 	}
 }
 
-var _ = platform.RefusalStatus
+var _ core.Observer = (*observer)(nil)
