Follow the holder of the duty; settle before engines change their role

Cause: on the grown deployment the holder had taken the duty as a first node by name and was not one any more, so it heard of a ninth of the streams and took decode engines away (first event 0.5 to 1 s after the handle).

--- a/authority/duty.go
+++ b/authority/duty.go
@@ -1,9 +1,23 @@
 package authority
 
-import "github.com/figweir/figweir/store"
+import (
+	"encoding/json"
 
-// dutyPrefix starts the store keys of the leased records.
-const dutyPrefix = "duty/"
+	"github.com/figweir/figweir/store"
+)
+
+// DutyPrefix starts the store keys of the leased records: the name of the duty
+// follows.
+const DutyPrefix = "duty/"
+
+// Holder returns the process that the leased record of a duty names.
+func Holder(raw []byte) (Process, error) {
+	var r dutyRecord
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Process{}, err
+	}
+	return r.Holder, nil
+}
 
 // dutyRecord is the value of duty/<name>.
 type dutyRecord struct {
@@ -75,4 +89,4 @@
 	return d.held
 }
 
-func (d *Duty) key() string { return dutyPrefix + d.name }
+func (d *Duty) key() string { return DutyPrefix + d.name }
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -116,18 +116,6 @@
 	return list
 }
 
-// Candidates returns the addresses for datagrams of the first nodes by name, this
-// one excepted.
-func (n *Nodes) Candidates(count int) []string {
-	var list []string
-	for i, node := range n.List() {
-		if i < count && node.Name != n.self.Name && node.Load != "" {
-			list = append(list, node.Load)
-		}
-	}
-	return list
-}
-
 // reorder computes the positions anew. The caller holds mu.
 func (n *Nodes) reorder() {
 	n.ordered = n.ordered[:0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -76,6 +75,7 @@
 	observer *observer
 	truth    *boottime.TrueTime
 	relay    *discovery.Relay
+	holder   *discovery.Holder
 	loads    *loadshare.Table
 	balancer *backends.Balancer
 	sharer   *loadshare.Sharer
@@ -115,6 +115,7 @@
 	g.observer.gauges = g.gauges
 	_, g.peersPort, _ = net.SplitHostPort(s.Listen.Peers)
 	client := peer.NewStateClient(peer.NewHTTPClient(), peer.NewAuth(""))
+	g.holder = discovery.NewHolder(authority.DutyPrefix+dutyName, decodeHolder, log)
 	g.relay = discovery.NewRelay(g.config, g.servers, client, g.peerAddresses, log)
 	windows := metering.Windows{Length: s.UsageWindow()}
 	counter := metering.NewCounter(windows, g.truth)
@@ -148,7 +149,7 @@
 		LeaseTime: g.settings.Lease(), Margin: g.settings.Lease() / 6,
 		RenewEvery: g.settings.Lease() / 3, StoreTimeout: g.settings.Lease() / 4,
 	})
-	g.duty = g.lease.Duty("platform", g.dutyCandidate)
+	g.duty = g.lease.Duty(dutyName, g.dutyCandidate)
 	cloud := platform.NewCloud(g.settings.Cloud.Address, g.settings.Name, cloudTimeout)
 	g.staffer = newStaffer(g, cloud, backend)
 	g.reporter = &metering.Reporter{
@@ -182,17 +183,18 @@
 // cell returns the part of the deployment that this node works in.
 func (g *Gateway) cell() backends.Cell { return backends.CellOf(g.nodes.Position()) }
 
-// loadPeers returns the nodes that get an update: those of the cell, and those
-// that may hold the duty if it carries usage counts.
+// loadPeers returns the nodes that get an update: those of the cell, and the
+// holder of the duty if it carries usage counts.
 func (g *Gateway) loadPeers(u *figweirv1.LoadUpdate) []string {
 	cell := g.cell()
 	list := g.nodes.CellPeers(cell.Count)
 	if len(u.Usage) == 0 || cell.Count == 1 {
 		return list
 	}
-	for _, address := range g.nodes.Candidates(dutyCandidates) {
-		if !slices.Contains(list, address) {
-			list = append(list, address)
+	holder, _ := g.holder.Address()
+	for _, node := range g.nodes.List() {
+		if host, _, err := net.SplitHostPort(node.Load); err == nil && host == holder && holder != g.settings.IPAddress {
+			return append(list, node.Load)
 		}
 	}
 	return list
@@ -240,11 +242,21 @@
 	}
 }
 
+// dutyName is the one duty: whoever holds it reports usage and orders servers.
+const dutyName = "platform"
+
 // dutyCandidates is how many nodes try to take the duty while it is free.
 const dutyCandidates = 2
 
 func (g *Gateway) dutyCandidate() bool {
-	return g.settings.Cloud.Address != "" && g.ready.Load() && g.nodes.Rank() < dutyCandidates
+	holder, known := g.holder.Address()
+	return g.settings.Cloud.Address != "" && g.ready.Load() && known && holder == "" && g.nodes.Rank() < dutyCandidates
+}
+
+// decodeHolder returns the address of the process in the record of a duty.
+func decodeHolder(raw []byte) (string, error) {
+	process, err := authority.Holder(raw)
+	return process.Address, err
 }
 
 // Run serves until SIGTERM, then stops as planned.
@@ -361,6 +373,7 @@
 	group.Go(func() { g.config.Run(ctx, g.store, onRead) })
 	group.Go(func() { g.servers.Run(ctx, g.store, onRead) })
 	group.Go(func() { g.nodes.Follow(ctx, g.store, onRead) })
+	group.Go(func() { g.holder.Run(ctx, g.store, onRead) })
 	group.Go(func() { g.relay.Run(ctx) })
 }
 
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -49,6 +49,8 @@
 // demand follows the prompt tokens per second of all nodes and the streams that
 // run.
 type demand struct {
+	// since is when the first demand was seen.
+	since   time.Time
 	at      time.Time
 	counted uint64
 	tokens  peak
@@ -59,6 +61,9 @@
 type peak struct{ mean, highest float64 }
 
 const (
+	// demandSettles is how long the demand is followed before engines are taken
+	// from a role because of it.
+	demandSettles = 12 * time.Second
 	// demandWeight is the weight of the newest sample in the moving average.
 	demandWeight = 0.15
 	// peakDecay is the part of the peak that is forgotten at each sample.
@@ -79,6 +84,9 @@
 	if !d.at.IsZero() && counted >= d.counted {
 		d.tokens.observe(float64(counted-d.counted) / elapsed.Seconds())
 		d.streams.observe(float64(streams))
+		if d.since.IsZero() && counted > d.counted {
+			d.since = now
+		}
 	}
 	d.at, d.counted = now, counted
 }
@@ -155,6 +163,7 @@
 	v := &plan.StaffView{
 		Engines: engines, Least: s.least[service.Name], Unavailable: make(map[string]bool),
 		PromptTokensPerSecond: s.demand.tokens.highest, Streams: s.demand.streams.highest,
+		Settled:               !s.demand.since.IsZero() && now.Sub(s.demand.since) > demandSettles,
 		EngineTokensPerSecond: s.balancer.PrefillTokensPerSecond(),
 	}
 	if service.Engine != nil {
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -41,6 +41,9 @@
 	// Streams is the number of running streams at the recent peak; 0 if it is
 	// not known.
 	Streams float64
+	// Settled tells that the demand has been followed long enough to order fewer
+	// engines, or to take engines from a role, than the deployment started with.
+	Settled bool
 	// Slots is how many streams one engine decodes at a time.
 	Slots int
 	// EngineTokensPerSecond is what one prefill engine processes.
@@ -143,7 +146,11 @@
 func (v *StaffView) DecodeEngines() int {
 	want := decodeShare * float64(len(v.Engines))
 	if v.Streams > 0 && v.Slots > 0 {
-		want = math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
+		need := math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
+		if v.Settled {
+			want = need
+		}
+		want = max(want, need)
 	}
 	domains := make(map[string]bool)
 	for _, e := range v.Engines {
