--- a/plan/staff.go
+++ b/plan/staff.go
@@ -89,6 +89,7 @@
 		}
 		if v.Unavailable[d] {
 			s.Reclaimable = present.Reclaimable
+			s.Standard = max(s.Standard, min(present.Standard, perDomain-present.Reclaimable))
 		}
 		// Standard engines leave only once the reclaimable ones that replace
 		// them are there.
--- /dev/null
+++ b/plan/staff_test.go
@@ -0,0 +1,121 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func fleetOf(perDomain int, reclaimable bool, domains ...string) []Engine {
+	var list []Engine
+	for _, d := range domains {
+		for i := range perDomain {
+			list = append(list, Engine{ID: fmt.Sprintf("%s%d%v", d, i, reclaimable), FailureDomain: d, Prefill: i%3 == 0, Reclaimable: reclaimable})
+		}
+	}
+	return list
+}
+
+func view(engines []Engine) *StaffView {
+	return &StaffView{
+		Engines: engines, FailureDomains: []string{"a", "b", "c"}, MinPerDomain: 1, MaxPerDomain: 10,
+		ReclaimablePrice: 0.2, Least: 12, Slots: 64, Unavailable: map[string]bool{},
+	}
+}
+
+// TestStandardEnginesLeaveLast guards against a gap in which standard engines are
+// given up before the reclaimable ones that replace them are there.
+func TestStandardEnginesLeaveLast(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(4, false, "a", "b", "c"))
+	first := Staff(v)
+	is.True(first["a"].Reclaimable > 0)
+	is.Equal(first["a"].Standard, 4)
+	v.Engines = append(v.Engines, fleetOf(first["a"].Reclaimable, true, "a", "b", "c")...)
+	is.Equal(Staff(v)["a"].Standard, 1)
+}
+
+// TestUnavailableDomainKeepsItsEngines guards against giving engines up in a
+// failure domain where no others can be had.
+func TestUnavailableDomainKeepsItsEngines(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(4, false, "a", "b", "c"))
+	v.Unavailable["a"] = true
+	is.Equal(Staff(v)["a"], Staffing{Standard: 4})
+}
+
+// TestLongStreamsGetDecodeEngines is the load of a shift from long prompts to long
+// answers: streams fill the slots of few decode engines while prefill engines are
+// idle. It guards against requests that wait for a slot as long as a stream lasts.
+func TestLongStreamsGetDecodeEngines(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(8, true, "a", "b", "c"))
+	v.Settled, v.PromptTokensPerSecond, v.EngineTokensPerSecond = true, 100_000, 50_000
+	v.Streams = 20
+	few := v.DecodeEngines()
+	v.Streams = 200
+	many := v.DecodeEngines()
+	is.Equal(few, 3) // one in each failure domain
+	is.True(float64(many*v.Slots)*decodeLoad >= v.Streams)
+	changes := v.Roles(100)
+	is.Equal(len(changes), 0) // sixteen decode already, which is enough
+	v.Streams = 260
+	is.True(len(v.Roles(100)) > 0)
+}
+
+// TestRolesNeedASettledDemand guards against taking decode engines away in the
+// first seconds of traffic, when few streams run yet.
+func TestRolesNeedASettledDemand(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(8, true, "a", "b", "c"))
+	v.PromptTokensPerSecond, v.EngineTokensPerSecond, v.Streams = 100_000, 50_000, 5
+	is.True(v.DecodeEngines() >= 9)
+	v.Settled = true
+	is.Equal(v.DecodeEngines(), 3)
+}
+
+// TestStaffIsBounded guards against orders outside the bounds of the configuration,
+// deployments without any decode engine, and role changes that never end.
+func TestStaffIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := view(nil)
+		for i := range rapid.IntRange(1, 40).Draw(t, "engines") {
+			v.Engines = append(v.Engines, Engine{
+				ID: fmt.Sprint(i), FailureDomain: rapid.SampledFrom(v.FailureDomains).Draw(t, "domain"),
+				Prefill: rapid.Bool().Draw(t, "prefill"), Reclaimable: rapid.Bool().Draw(t, "reclaimable"),
+				Requests: rapid.IntRange(0, 9).Draw(t, "requests"),
+			})
+		}
+		v.Least = rapid.IntRange(0, 60).Draw(t, "least")
+		v.Settled = rapid.Bool().Draw(t, "settled")
+		v.Streams = float64(rapid.IntRange(0, 900).Draw(t, "streams"))
+		v.PromptTokensPerSecond = float64(rapid.IntRange(0, 2_000_000).Draw(t, "demand"))
+		v.EngineTokensPerSecond = 50_000
+		for d, s := range Staff(v) {
+			if s.Standard < 0 || s.Reclaimable < 0 || s.Standard+s.Reclaimable < v.MinPerDomain {
+				t.Fatalf("%s: %+v", d, s)
+			}
+		}
+		decode := 0
+		byID := map[string]int{}
+		for i, e := range v.Engines {
+			byID[e.ID] = i
+		}
+		for range 3 {
+			for _, c := range v.Roles(len(v.Engines)) {
+				v.Engines[byID[c.ID]].Prefill = c.Prefill
+			}
+		}
+		for _, e := range v.Engines {
+			decode += boolToInt(!e.Prefill)
+		}
+		if decode == 0 {
+			t.Fatalf("no engine decodes")
+		}
+		if again := v.Roles(len(v.Engines)); len(again) > 0 {
+			t.Fatalf("roles do not settle: %v", again)
+		}
+	})
+}
