Add a fault soak of real processes

Nodes run as processes between stand-ins in the harness; proxies delay, reset, cut one way or silence; signals stop, pause, kill and restart; the store refuses or loses answers; servers are replaced, keys withdrawn, configurations written. It checks runs, refusals, whole answers, workspaces, keys, leaving servers, usage figures and recovery.

--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,297 @@
+// Package soak runs nodes as separate processes between stand-ins, injects faults
+// from outside them and checks, from what callers and backend servers see, that
+// the promises hold.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/figweir/figweir/platform/backendsim"
+	"github.com/figweir/figweir/platform/kvserver"
+	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
+)
+
+// Options size a run.
+type Options struct {
+	Binary  string
+	Dir     string
+	Seed    uint64
+	Nodes   int
+	Clients int
+	Time    time.Duration
+}
+
+// World is one deployment on loopback.
+type World struct {
+	Options
+	random *rand.Rand
+	net    string
+	store  *memstore.Store
+	nodes  []*node
+	plain  []*backend
+	engine []*backend
+	ledger *Ledger
+	closed []func()
+	config atomic.Int64
+	keyB   atomic.Bool
+	spare  atomic.Int64
+}
+
+// node is one process of the program under test.
+type node struct {
+	index    int
+	ip       string
+	settings string
+	storeway *Proxy
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	stopped bool
+}
+
+// backend is one backend server behind its proxy.
+type backend struct {
+	id, service, role string
+	sim               *backendsim.Server
+	proxy             *Proxy
+	server            *http.Server
+	gone              chan struct{}
+	draining          atomic.Bool
+}
+
+// Ports of every node, on its own loopback address.
+const (
+	callerPort, readyPort, peerPort = 8100, 8101, 8102
+	firstPort, lastPort             = 8110, 8119
+)
+
+// New starts the stand-ins and the nodes.
+func New(o Options) (*World, error) {
+	w := &World{Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), store: memstore.New(), ledger: NewLedger()}
+	// Each run has its own part of the loopback range.
+	w.net = fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, 1+o.Seed%250)
+	w.keyB.Store(true)
+	r := chi.NewRouter()
+	kvserver.Register(r, w.store)
+	r.Post("/usage", w.ledger.usage)
+	storeAddress, err := w.serve(r)
+	if err != nil {
+		return nil, err
+	}
+	w.writeConfig()
+	for i := range 3 {
+		w.add("plain", fmt.Sprintf("s%d", i), "")
+	}
+	for i := range 2 {
+		w.add("models", fmt.Sprintf("p%d", i), "prefill")
+		w.add("models", fmt.Sprintf("d%d", i), "decode")
+	}
+	w.add("models", "d2", "decode")
+	for i := range o.Nodes {
+		if err := w.addNode(i, storeAddress); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// serve starts a server of the harness on a free loopback port.
+func (w *World) serve(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ErrorLog: nil}
+	go func() { _ = s.Serve(l) }()
+	w.closed = append(w.closed, func() { _ = s.Close() })
+	return l.Addr().String(), nil
+}
+
+// writeConfig writes the next version of the configuration.
+func (w *World) writeConfig() {
+	version := w.config.Add(1)
+	route := func(prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
+			"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "resumable": resumable, "gap_target_ms": 250,
+		}
+	}
+	workspaces := []any{map[string]any{"name": "a", "api_keys": []string{"key-a"}}}
+	if w.keyB.Load() {
+		workspaces = append(workspaces, map[string]any{"name": "b", "api_keys": []string{"key-b"}})
+	}
+	raw, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []any{
+			route("/unsafe/", "unsafe", "plain", false), route("/safe/", "safe", "plain", false),
+			route("/stream/", "streaming", "models", false), route("/resume/", "streaming", "models", true),
+		},
+		"services": []any{
+			map[string]any{"name": "plain", "connection_limit": 100},
+			map[string]any{"name": "models", "connection_limit": 100, "engine": map[string]any{"slots": 8, "kv_token_bytes": 1000, "link_mbps": 1000}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": workspaces,
+	})
+	if err == nil {
+		w.put("op/config", raw, 0)
+	}
+}
+
+// put writes a key whatever its revision, as the operator and the servers do.
+func (w *World) put(key string, raw []byte, lease store.LeaseID) {
+	ctx := context.Background()
+	for range 20 {
+		old, err := w.store.Get(ctx, key)
+		if err != nil && old.Revision != 0 {
+			continue
+		}
+		if _, err := w.store.Put(ctx, key, raw, old.Revision, lease); err == nil {
+			return
+		}
+	}
+}
+
+// add starts a backend server and registers it until it is removed.
+func (w *World) add(service, id, role string) *backend {
+	b := &backend{id: id, service: service, role: role, gone: make(chan struct{})}
+	b.sim = backendsim.New(backendsim.Options{
+		ID: id, Role: role, Slots: 8, WorkTime: 8 * time.Millisecond, Events: 12, OnRun: func(r backendsim.Run) { w.ledger.run(r, b) },
+	})
+	address, err := w.serve(b.sim.Handler())
+	if err != nil {
+		return nil
+	}
+	if b.proxy, err = NewProxy("127.0.0.1:0", address); err != nil {
+		return nil
+	}
+	w.closed = append(w.closed, b.proxy.Close)
+	if service == "plain" {
+		w.plain = append(w.plain, b)
+	} else {
+		w.engine = append(w.engine, b)
+	}
+	go w.register(b)
+	return b
+}
+
+// register keeps a backend server's entry alive.
+func (w *World) register(b *backend) {
+	ctx := context.Background()
+	lease, _ := w.store.Grant(ctx, 2*time.Second)
+	state := ""
+	for {
+		next := "ready"
+		if b.draining.Load() {
+			next = "draining"
+		}
+		if next != state {
+			state = next
+			raw, _ := json.Marshal(map[string]any{
+				"service": b.service, "address": b.proxy.Address(), "zone": "z", "slots": 8, "state": state, "stage": b.role, "models": []any{},
+			})
+			w.put("servers/"+b.id, raw, lease)
+			if state == "draining" {
+				w.ledger.drained(b)
+			}
+		}
+		select {
+		case <-b.gone:
+			_ = w.store.Revoke(ctx, lease)
+			return
+		case <-time.After(500 * time.Millisecond):
+		}
+		if w.store.Renew(ctx, lease) != nil {
+			lease, _ = w.store.Grant(ctx, 2*time.Second)
+			state = ""
+		}
+	}
+}
+
+func (w *World) addNode(i int, storeAddress string) error {
+	n := &node{index: i, ip: fmt.Sprintf("%s.%d", w.net, 10+i)}
+	var err error
+	if n.storeway, err = NewProxy("127.0.0.1:0", storeAddress); err != nil {
+		return err
+	}
+	w.closed = append(w.closed, n.storeway.Close)
+	seeds := []string{fmt.Sprintf("%s.10:%d", w.net, peerPort)}
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("node-%d", i), "ip_address": n.ip, "failure_domain": "z",
+		"listen": map[string]any{
+			"callers": fmt.Sprintf("%s:%d", n.ip, callerPort), "readiness": fmt.Sprintf("%s:%d", n.ip, readyPort), "peers": fmt.Sprintf("%s:%d", n.ip, peerPort),
+		},
+		"ports": []int{firstPort, lastPort}, "seeds": seeds, "limits": map[string]any{"memory_mb": 200}, "log": map[string]any{"lines_per_s": 1000},
+		"bounds": map[string]any{"retry_ratio": 0.2, "retry_extra": 50.0, "fencing_enforced": true, "usage_window_s": 2, "usage_delay_s": 4},
+		"store":  map[string]any{"address": n.storeway.Address()},
+		"cloud":  map[string]any{"address": storeAddress, "duties": []string{"usage_reporting"}},
+	})
+	if err != nil {
+		return err
+	}
+	n.settings = filepath.Join(w.Dir, fmt.Sprintf("node-%d.json", i))
+	if err := os.WriteFile(n.settings, raw, 0o600); err != nil {
+		return err
+	}
+	w.nodes = append(w.nodes, n)
+	return n.start(w)
+}
+
+// start starts the process of a node and keeps its log.
+func (n *node) start(w *World) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out, err := os.OpenFile(filepath.Join(w.Dir, fmt.Sprintf("node-%d.log", n.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	n.command = exec.Command(w.Binary, "gateway", "--settings", n.settings)
+	n.command.Stdout, n.command.Stderr = out, out
+	if err := n.command.Start(); err != nil {
+		return err
+	}
+	go func(c *exec.Cmd) { _ = c.Wait(); _ = out.Close() }(n.command)
+	return nil
+}
+
+// signal sends a signal to the process that this run started.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.command != nil && n.command.Process != nil {
+		_ = n.command.Process.Signal(s)
+	}
+}
+
+// Close ends every process and stand-in of the run.
+func (w *World) Close() {
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+	}
+	for _, b := range append(w.plain, w.engine...) {
+		select {
+		case <-b.gone:
+		default:
+			close(b.gone)
+		}
+	}
+	for _, c := range w.closed {
+		c()
+	}
+}
