--- a/core/core.go
+++ b/core/core.go
@@ -363,7 +363,10 @@
 		return limited, cancel, func() {}
 	}
 	left := time.Until(e.deadline)
-	limit := min(time.Duration(attemptShare*float64(left)), attemptTargets*e.route.Target)
+	limit := time.Duration(attemptShare * float64(left))
+	if e.route.Target > 0 {
+		limit = min(limit, attemptTargets*e.route.Target)
+	}
 	timer := time.AfterFunc(limit, func() { cancelCause(errAttemptTime) })
 	return limited, cancel, func() { timer.Stop() }
 }
