--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -103,7 +103,7 @@
 	if w.Prompt != nil && usable[0].Role != RoleNone {
 		return b.chooseEngine(now, w, usable)
 	}
-	return b.choosePlain(now, usable), nil
+	return b.choosePlain(now, w, usable), nil
 }
 
 // usable returns the servers that may be tried, the healthy ones if there are
@@ -128,7 +128,7 @@
 	return rest
 }
 
-func (b *Balancer) choosePlain(now time.Time, servers []*Server) *Choice {
+func (b *Balancer) choosePlain(now time.Time, w *Work, servers []*Server) *Choice {
 	var best *Server
 	bestScore := 0.0
 	for _, s := range servers {
@@ -145,7 +145,7 @@
 			best, bestScore = s, score
 		}
 	}
-	return b.newChoice(best, false, nil, 0, 0)
+	return b.newChoice(best, false, w, 0, 0)
 }
 
 // rank orders servers for a subject equally on all nodes.
@@ -239,7 +239,7 @@
 		return nil, ErrFull
 	}
 	if w.Prefilled {
-		return b.newChoice(decode.server, false, w.Prompt, 0, decode.millis), nil
+		return b.newChoice(decode.server, false, w, 0, decode.millis), nil
 	}
 	direct := b.newDirect(decode, w)
 	if w.Resumed {
@@ -251,14 +251,14 @@
 	}
 	splitMillis := prefill.millis + transferMillis(w, prefill.server, decode.server)
 	if splitMillis < decode.millis+b.pauseMillis(decode, w) {
-		return b.newChoice(prefill.server, true, w.Prompt, prefill.uncached, splitMillis), nil
+		return b.newChoice(prefill.server, true, w, prefill.uncached, splitMillis), nil
 	}
 	return direct(), nil
 }
 
 func (b *Balancer) newDirect(decode *engineCost, w *Work) func() *Choice {
 	return func() *Choice {
-		return b.newChoice(decode.server, false, w.Prompt, decode.uncached, decode.millis)
+		return b.newChoice(decode.server, false, w, decode.uncached, decode.millis)
 	}
 }
 
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -28,16 +28,18 @@
 	begun time.Time
 }
 
-func (b *Balancer) newChoice(s *Server, prefill bool, p *Prompt, uncached int, estimateMillis float64) *Choice {
+func (b *Balancer) newChoice(s *Server, prefill bool, w *Work, uncached int, estimateMillis float64) *Choice {
 	c := &Choice{
-		Server: s, Prefill: prefill, prompt: p, balancer: b, begun: time.Now(), Uncached: uncached,
+		Server: s, Prefill: prefill, prompt: w.Prompt, balancer: b, begun: time.Now(), Uncached: uncached,
 		Estimate: time.Duration(estimateMillis * float64(time.Millisecond)),
 		alone:    s.stats.prefillTokens.Load() == 0,
 	}
 	s.stats.inflight.Add(1)
 	c.pending.Store(int64(uncached))
 	s.stats.prefillTokens.Add(int64(uncached))
-	b.promptTokens.Add(uint64(max(0, uncached)))
+	if !w.Again {
+		b.promptTokens.Add(uint64(max(0, uncached)))
+	}
 	b.changed()
 	return c
 }
--- a/backends/server.go
+++ b/backends/server.go
@@ -262,6 +262,9 @@
 	TargetPause time.Duration
 	// Urgency is the rank; 0 is the most urgent.
 	Urgency int
+	// Again tells that the request was chosen for before, so that its prompt
+	// counts once in the demand.
+	Again bool
 	// Prefilled tells that the prompt is processed already.
 	Prefilled bool
 	// HandleDomain is the failure domain of the engine that processed it.
--- a/core/core.go
+++ b/core/core.go
@@ -125,6 +125,8 @@
 	handle     *Handle
 	handleUses int
 	prefilled  bool
+	// chosen tells that a backend server was chosen before.
+	chosen bool
 	// resumed are the choices of continued streams.
 	resumed []*backends.Choice
 	began   bool
@@ -231,8 +233,9 @@
 	w := &backends.Work{
 		Service: service, Prompt: e.request.Prompt, Excluded: e.excluded,
 		Left: time.Until(e.deadline), Target: e.route.Target, TargetPause: e.route.TargetPause, Urgency: e.priority(),
-		Resumed: e.request.LastEventID != "",
+		Resumed: e.request.LastEventID != "", Again: e.chosen,
 	}
+	e.chosen = true
 	if e.handle != nil {
 		w.Prefilled, w.HandleDomain = true, e.record.Prefill.FailureDomain
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 
 // drainShare is the part of the time in which a leaving backend server must get no
 // more requests that registrations may wait to be read together.
-const drainShare = 0.2
+const drainShare = 0.15
 
 func registrationPause(s platform.Settings) time.Duration {
 	return time.Duration(drainShare * float64(s.Bounds.DrainMillis) * float64(time.Millisecond))
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sort"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
 	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/store"
 )
 
 const (
@@ -44,6 +46,8 @@
 	// duty. Fewer are not ordered: the demand seen so far may be low by chance.
 	// It grows with the demand.
 	least map[string]int
+	// stored is the revision of the record of least in the store.
+	stored store.Revision
 }
 
 // demand follows the prompt tokens per second of all nodes and the streams that
@@ -118,6 +122,7 @@
 			}
 			if s.since.IsZero() {
 				s.since = now
+				s.load(ctx)
 			}
 			table := s.table.Load()
 			if table == nil || now.Sub(s.since) < settleTime {
@@ -144,7 +149,7 @@
 	// A server that is given up and ordered again costs its start twice, and
 	// the cache it had, so the number follows peaks of the demand only.
 	if v.PromptTokensPerSecond > 0 || len(s.ordered) == 0 {
-		s.least[service.Name] = max(s.least[service.Name], v.PerDomain()*len(v.FailureDomains))
+		s.raise(ctx, service.Name, v.PerDomain()*len(v.FailureDomains))
 		v.Least = s.least[service.Name]
 	}
 	targets := plan.Staff(v)
@@ -155,6 +160,37 @@
 	}
 }
 
+// staffKey holds how many engines of each service were ordered, so that the next
+// holder of the duty does not order fewer while those still start.
+const staffKey = "figweir/staff"
+
+// load takes over what the last holder has ordered.
+func (s *staffer) load(ctx context.Context) {
+	entry, err := s.store.Get(ctx, staffKey)
+	if err == nil {
+		err = json.Unmarshal(entry.Value, &s.least)
+	}
+	s.stored = entry.Revision
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		s.log.Info("ordered engines not read, starting from those that are there", "cause", err.Error())
+	}
+}
+
+// raise notes that a service should have at least n engines.
+func (s *staffer) raise(ctx context.Context, service string, n int) {
+	if n <= s.least[service] {
+		return
+	}
+	s.least[service] = n
+	raw, err := json.Marshal(s.least)
+	if err == nil {
+		s.stored, err = s.store.Put(ctx, staffKey, raw, s.stored, 0)
+	}
+	if err != nil {
+		s.log.Info("ordered engines not stored", "cause", err.Error())
+	}
+}
+
 func (s *staffer) view(now time.Time, service *core.Service) *plan.StaffView {
 	engines := s.engines(service.Name)
 	if s.least[service.Name] == 0 {
