--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -295,40 +295,67 @@
 	return pauseDelay * (prompt - allowed)
 }
 
-// cheapest returns the engine of a role with the least cost, or nil.
+// cheapest returns the engine of a role with the least cost, or nil. A prompt with
+// a long shared part goes to one of the few homes of its subject, also under
+// load: elsewhere the shared part would be processed again, which makes an
+// overload worse.
 func (b *Balancer) cheapest(now time.Time, w *Work, servers []*Server, role Role) *engineCost {
-	home := homeOf(w.Prompt.Subject(), servers, role)
+	homes := homesOf(w.Prompt.Subject(), servers, role, w.Prompt.Model)
+	bound := role == RolePrefill && w.Prompt.Tokens-w.Prompt.Own() >= boundTokens && homes[0] != nil
 	var best *engineCost
-	for _, s := range servers {
-		if s.Role != role || !s.serves(w.Prompt.Model) {
-			continue
-		}
-		c := b.engineCost(now, s, w, s == home)
+	consider := func(s *Server) {
+		c := b.engineCost(now, s, w, s == homes[0])
 		c.millis += 1e-3 * rand.Float64()
 		if best == nil || c.millis < best.millis {
 			best = &c
 		}
 	}
+	if bound {
+		for _, s := range homes {
+			if s != nil {
+				consider(s)
+			}
+		}
+		return best
+	}
+	for _, s := range servers {
+		if s.Role == role && s.serves(w.Prompt.Model) {
+			consider(s)
+		}
+	}
 	return best
 }
 
-// homeOf returns the engine of a role on which all nodes place a subject, by
-// rendezvous hashing.
-func homeOf(subject string, servers []*Server, role Role) *Server {
+const (
+	// homeCount is how many engines share the prompts of a subject.
+	homeCount = 3
+	// boundTokens is the least shared part that binds a prompt to its homes: about
+	// ten milliseconds of an engine.
+	boundTokens = 512
+)
+
+// homesOf returns the engines of a role on which all nodes place a subject, by
+// rendezvous hashing, the first one first.
+func homesOf(subject string, servers []*Server, role Role, model string) (homes [homeCount]*Server) {
 	if subject == "" {
-		return nil
+		return homes
 	}
-	var home *Server
-	var highest uint64
+	var ranks [homeCount]uint64
 	for _, s := range servers {
-		if s.Role != role {
+		if s.Role != role || !s.serves(model) {
 			continue
 		}
-		if r := rank(subject, s); home == nil || r > highest {
-			home, highest = s, r
+		r := rank(subject, s)
+		for i := range homes {
+			if homes[i] == nil || r > ranks[i] {
+				copy(homes[i+1:], homes[i:homeCount-1])
+				copy(ranks[i+1:], ranks[i:homeCount-1])
+				homes[i], ranks[i] = s, r
+				break
+			}
 		}
 	}
-	return home
+	return homes
 }
 
 func (s *Server) serves(model string) bool {
--- a/backends/cells.go
+++ b/backends/cells.go
@@ -29,8 +29,10 @@
 	services map[string][][]*Server
 }
 
-// inCell returns the engines of a service in a cell. The division is the same on
-// all nodes that have the same registrations, and changes little with them.
+// inCell returns the engines of a service that a node in a cell uses: the decode
+// engines of the cell and all prefill engines, because the shared parts of prompts
+// are cached at one of these for all nodes. The division is the same on all nodes
+// that have the same registrations, and changes little with them.
 func (v *View) inCell(service string, c Cell) []*Server {
 	servers := v.services[service]
 	if c.Count <= 1 || len(servers) < minCellServers*c.Count {
@@ -48,8 +50,8 @@
 	views := &cellViews{count: count, services: make(map[string][][]*Server, len(v.services))}
 	for service, servers := range v.services {
 		cells := make([][]*Server, count)
-		// Roles and failure domains are divided apart, so that each cell has its
-		// part of both.
+		// Failure domains are divided apart, so that each cell has its part of
+		// all.
 		type group struct {
 			role   Role
 			domain string
@@ -67,7 +69,16 @@
 			return cmp.Or(cmp.Compare(a.role, b.role), cmp.Compare(a.domain, b.domain))
 		})
 		for _, g := range order {
-			deal(groups[g], cells)
+			if g.role != RolePrefill {
+				deal(groups[g], cells)
+			}
+		}
+		for _, s := range servers {
+			if s.Role == RolePrefill {
+				for i := range cells {
+					cells[i] = append(cells[i], s)
+				}
+			}
 		}
 		views.services[service] = cells
 	}
@@ -112,6 +123,10 @@
 	return xxhash.Sum64(b[:])
 }
 
+// Part returns the number of the cell whose keeper adds up the work on a prefill
+// engine.
+func (c Cell) Part(server uint64) int { return int(server % uint64(c.Count)) }
+
 // nodesPerCell is how many nodes share a cell. Each sends its work to all others
 // of the cell, so more cost more of every node.
 const nodesPerCell = 9
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -12,6 +12,7 @@
 type View struct {
 	services map[string][]*Server
 	byID     map[string]*Server
+	prefill  map[uint64]bool
 	// cells is the division of the engines; it is computed when first needed.
 	cells atomic.Pointer[cellViews]
 }
@@ -19,6 +20,9 @@
 // Servers returns the servers of a service that take requests, ordered by id.
 func (v *View) Servers(service string) []*Server { return v.services[service] }
 
+// Prefill returns the hashes of the prefill engines.
+func (v *View) Prefill() map[uint64]bool { return v.prefill }
+
 // All returns every known server, draining ones included.
 func (v *View) All() map[string]*Server { return v.byID }
 
@@ -44,7 +48,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.view.Load()
-	next := &View{services: make(map[string][]*Server), byID: make(map[string]*Server, len(infos))}
+	next := &View{services: make(map[string][]*Server), byID: make(map[string]*Server, len(infos)), prefill: make(map[uint64]bool)}
 	for _, info := range infos {
 		s := &Server{Info: info, Hash: xxhash.Sum64String(info.ID)}
 		if o := old.byID[info.ID]; o != nil && o.BornMillis == info.BornMillis && o.Address == info.Address {
@@ -53,6 +57,9 @@
 			s.stats = newStats()
 		}
 		next.byID[info.ID] = s
+		if info.Role == RolePrefill {
+			next.prefill[s.Hash] = true
+		}
 		if info.State == Ready {
 			next.services[info.Service] = append(next.services[info.Service], s)
 		}
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -7,11 +7,13 @@
 	"errors"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/figweir/figweir/store"
@@ -38,6 +40,8 @@
 	Peers string `json:"peers"`
 	// Load is the address for datagrams with the work of nodes.
 	Load string `json:"load"`
+	// CPU is the part of a core that the node may use.
+	CPU float64 `json:"cpu"`
 }
 
 // Nodes announces this node and follows the list of all.
@@ -116,6 +120,35 @@
 	return list
 }
 
+// LoadAddresses returns the addresses for datagrams of all other nodes.
+func (n *Nodes) LoadAddresses() []string { return n.CellPeers(1) }
+
+// Keeper returns the node that adds up the work on one part of the engines: one of
+// those with the most processor time, the same on all nodes.
+func (n *Nodes) Keeper(part int) Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	most := 0.0
+	for _, node := range n.ordered {
+		most = max(most, node.CPU)
+	}
+	var keeper Node
+	var highest uint64
+	for _, node := range n.ordered {
+		if node.CPU < keeperShare*most {
+			continue
+		}
+		if h := xxhash.Sum64String(node.Name + "/" + strconv.Itoa(part)); keeper.Name == "" || h > highest {
+			keeper, highest = node, h
+		}
+	}
+	return keeper
+}
+
+// keeperShare is the part of the largest node's processor time that a keeper has at
+// least.
+const keeperShare = 0.7
+
 // reorder computes the positions anew. The caller holds mu.
 func (n *Nodes) reorder() {
 	n.ordered = n.ordered[:0]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,13 +27,11 @@
 	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/discovery"
-	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
-	"github.com/figweir/figweir/store"
 	"github.com/figweir/figweir/upstream"
 )
 
@@ -76,7 +74,7 @@
 	truth    *boottime.TrueTime
 	relay    *discovery.Relay
 	holder   *discovery.Holder
-	loads    *loadshare.Table
+	loads    *loads
 	balancer *backends.Balancer
 	sharer   *loadshare.Sharer
 	lease    *authority.Lease
@@ -87,6 +85,8 @@
 	// incarnation names this run of the node among the others; it is not 0.
 	incarnation uint64
 	usageSentAt time.Time
+	// partsSent are the parts of which a keeper was told work last.
+	partsSent map[int]bool
 	// peersPort is the port of the peers' listener, equal on all nodes; empty if
 	// there is none.
 	peersPort string
@@ -106,10 +106,10 @@
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, registrationPause(s), log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
-	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress()}, log)
-	g.loads = loadshare.NewTable()
+	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
+	g.loads = newLoads()
 	g.incarnation = rand.Uint64() | 1
-	g.sharer = loadshare.NewSharer(g.incarnation, g.loads, g.ownWork, g.loadPeers, log)
+	g.sharer = loadshare.NewSharer(g.incarnation, g.ownWork, g.recipients, log)
 	g.sharer.OnUpdate = g.noteUpdate
 	g.observer = newObserver(log, important, s.Log.LinesPerSecond)
 	g.observer.gauges = g.gauges
@@ -180,68 +180,9 @@
 	return fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]+1)
 }
 
-// cell returns the part of the deployment that this node works in.
-func (g *Gateway) cell() backends.Cell { return backends.CellOf(g.nodes.Position()) }
-
-// loadPeers returns the nodes that get an update: those of the cell, and the
-// holder of the duty if it carries usage counts.
-func (g *Gateway) loadPeers(u *figweirv1.LoadUpdate) []string {
-	cell := g.cell()
-	list := g.nodes.CellPeers(cell.Count)
-	if len(u.Usage) == 0 || cell.Count == 1 {
-		return list
-	}
-	holder, _ := g.holder.Address()
-	for _, node := range g.nodes.List() {
-		if host, _, err := net.SplitHostPort(node.Load); err == nil && host == holder && holder != g.settings.IPAddress {
-			return append(list, node.Load)
-		}
-	}
-	return list
-}
-
-// ownWork returns the work of this node on backend servers.
-func (g *Gateway) ownWork() *figweirv1.LoadUpdate {
-	u := &figweirv1.LoadUpdate{
-		PromptTokens:  g.balancer.PromptTokens(),
-		ConfigVersion: g.config.Version(), RegistrationsRevision: uint64(g.servers.Revision()),
-	}
-	for _, s := range g.registry.View().All() {
-		requests, tokens := s.Work()
-		if requests > 0 {
-			u.Servers = append(u.Servers, &figweirv1.ServerLoad{Server: s.Hash, Requests: uint32(requests), PrefillTokens: uint32(max(0, tokens))})
-		}
-	}
-	if now := time.Now(); now.Sub(g.usageSentAt) >= usageEvery {
-		g.usageSentAt = now
-		for window, counts := range g.counter.Latest(usageWindows) {
-			u.Usage = append(u.Usage, &figweirv1.WindowUsage{Window: window, Counts: counts})
-		}
-	}
-	return u
-}
-
-const (
-	// usageEvery is the time between two updates that carry usage counts.
-	usageEvery = time.Second
-	// usageWindows is how many windows such an update carries.
-	usageWindows = 2
-)
-
 // incarnationName is the name of an incarnation in the store.
 func incarnationName(incarnation uint64) string { return fmt.Sprintf("%016x", incarnation) }
 
-// noteUpdate takes the usage counts of another node, and what it has read of the
-// store.
-func (g *Gateway) noteUpdate(from net.Addr, u *figweirv1.LoadUpdate) {
-	if udp, ok := from.(*net.UDPAddr); ok && g.peersPort != "" {
-		g.relay.Hint(net.JoinHostPort(udp.IP.String(), g.peersPort), u.ConfigVersion, store.Revision(u.RegistrationsRevision))
-	}
-	for _, w := range u.Usage {
-		g.heard.Update(incarnationName(u.Incarnation), w.Window, w.Counts)
-	}
-}
-
 // dutyName is the one duty: whoever holds it reports usage and orders servers.
 const dutyName = "platform"
 
@@ -302,6 +243,7 @@
 	dutyGroup.Go(func() { g.nodes.Announce(duties, g.store) })
 	group.Go(func() { g.sweep(background) })
 	group.Go(func() { g.sharer.Run(background, datagrams) })
+	group.Go(func() { g.keep(background, datagrams) })
 	go g.sharer.Receive(datagrams)
 	group.Go(func() { g.reload(background, hangup) })
 
@@ -395,6 +337,7 @@
 			return
 		case <-ticker.C:
 			g.updateReady()
+			g.loads.nodes.Expire(time.Now())
 			g.pool.Sweep()
 			g.store.Sweep()
 		}
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -111,7 +111,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.PromptTokens(), s.streams())
+			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.nodes.PromptTokens(), s.streams())
 			token, held := s.duty.Fence()
 			if !held {
 				s.since = time.Time{}
--- a/loadshare/sharer.go
+++ b/loadshare/sharer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -22,29 +23,33 @@
 	maxDatagramBytes = 8 << 10
 )
 
-// Sharer sends this node's work to its peers and takes theirs.
+// Message is an update and who gets it.
+type Message struct {
+	Update *figweirv1.LoadUpdate
+	To     []string
+}
+
+// Sharer sends this node's work to other nodes and takes theirs.
 type Sharer struct {
 	incarnation uint64
-	table       *Table
 	// snapshot returns this node's work.
 	snapshot func() *figweirv1.LoadUpdate
-	// peers returns the addresses of the nodes that get an update.
-	peers func(u *figweirv1.LoadUpdate) []string
-	log   logr.Logger
-
+	// messages returns what is sent of it, and to whom.
+	messages func(u *figweirv1.LoadUpdate) []Message
+	log      logr.Logger
 	// OnUpdate is called for each update of another node; it must not block.
 	OnUpdate func(from net.Addr, u *figweirv1.LoadUpdate)
 
 	changed  chan struct{}
-	sequence uint64
+	sequence atomic.Uint64
 
 	// Sent and Received count datagrams.
 	Sent, Received, Malformed atomic.Int64
 }
 
 // NewSharer returns a sharer for a node with a random incarnation.
-func NewSharer(incarnation uint64, t *Table, snapshot func() *figweirv1.LoadUpdate, peers func(*figweirv1.LoadUpdate) []string, log logr.Logger) *Sharer {
-	return &Sharer{incarnation: incarnation, table: t, snapshot: snapshot, peers: peers, log: log, changed: make(chan struct{}, 1)}
+func NewSharer(incarnation uint64, snapshot func() *figweirv1.LoadUpdate, messages func(*figweirv1.LoadUpdate) []Message, log logr.Logger) *Sharer {
+	return &Sharer{incarnation: incarnation, snapshot: snapshot, messages: messages, log: log, changed: make(chan struct{}, 1)}
 }
 
 // Changed says that the work has changed. It never blocks.
@@ -65,31 +70,35 @@
 			return
 		case <-s.changed:
 			time.Sleep(minInterval)
-		case now := <-ticker.C:
-			s.table.Expire(now)
+		case <-ticker.C:
+		}
+		u := s.snapshot()
+		u.Incarnation = s.incarnation
+		for _, m := range s.messages(u) {
+			s.Send(conn, m)
 		}
-		s.send(conn)
 	}
 }
 
-// send sends one update to every peer.
-func (s *Sharer) send(conn net.PacketConn) {
-	u := s.snapshot()
-	s.sequence++
-	u.Incarnation, u.Sequence = s.incarnation, s.sequence
-	raw, err := proto.Marshal(u)
+// Next returns the sequence number of the next update.
+func (s *Sharer) Next() uint64 { return s.sequence.Add(1) }
+
+// Send sends one message with the next sequence number.
+func (s *Sharer) Send(conn net.PacketConn, m Message) {
+	m.Update.Sequence = s.Next()
+	raw, err := proto.Marshal(m.Update)
 	if err != nil {
 		s.log.Error(err, "load update not encoded")
 		return
 	}
-	for _, peer := range s.peers(u) {
-		address, err := net.ResolveUDPAddr("udp4", peer)
+	for _, peer := range m.To {
+		address, err := netip.ParseAddrPort(peer)
 		if err != nil {
 			s.log.Info("peer address not usable", "address", peer, "cause", err.Error())
 			continue
 		}
 		// A datagram that can't be sent is made good by the next one.
-		if _, err := conn.WriteTo(raw, address); err == nil {
+		if _, err := conn.WriteTo(raw, net.UDPAddrFromAddrPort(address)); err == nil {
 			s.Sent.Add(1)
 		}
 	}
@@ -110,7 +119,6 @@
 			continue
 		}
 		if u.Incarnation != s.incarnation {
-			s.table.Update(time.Now(), &u)
 			s.OnUpdate(from, &u)
 		}
 	}
--- a/loadshare/table.go
+++ b/loadshare/table.go
@@ -56,6 +56,18 @@
 	return c.requests.Load(), c.tokens.Load()
 }
 
+// Sums returns the work of all nodes on each server that has some.
+func (t *Table) Sums() []*figweirv1.ServerLoad {
+	var list []*figweirv1.ServerLoad
+	for server, c := range *t.cells.Load() {
+		requests, tokens := c.requests.Load(), c.tokens.Load()
+		if requests > 0 {
+			list = append(list, &figweirv1.ServerLoad{Server: server, Requests: uint32(requests), PrefillTokens: uint32(max(0, tokens))})
+		}
+	}
+	return list
+}
+
 // PromptTokens returns the prompt tokens that the other nodes have sent to
 // engines. It only grows.
 func (t *Table) PromptTokens() uint64 { return t.promptTokens.Load() }
