--- a/cli/cli.go
+++ b/cli/cli.go
@@ -49,6 +49,7 @@
 	Drain     drainCommand     `cmd:"" help:"Give a backend server no new work."`
 	Undrain   undrainCommand   `cmd:"" help:"Give a drained backend server new work again."`
 	Order     orderCommand     `cmd:"" help:"Give an order to an engine."`
+	Explain   explainCommand   `cmd:"" help:"Follow one request through the logs of nodes."`
 	Report    reportCommand    `cmd:"" help:"Print a report of a node."`
 	Load      loadCommand      `cmd:"" help:"Send open-loop load to nodes and print one JSON result."`
 	Standin   standinCommand   `cmd:"" help:"Run a stand-in for a system that figweir talks to."`
