--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,7 +262,7 @@
 
 	<-stop.Done()
 	g.log.Info("stop requested", "in_flight", g.front.InFlight.Load(), "connections", wrapped.Connections())
-	g.stop(wrapped, cancelDuties, &dutyGroup)
+	g.stop(wrapped)
 	cancelDuties()
 	dutyGroup.Wait()
 	cancelBackground()
@@ -284,15 +284,16 @@
 	callerMaxHeaderBytes = 64 << 10
 )
 
-// stop serves on until the balancer has taken the node out and the open
-// requests are answered, within the grace period.
-func (g *Gateway) stop(l *platform.Listener, cancelDuties func(), duties *sync.WaitGroup) {
+// stop serves on until the balancer has taken the node out, then refuses new
+// requests, which could be cut by the end of the grace period, and waits for the
+// open ones.
+func (g *Gateway) stop(l *platform.Listener) {
 	deadline := time.Now().Add(g.settings.Grace() - stopMargin)
 	g.stopping.Store(true)
 	g.front.Stopping.Store(true)
-	// The duty goes to another node at once; counts are published again at the
-	// end.
 	time.Sleep(serveAfterStop)
+	g.front.Closing.Store(true)
+	_ = l.Listener.Close()
 	for time.Now().Before(deadline) {
 		l.CloseIdle(idleAfterStop)
 		if g.front.InFlight.Load() == 0 && l.Connections() == 0 {
@@ -365,7 +366,8 @@
 }
 
 func (g *Gateway) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := s.Serve(l)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		g.log.Error(err, "listener ended", "address", l.Addr().String())
 	}
 }
