Peers don't bring back servers that are gone

Ruled out: late watches (all nodes logged the removal within 250 ms) and the pause between them.

After: an entry that is not known counts only if it is newer than what was read.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -80,7 +80,7 @@
 	c.log.Info("configuration in force", "version", t.Version, "source", source)
 }
 
-func (c *Config) reset(entries []store.Entry, _ bool) {
+func (c *Config) reset(entries []store.Entry, _ store.Revision, _ bool) {
 	for _, e := range entries {
 		if e.Key == c.key {
 			c.Offer(e.Value, "store")
@@ -88,7 +88,7 @@
 	}
 }
 
-func (c *Config) apply(events []store.Event, _ bool) {
+func (c *Config) apply(events []store.Event, _ store.Revision, _ bool) {
 	for _, e := range events {
 		if e.Entry.Key == c.key && !e.Deleted {
 			c.Offer(e.Entry.Value, "store")
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -138,14 +138,14 @@
 	now = func() time.Duration { return clock }
 	defer func() { now = boottime.Now }()
 	entry := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
-	s.reset([]store.Entry{entry}, false)
-	s.reset(nil, true)
+	s.reset([]store.Entry{entry}, 5, false)
+	s.reset(nil, 6, true)
 	is.Equal(ids(r), "1") // kept for now
 	clock += lapseGrace
 	s.dropLapsed()
 	is.Equal(ids(r), "") // still missing: gone
-	s.reset([]store.Entry{entry}, false)
-	s.reset(nil, false)
+	s.reset([]store.Entry{entry}, 5, false)
+	s.reset(nil, 7, false)
 	is.Equal(ids(r), "") // no outage, no grace
 }
 
@@ -238,3 +238,21 @@
 	relay.ask(context.Background(), "peer")
 	is.Equal(ids(r), "1") // a peer without the store takes nothing away
 }
+
+// TestPeerDoesNotBringBackGoneServers guards against work for a server whose removal
+// this node has read and the peer that it asks has not.
+func TestPeerDoesNotBringBackGoneServers(t *testing.T) {
+	is := is.New(t)
+	r := backends.NewRegistry()
+	s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+	one := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
+	two := store.Entry{Key: testPrefix + "2", Value: []byte("ready"), Revision: 6}
+	s.reset([]store.Entry{one, two}, 6, false)
+	s.apply([]store.Event{{Entry: store.Entry{Key: testPrefix + "1", Revision: 9}, Deleted: true}}, 9, false)
+	three := store.Entry{Key: testPrefix + "3", Value: []byte("ready"), Revision: 10}
+	s.Offer([]store.Entry{one, two, three}, true, "peer")
+	is.Equal(ids(r), "2,3") // what the peer has read later counts, what it has not read yet does not
+	s.reset([]store.Entry{two}, 12, false)
+	s.Offer([]store.Entry{one, three}, false, "peer")
+	is.Equal(ids(r), "2") // removed before the list was read
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -28,11 +28,11 @@
 
 // handler takes what a follower reads.
 type handler interface {
-	// reset replaces all entries under the prefix. away tells that the store was
-	// away before.
-	reset(entries []store.Entry, away bool)
-	// apply takes changes in order.
-	apply(events []store.Event, away bool)
+	// reset replaces all entries under the prefix, which stand for the store at a
+	// revision. away tells that the store was away before.
+	reset(entries []store.Entry, at store.Revision, away bool)
+	// apply takes the changes up to a revision in order.
+	apply(events []store.Event, at store.Revision, away bool)
 }
 
 // follower reads a prefix of the store and follows its changes.
@@ -61,14 +61,14 @@
 		if !listed {
 			var entries []store.Entry
 			entries, revision, err = f.store.List(ctx, f.prefix)
-			deliver = func(away bool) { h.reset(entries, away) }
+			deliver = func(away bool) { h.reset(entries, revision, away) }
 		} else {
 			var events []store.Event
 			var at store.Revision
 			events, at, err = f.store.Watch(ctx, f.prefix, revision, watchWait)
 			deliver = func(away bool) {
 				revision = at
-				h.apply(events, away)
+				h.apply(events, at, away)
 			}
 		}
 		if errors.Is(err, store.ErrCompacted) {
--- a/discovery/holder.go
+++ b/discovery/holder.go
@@ -45,7 +45,7 @@
 	return *p, true
 }
 
-func (h *Holder) reset(entries []store.Entry, _ bool) {
+func (h *Holder) reset(entries []store.Entry, _ store.Revision, _ bool) {
 	address := ""
 	for _, e := range entries {
 		if e.Key == h.key {
@@ -55,7 +55,7 @@
 	h.set(address)
 }
 
-func (h *Holder) apply(events []store.Event, _ bool) {
+func (h *Holder) apply(events []store.Event, _ store.Revision, _ bool) {
 	for _, e := range events {
 		if e.Entry.Key != h.key {
 			continue
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -234,7 +234,7 @@
 	return lease
 }
 
-func (n *Nodes) reset(entries []store.Entry, _ bool) {
+func (n *Nodes) reset(entries []store.Entry, _ store.Revision, _ bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.nodes = map[string]Node{n.self.Name: n.self}
@@ -244,7 +244,7 @@
 	n.reorder()
 }
 
-func (n *Nodes) apply(events []store.Event, _ bool) {
+func (n *Nodes) apply(events []store.Event, _ store.Revision, _ bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, e := range events {
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -34,7 +34,10 @@
 	graceUntil time.Duration
 	read       bool
 	revision   store.Revision
-	follower   follower
+	// seen is the revision of the store up to which changes were read, here or at
+	// a peer: an older entry that is not known was removed.
+	seen     store.Revision
+	follower follower
 }
 
 // entry is one registration as last read.
@@ -98,7 +101,8 @@
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Key] = true
-		if old, known := s.entries[e.Key]; !known || old.revision < e.Revision {
+		old, known := s.entries[e.Key]
+		if known && old.revision < e.Revision || !known && e.Revision > s.seen {
 			s.take(e)
 		}
 	}
@@ -118,9 +122,10 @@
 	return s.read
 }
 
-func (s *Servers) reset(entries []store.Entry, away bool) {
+func (s *Servers) reset(entries []store.Entry, at store.Revision, away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.seen = max(s.seen, at)
 	s.noteReturn(away)
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -136,9 +141,10 @@
 	s.publish()
 }
 
-func (s *Servers) apply(events []store.Event, away bool) {
+func (s *Servers) apply(events []store.Event, at store.Revision, away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.seen = max(s.seen, at)
 	s.noteReturn(away)
 	for _, e := range events {
 		s.revision = max(s.revision, e.Entry.Revision)
