--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -241,25 +241,27 @@
 	if w.Prefilled {
 		return b.newChoice(decode.server, false, w, 0, decode.millis), nil
 	}
-	direct := b.newDirect(decode, w)
+	direct := func() (*Choice, error) {
+		if w.tooLate(decode.millis) {
+			return nil, ErrTooLate
+		}
+		return b.newChoice(decode.server, false, w, decode.uncached, decode.millis), nil
+	}
 	if w.Resumed {
-		return direct(), nil
+		return b.newChoice(decode.server, false, w, decode.uncached, decode.millis), nil
 	}
 	prefill := b.cheapest(now, w, servers, RolePrefill)
 	if prefill == nil {
-		return direct(), nil
+		return direct()
 	}
 	splitMillis := prefill.millis + transferMillis(w, prefill.server, decode.server)
 	if splitMillis < decode.millis+b.pauseMillis(decode, w) {
+		if w.tooLate(prefill.millis) {
+			return nil, ErrTooLate
+		}
 		return b.newChoice(prefill.server, true, w, prefill.uncached, splitMillis), nil
 	}
-	return direct(), nil
-}
-
-func (b *Balancer) newDirect(decode *engineCost, w *Work) func() *Choice {
-	return func() *Choice {
-		return b.newChoice(decode.server, false, w, decode.uncached, decode.millis)
-	}
+	return direct()
 }
 
 // transferMillis is the delay of moving KV cache between two engines, and what is
--- a/backends/server.go
+++ b/backends/server.go
@@ -279,6 +279,26 @@
 	LinkBitsPerSecond float64
 }
 
+const (
+	// leastPatience, patienceTargets and patiencePauses are how long callers wait
+	// for an event: two seconds, four times the target or eight times the target
+	// pause, whichever is longest.
+	leastPatience   = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+	// patienceShare is the part of that within which the first event must be
+	// expected. Estimates are too short under load.
+	patienceShare = 0.8
+)
+
+// tooLate reports whether a caller would have given up before the first event, so
+// that the work would be for nothing.
+func (w *Work) tooLate(millis float64) bool {
+	patience := max(leastPatience, patienceTargets*w.Target, patiencePauses*w.TargetPause)
+	patience = min(patience, w.Left)
+	return millis > patienceShare*float64(patience/time.Millisecond)
+}
+
 func (w *Work) excluded(id string) bool {
 	for _, x := range w.Excluded {
 		if x == id {
