--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -13,7 +13,6 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/backends"
-	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/standin/memstore"
 	"github.com/figweir/figweir/store"
@@ -57,13 +56,12 @@
 // time.
 func world(t *testing.T, run func(t *testing.T, st *memstore.Store, s *Servers, r *backends.Registry)) {
 	synctest.Test(t, func(t *testing.T) {
-		// The boot clock does not follow virtual time.
-		start := time.Now()
-		now = func() time.Duration { return time.Since(start) + time.Hour }
-		defer func() { now = boottime.Now }()
 		st := memstore.New()
 		r := backends.NewRegistry()
 		s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+		// The boot clock does not follow virtual time.
+		start := time.Now()
+		s.now = func() time.Duration { return time.Since(start) + time.Hour }
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { s.Run(ctx, st, func() {}); close(done) }()
@@ -135,8 +133,7 @@
 	r := backends.NewRegistry()
 	s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
 	clock := time.Hour
-	now = func() time.Duration { return clock }
-	defer func() { now = boottime.Now }()
+	s.now = func() time.Duration { return clock }
 	entry := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
 	s.reset([]store.Entry{entry}, 5, false)
 	s.reset(nil, 6, true)
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/store"
 )
 
@@ -82,7 +83,7 @@
 			}
 			if !failing {
 				f.log.Info("store lost", "prefix", f.prefix, "cause", err.Error())
-				failing, failingSince = true, now()
+				failing, failingSince = true, boottime.Now()
 			}
 			// A list finds changes that a broken watch can't tell of.
 			listed = false
@@ -91,7 +92,7 @@
 			pause = min(2*pause, maxRetry)
 			continue
 		}
-		failed := now() - failingSince
+		failed := boottime.Now() - failingSince
 		away := failing && failed > awayAfter
 		if failing {
 			f.log.Info("store regained", "prefix", f.prefix, "after_ms", failed.Milliseconds())
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -17,9 +17,6 @@
 // meanwhile still counts: living backend servers are back by then.
 const lapseGrace = 2 * time.Second
 
-// now is the clock of ages and graces. Tests replace it.
-var now = boottime.Now
-
 // Servers keeps a registry equal to the registrations in the store.
 type Servers struct {
 	registry *backends.Registry
@@ -27,6 +24,9 @@
 	decode   func(id string, raw []byte) (backends.Info, error)
 	log      logr.Logger
 
+	// now is the boot clock.
+	now func() time.Duration
+
 	mu      sync.Mutex
 	entries map[string]entry
 	// graceUntil is the boot time until which registrations that vanish count
@@ -53,7 +53,7 @@
 // NewServers returns a follower of the registrations under prefix. Changes within
 // pause are read together.
 func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause time.Duration, log logr.Logger) *Servers {
-	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, entries: make(map[string]entry),
+	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, now: boottime.Now, entries: make(map[string]entry),
 		follower: follower{prefix: prefix, log: log, pause: pause}}
 }
 
@@ -161,7 +161,7 @@
 
 func (s *Servers) noteReturn(away bool) {
 	if away {
-		s.graceUntil = now() + lapseGrace
+		s.graceUntil = s.now() + lapseGrace
 	}
 }
 
@@ -192,7 +192,7 @@
 	if !known {
 		return
 	}
-	if now() < s.graceUntil && e.info.State == backends.Ready {
+	if s.now() < s.graceUntil && e.info.State == backends.Ready {
 		if !e.lapsed {
 			s.log.Info("registration lapsed during the outage", "key", key)
 		}
@@ -217,7 +217,7 @@
 func (s *Servers) dropLapsed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now() < s.graceUntil {
+	if s.now() < s.graceUntil {
 		return
 	}
 	removed := false
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -42,7 +42,7 @@
 	n.mu.Lock()
 	taken := n.stopped
 	n.stopped = true
-	command := n.command
+	ended := n.ended
 	n.mu.Unlock()
 	if taken {
 		return func() {}
@@ -50,12 +50,7 @@
 	n.signal(syscall.SIGCONT)
 	n.signal(s)
 	return func() {
-		for range 200 {
-			if command.ProcessState != nil || syscall.Kill(command.Process.Pid, 0) != nil {
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
+		<-ended
 		n.mu.Lock()
 		n.stopped = false
 		n.mu.Unlock()
--- a/soak/world.go
+++ b/soak/world.go
@@ -61,6 +61,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	// ended is closed when the process has ended.
+	ended   chan struct{}
 	stopped bool
 }
 
@@ -69,7 +71,6 @@
 	id, service, role string
 	sim               *backendsim.Server
 	proxy             *Proxy
-	server            *http.Server
 	gone              chan struct{}
 	draining          atomic.Bool
 }
@@ -265,7 +266,12 @@
 	if err := n.command.Start(); err != nil {
 		return err
 	}
-	go func(c *exec.Cmd) { _ = c.Wait(); _ = out.Close() }(n.command)
+	n.ended = make(chan struct{})
+	go func(c *exec.Cmd, ended chan struct{}) {
+		_ = c.Wait()
+		_ = out.Close()
+		close(ended)
+	}(n.command, n.ended)
 	return nil
 }
 
