--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -61,7 +61,7 @@
 func engineWork(p *Prompt) *Work {
 	return &Work{
 		Service: "s", Prompt: p, Left: 8 * time.Second, Target: 400 * time.Millisecond, TargetPause: 250 * time.Millisecond,
-		Slots: 64, KVTokenBytes: 18432, LinkBitsPerSecond: 550e9,
+		KVTokenBytes: 18432, LinkBitsPerSecond: 550e9,
 	}
 }
 
--- a/backends/server.go
+++ b/backends/server.go
@@ -260,8 +260,6 @@
 	// TargetPause is the longest pause between events that is on time; 0 if
 	// there is no bound.
 	TargetPause time.Duration
-	// Urgency is the rank; 0 is the most urgent.
-	Urgency int
 	// Again tells that the request was chosen for before, so that its prompt
 	// counts once in the demand.
 	Again bool
@@ -272,9 +270,8 @@
 	// Resumed requests go on after an event and need no prefill apart.
 	Resumed bool
 
-	MaxConnections    int
-	Slots             int
-	KVCacheTokens     int
+	// KVTokenBytes is the KV cache of one token, LinkBitsPerSecond the bandwidth
+	// between engines; 0 if unknown.
 	KVTokenBytes      float64
 	LinkBitsPerSecond float64
 }
--- a/core/request.go
+++ b/core/request.go
@@ -42,11 +42,6 @@
 	After string
 	// Source is the KV cache to go on from; nil if there is none.
 	Source *Handle
-	// Backup is the address of the engine that gets a copy of the KV cache;
-	// empty if none does.
-	Backup string
-	// Fresh asks for a new connection, because an idle one may be dead.
-	Fresh bool
 }
 
 // Handle names KV cache that an engine holds for one request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,17 +11,13 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
-	"golang.org/x/sys/unix"
 
-	"github.com/figweir/figweir/admit"
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/boottime"
@@ -371,124 +367,3 @@
 		g.log.Error(err, "listener ended", "address", l.Addr().String())
 	}
 }
-
-func (g *Gateway) callerRoutes() http.Handler {
-	r := chi.NewRouter()
-	r.Handle("/*", g.front)
-	r.NotFound(g.front.ServeHTTP)
-	r.MethodNotAllowed(g.front.ServeHTTP)
-	return r
-}
-
-func (g *Gateway) readyRoutes() http.Handler {
-	r := chi.NewRouter()
-	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready.Load() || g.stopping.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	return r
-}
-
-func (g *Gateway) peerRoutes() http.Handler {
-	r := chi.NewRouter()
-	path, handler := peer.NewStateHandler(g.relay, peer.NewAuth(""))
-	r.Mount(path, handler)
-	return r
-}
-
-func (g *Gateway) adminRoutes() http.Handler {
-	r := chi.NewRouter()
-	r.Get("/metrics", g.observer.serveMetrics)
-	return r
-}
-
-// listen opens a listener whose connections notice a peer that has fallen
-// silent.
-func listen(address string) (net.Listener, error) {
-	userTimeout := upstream.DefaultOptions.UserTimeout
-	config := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			return errors.Join(controlErr, err)
-		},
-	}
-	return config.Listen(context.Background(), "tcp", address)
-}
-
-// callerKeepAlive is the time between keep-alive probes to callers.
-const callerKeepAlive = 5 * time.Second
-
-func limitMemory(megabytes int) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
-}
-
-// gauges returns what the metrics state beside counters.
-func (g *Gateway) gauges() map[string]float64 {
-	pool := g.pool.Stats()
-	token, held := g.duty.Fence()
-	calls := &g.store.Calls
-	return map[string]float64{
-		"config_version": float64(g.config.Version()), "config_following": number(g.config.Following()),
-		"registrations_following": number(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
-		"nodes": float64(g.nodes.Count()), "load_peers": float64(g.loads.Peers()), "ready": number(g.ready.Load()),
-		"stopping": number(g.stopping.Load()), "requests_in_flight": float64(g.front.InFlight.Load()),
-		"duty_held": number(held), "duty_fencing_token": float64(token),
-		"connections_dialed_total": float64(pool.Dials), "connections_dial_failures_total": float64(pool.DialFailures),
-		"connections_reused_total": float64(pool.Reused), "connections_discarded_total": float64(pool.Discarded),
-		"store_reads_total": float64(calls.Reads.Load()), "store_watches_total": float64(calls.Watches.Load()),
-		"store_writes_total": float64(calls.Writes.Load()), "store_renewals_total": float64(calls.Renewals.Load()),
-		"store_failures_total":    float64(calls.Failures.Load()),
-		"load_updates_sent_total": float64(g.sharer.Sent.Load()), "load_updates_received_total": float64(g.sharer.Received.Load()),
-		"log_queue_dropped_total": float64(g.out.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
-	}
-}
-
-func number(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// budget is this node's part of the retry budget of each service.
-type budget struct {
-	ratio, extra float64
-	nodes        func() int
-
-	mu       sync.Mutex
-	services map[string]*admit.RetryBudget
-}
-
-func (g *Gateway) newBudget() *budget {
-	return &budget{
-		ratio: g.settings.Bounds.RetryRatio * budgetShare, extra: g.settings.Bounds.RetryExtra * budgetShare,
-		nodes: g.nodes.Count, services: make(map[string]*admit.RetryBudget),
-	}
-}
-
-func (b *budget) of(service string) *admit.RetryBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.services[service]
-	if s == nil {
-		s = admit.NewRetryBudget(b.ratio, int(b.extra)/max(minBudgetNodes, b.nodes()))
-		b.services[service] = s
-	}
-	return s
-}
-
-// minBudgetNodes is assumed while the list of nodes is not known yet.
-const minBudgetNodes = 8
-
-// First implements core.Budget.
-func (b *budget) First(service string) { b.of(service).FirstAttempt() }
-
-// Retry implements core.Budget.
-func (b *budget) Retry(service string) bool { return b.of(service).Retry() }
--- /dev/null
+++ b/gateway/gauges.go
@@ -0,0 +1,29 @@
+package gateway
+
+// gauges returns what the metrics state beside counters.
+func (g *Gateway) gauges() map[string]float64 {
+	pool := g.pool.Stats()
+	token, held := g.duty.Fence()
+	calls := &g.store.Calls
+	return map[string]float64{
+		"config_version": float64(g.config.Version()), "config_following": number(g.config.Following()),
+		"registrations_following": number(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
+		"nodes": float64(g.nodes.Count()), "load_peers": float64(g.loads.Peers()), "ready": number(g.ready.Load()),
+		"stopping": number(g.stopping.Load()), "requests_in_flight": float64(g.front.InFlight.Load()),
+		"duty_held": number(held), "duty_fencing_token": float64(token),
+		"connections_dialed_total": float64(pool.Dials), "connections_dial_failures_total": float64(pool.DialFailures),
+		"connections_reused_total": float64(pool.Reused), "connections_discarded_total": float64(pool.Discarded),
+		"store_reads_total": float64(calls.Reads.Load()), "store_watches_total": float64(calls.Watches.Load()),
+		"store_writes_total": float64(calls.Writes.Load()), "store_renewals_total": float64(calls.Renewals.Load()),
+		"store_failures_total":    float64(calls.Failures.Load()),
+		"load_updates_sent_total": float64(g.sharer.Sent.Load()), "load_updates_received_total": float64(g.sharer.Received.Load()),
+		"log_queue_dropped_total": float64(g.out.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/listeners.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sys/unix"
+
+	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/upstream"
+)
+
+func (g *Gateway) callerRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/*", g.front)
+	r.NotFound(g.front.ServeHTTP)
+	r.MethodNotAllowed(g.front.ServeHTTP)
+	return r
+}
+
+func (g *Gateway) readyRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready.Load() || g.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+func (g *Gateway) peerRoutes() http.Handler {
+	r := chi.NewRouter()
+	path, handler := peer.NewStateHandler(g.relay, peer.NewAuth(""))
+	r.Mount(path, handler)
+	return r
+}
+
+func (g *Gateway) adminRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", g.observer.serveMetrics)
+	return r
+}
+
+// listen opens a listener whose connections notice a peer that has fallen
+// silent.
+func listen(address string) (net.Listener, error) {
+	userTimeout := upstream.DefaultOptions.UserTimeout
+	config := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			controlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+			return errors.Join(controlErr, err)
+		},
+	}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// callerKeepAlive is the time between keep-alive probes to callers.
+const callerKeepAlive = 5 * time.Second
+
+func limitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+}
