--- a/soak/clients.go
+++ b/soak/clients.go
@@ -56,17 +56,12 @@
 	if err != nil {
 		return
 	}
-	r.Host = "soak.example"
+	r.Host = backendsim.Host
 	// Without GetBody, and with an id for each request, nothing is sent twice.
 	r.GetBody = nil
-	r.Header.Set("Attempt-Id", id)
-	r.Header.Set("Api-Key", a.key)
-	r.Header.Set("Deadline-Ms", "3000")
+	backendsim.Sign(r.Header, id, a.key, 3*time.Second)
 	if a.kind == "stream" || a.kind == "resume" {
-		tokens := 50 + random.IntN(4000)
-		r.Header.Set("Model-Name", "m")
-		r.Header.Set("Token-Counts", fmt.Sprintf("%d,100", tokens))
-		r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:10,%s:%d", random.IntN(5), id, tokens-10))
+		backendsim.DescribePrompt(r.Header, id, random.IntN(5), 50+random.IntN(4000))
 	}
 	answer, err := t.RoundTrip(r)
 	if err != nil {
@@ -85,7 +80,7 @@
 
 // check compares a complete answer with the one that belongs to the request.
 func check(id, kind, text string, h http.Header) (whole bool, problem string) {
-	if h.Get("Response-Seal") != backendsim.Seal(id, http.StatusOK) {
+	if !backendsim.Signed(h, id) {
 		return false, "the answer has another signature"
 	}
 	want := backendsim.Body(id)
--- a/soak/world.go
+++ b/soak/world.go
@@ -125,32 +125,12 @@
 
 // writeConfig writes the next version of the configuration.
 func (w *World) writeConfig() {
-	version := w.config.Add(1)
-	route := func(prefix, kind, service string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
-			"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "resumable": resumable, "gap_target_ms": 250,
-		}
-	}
-	workspaces := []any{map[string]any{"name": "a", "api_keys": []string{"key-a"}}}
+	keys := map[string]string{"a": "key-a"}
 	if w.keyB.Load() {
-		workspaces = append(workspaces, map[string]any{"name": "b", "api_keys": []string{"key-b"}})
+		keys["b"] = "key-b"
 	}
-	raw, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("/unsafe/", "unsafe", "plain", false), route("/safe/", "safe", "plain", false),
-			route("/stream/", "streaming", "models", false), route("/resume/", "streaming", "models", true),
-		},
-		"services": []any{
-			map[string]any{"name": "plain", "connection_limit": 100},
-			map[string]any{"name": "models", "connection_limit": 100, "engine": map[string]any{"slots": 8, "kv_token_bytes": 1000, "link_mbps": 1000}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": workspaces,
-	})
-	if err == nil {
-		w.put("op/config", raw, 0)
+	if raw, err := backendsim.Config(w.config.Add(1), keys); err == nil {
+		w.put(backendsim.ConfigKey, raw, 0)
 	}
 }
 
@@ -195,19 +175,20 @@
 func (w *World) register(b *backend) {
 	ctx := context.Background()
 	lease, _ := w.store.Grant(ctx, 2*time.Second)
-	state := ""
+	const unwritten, ready, draining = 0, 1, 2
+	state := unwritten
 	for {
-		next := "ready"
+		next := ready
 		if b.draining.Load() {
-			next = "draining"
+			next = draining
 		}
 		if next != state {
 			state = next
-			raw, _ := json.Marshal(map[string]any{
-				"service": b.service, "address": b.proxy.Address(), "zone": "z", "slots": 8, "state": state, "stage": b.role, "models": []any{},
-			})
-			w.put("servers/"+b.id, raw, lease)
-			if state == "draining" {
+			raw, err := backendsim.Registration(b.service, b.proxy.Address(), b.role, state == draining)
+			if err == nil {
+				w.put(backendsim.ServersPrefix+b.id, raw, lease)
+			}
+			if state == draining {
 				w.ledger.drained(b)
 			}
 		}
@@ -219,7 +200,7 @@
 		}
 		if w.store.Renew(ctx, lease) != nil {
 			lease, _ = w.store.Grant(ctx, 2*time.Second)
-			state = ""
+			state = unwritten
 		}
 	}
 }
