Choose again after a refusal by fresh load reports

Cause: a model request spent its three attempts within a millisecond on engines that were all changing their roles, or on the one that had become a prefill engine, because the node still believed all three to be mixed. Traced with the nodes' logs in a failing run of TestPrefillAndDecodeOnDifferentEngines. Ruled out: the retry budget (all three attempts were made).

Change: after a refusal the router reads the load reports again, the next attempt waits for that and at least 5 ms (doubled each time), and only the engine that refused last is left out; those that failed otherwise stay out.

TestRefusedRequestWaitsForNewLoadReports guards it without timing.

--- a/caller/run.go
+++ b/caller/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,12 @@
 const (
 	// maxResumes bounds how often one attempt is resumed without progress.
 	maxResumes = 3
+	// refusalBackoff is the pause before another engine is tried after the first
+	// refusal; it doubles with each. Engines that change their roles together
+	// would otherwise use up all attempts within a millisecond.
+	refusalBackoff = 5 * time.Millisecond
+	// renewTimeout bounds the wait for new load reports after a refusal.
+	renewTimeout = 100 * time.Millisecond
 	// cancelTimeout bounds the call that ends an attempt on its engine.
 	cancelTimeout = time.Second
 )
@@ -51,10 +58,15 @@
 // execute tries engines until the answer is whole or no more can be done.
 func (c *chatRun) execute(ctx context.Context) {
 	var last error
+	// lost names the engines that failed other than by refusing.
+	var lost []string
 	for n := 1; n <= c.handler.options.MaxAttempts; n++ {
 		if n > 1 && !c.handler.Admitter.Retry(c.work.Service) {
 			break
 		}
+		if errors.Is(last, engine.ErrRefused) {
+			c.awaitReports(ctx, n-1)
+		}
 		target, err := c.handler.Router.Pick(c.pool, c.work)
 		if err != nil {
 			if last == nil {
@@ -71,11 +83,27 @@
 		if !retryable(ctx, last) {
 			break
 		}
-		c.work.Exclude = append(c.work.Exclude, target.Name)
+		// Of the engines that refused, those before the last may take work by now.
+		c.work.Exclude = append(slices.Clip(lost), target.Name)
+		if !errors.Is(last, engine.ErrRefused) {
+			lost = append(lost, target.Name)
+		}
 	}
 	c.fail(ctx, last)
 }
 
+// awaitReports waits after the nth attempt, which was refused, until the load
+// reports of the engines have been read again.
+func (c *chatRun) awaitReports(ctx context.Context, n int) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	c.handler.Router.Refused(ctx)
+	select {
+	case <-time.After(refusalBackoff << (n - 1)):
+	case <-ctx.Done():
+	}
+}
+
 // retryable reports whether another engine may be tried.
 func retryable(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || errors.Is(err, errDiverged) {
--- a/caller/run_test.go
+++ b/caller/run_test.go
@@ -30,9 +30,22 @@
 	refusing atomic.Bool
 	recorded *service.Answer
 	calls    atomic.Int64
+	// maxAttempts is 1 if it is zero.
+	maxAttempts int
+	// excluded holds what each choice had to leave out.
+	excluded [][]string
+	// renew, if set, is called when the handler asks for new load reports.
+	renew func()
 }
 
-func (f *fakes) Pick(*config.Pool, caller.Work) (caller.Target, error) {
+func (f *fakes) Refused(context.Context) {
+	if f.renew != nil {
+		f.renew()
+	}
+}
+
+func (f *fakes) Pick(_ *config.Pool, w caller.Work) (caller.Target, error) {
+	f.excluded = append(f.excluded, w.Exclude)
 	return caller.Target{Name: "e", Address: f.address, Release: func() {}, Generated: func(int) {}}, nil
 }
 func (f *fakes) Admit(context.Context, caller.Work) (caller.Admission, error) { return f, nil }
@@ -71,7 +84,7 @@
 		Router: f, Admitter: f, Claimer: f, Meter: f, Observer: f, Gate: f, Metrics: metrics.New(), Log: logr.Discard(),
 	}, caller.Options{
 		MaxBodyBytes: 1 << 20, BodyTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second,
-		RequestTimeout: time.Minute, MaxAttempts: 1, RefusingGrace: grace,
+		RequestTimeout: time.Minute, MaxAttempts: max(1, f.maxAttempts), RefusingGrace: grace,
 	}), key
 }
 
@@ -149,3 +162,31 @@
 	is.Equal(w.Body.String(), "before")
 	is.Equal(f.calls.Load(), int64(0))
 }
+
+// Guards against a request that uses up all its attempts within a millisecond
+// on engines that change their roles together: each further attempt is chosen
+// by load reports that were read after the refusal, and an engine that refused
+// before the last one may be chosen again.
+func TestRefusedRequestWaitsForNewLoadReports(t *testing.T) {
+	is := is.New(t)
+	e := standin.New(standin.DefaultSettings("e"))
+	e.SetFaults(standin.Faults{RefuseStreams: true})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	f := &fakes{address: server.Listener.Addr().String(), maxAttempts: 3}
+	renewals := 0
+	f.renew = func() {
+		if renewals++; renewals == 2 {
+			e.SetFaults(standin.Faults{})
+		}
+	}
+	h, key := newHandler(t, f, time.Second)
+	body := `{"model":"m","max_tokens":2,"messages":[{"role":"user","content":"x"}]}`
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(renewals, 2)                               // one after each refusal
+	is.Equal(f.excluded, [][]string{nil, {"e"}, {"e"}}) // only the last that refused
+}
--- a/node/backends.go
+++ b/node/backends.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/caller"
 	"github.com/figweir/figweir/config"
@@ -46,6 +48,9 @@
 	// registered is set once the servers of a configuration are known.
 	registered atomic.Bool
 
+	// renewal joins the readings of load reports that refusals cause.
+	renewal singleflight.Group
+
 	mu sync.Mutex
 	// polled is the state of each server by name.
 	polled map[string]*polledServer
@@ -264,6 +269,21 @@
 	wait.Wait()
 }
 
+// Refused implements caller.Router. Calls that come while reports are being
+// read wait for those.
+func (b *backends) Refused(ctx context.Context) {
+	done := b.renewal.DoChan("reports", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pollInterval)
+		defer cancel()
+		b.pollAll(ctx)
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 func (b *backends) pollAll(ctx context.Context) {
 	snapshot := b.node.config.Load()
 	if snapshot == nil {
