Replace reclaimed engines and share scarce ones between roles

The holder of the duty ordered no standard engines in their place, did not order a number again that it had ordered before, and once ordered a failure domain down to 0. With 70 engines left it made 69 of them decode, because the streams alone would have needed 84: prompts were then processed on decode engines, events came every 324 to 576 ms instead of 52, the number of running streams grew, and with it the number of decode engines wanted.

Change: a failure domain without reclaimable engines gets standard ones for a demand that is known; plan.Orders decides when an order is due, at once when engines are lost and again when it is not met in 5 s; if the engines are too few, both roles get their share of the need. A refused order of standard engines gives the duty up, since another holder has acted.

Ruled out: processor time of the nodes (0.017 of a core) and refusals by the balancer (870 of 44,550).

TestReclaimedEnginesAreReplaced and TestScarceEnginesAreSharedByRoles failed on the old code; plan.Orders has tests of its own.

--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -17,8 +17,8 @@
 const (
 	// staffEvery is the time between two looks at the backend servers.
 	staffEvery = 500 * time.Millisecond
-	// orderPause is how long an order has to take effect before it is repeated.
-	orderPause = 5 * time.Second
+	// rolePause is how long a role order has to take effect before it is repeated.
+	rolePause = 5 * time.Second
 	// unavailableFor is how long a failure domain without reclaimable servers
 	// is not asked again.
 	unavailableFor = 8 * time.Second
@@ -35,11 +35,12 @@
 	cloud   *platform.Cloud
 	backend *platform.Backend
 	since   time.Time
-	// ordered is what was last ordered, and when, by service, failure domain
-	// and class.
-	ordered     map[platform.ServerOrder]time.Time
-	counts      map[platform.ServerOrder]int
-	roleOrders  map[string]time.Time
+	// ordered holds what was last ordered by service, failure domain and class;
+	// the count in the keys is zero.
+	ordered    *plan.Orders[platform.ServerOrder]
+	roleOrders map[string]time.Time
+	// unavailable holds until when a failure domain is taken to have no
+	// reclaimable servers.
 	unavailable map[string]time.Time
 	demand      demand
 	// least is the number of engines of each service when this node took the
@@ -97,9 +98,8 @@
 
 func newStaffer(g *Gateway, cloud *platform.Cloud, backend *platform.Backend) *staffer {
 	return &staffer{
-		Gateway: g, cloud: cloud, backend: backend, ordered: make(map[platform.ServerOrder]time.Time),
-		counts: make(map[platform.ServerOrder]int), roleOrders: make(map[string]time.Time),
-		unavailable: make(map[string]time.Time), least: make(map[string]int),
+		Gateway: g, cloud: cloud, backend: backend, ordered: plan.NewOrders[platform.ServerOrder](),
+		roleOrders: make(map[string]time.Time), unavailable: make(map[string]time.Time), least: make(map[string]int),
 	}
 }
 
@@ -115,8 +115,7 @@
 			token, held := s.duty.Fence()
 			if !held {
 				s.since = time.Time{}
-				clear(s.ordered)
-				clear(s.counts)
+				s.ordered.Reset()
 				clear(s.least)
 				continue
 			}
@@ -148,15 +147,27 @@
 	}
 	// A server that is given up and ordered again costs its start twice, and
 	// the cache it had, so the number follows peaks of the demand only.
-	if v.PromptTokensPerSecond > 0 || len(s.ordered) == 0 {
+	if v.PromptTokensPerSecond > 0 || s.ordered.Empty() {
 		s.raise(ctx, service.Name, v.PerDomain()*len(v.FailureDomains))
 		v.Least = s.least[service.Name]
 	}
 	targets := plan.Staff(v)
 	for _, d := range v.FailureDomains {
-		t := targets[d]
-		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, t.Reclaimable, v)
-		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, t.Standard, v)
+		if !v.Unavailable[d] {
+			s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, targets[d].Reclaimable, v)
+		}
+	}
+	// Refused orders show where standard servers have to replace reclaimable ones.
+	s.noteUnavailable(now, v)
+	targets = plan.Staff(v)
+	for _, d := range v.FailureDomains {
+		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, targets[d].Standard, v)
+	}
+}
+
+func (s *staffer) noteUnavailable(now time.Time, v *plan.StaffView) {
+	for _, d := range v.FailureDomains {
+		v.Unavailable[d] = now.Before(s.unavailable[d])
 	}
 }
 
@@ -210,9 +221,9 @@
 		v.ReclaimablePrice = service.Scaling.ReclaimablePrice
 		for d := range service.Scaling.Prices {
 			v.FailureDomains = append(v.FailureDomains, d)
-			v.Unavailable[d] = now.Before(s.unavailable[d])
 		}
 		sort.Strings(v.FailureDomains)
+		s.noteUnavailable(now, v)
 	}
 	return v
 }
@@ -244,29 +255,31 @@
 	return list
 }
 
-// order orders a number of servers unless the same order was sent lately.
+// order orders a number of servers if that is due.
 func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
-	last, known := s.ordered[key]
-	if known && (s.counts[key] == count || now.Sub(last) < orderPause) {
+	present := v.Present(key.FailureDomain, key.Reclaimable)
+	if !s.ordered.Due(now, key, count, present) {
 		return
 	}
-	if key.Reclaimable && count == 0 && !known {
+	if key.Reclaimable && count == 0 && !s.ordered.Known(key) {
 		return
 	}
 	o := key
 	o.Count = count
 	err := s.cloud.OrderServers(ctx, token, o)
 	s.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
-		"count", count, "fencing_token", token, "engines", len(v.Engines),
+		"count", count, "present", present, "fencing_token", token, "engines", len(v.Engines),
 		"prompt_tokens_per_s", int(v.PromptTokensPerSecond), "engine_tokens_per_s", int(v.EngineTokensPerSecond), "streams", int(v.Streams), "error", errorText(err))
-	s.ordered[key] = now
-	s.counts[key] = count
-	if err != nil {
-		s.counts[key] = -1
+	s.ordered.Sent(now, key, count, present, err != nil)
+	if !errors.Is(err, platform.ErrFenced) {
+		return
 	}
-	if errors.Is(err, platform.ErrFenced) && key.Reclaimable {
+	if key.Reclaimable {
 		s.unavailable[key.FailureDomain] = now.Add(unavailableFor)
+		return
 	}
+	// Standard servers can always be had, so another holder has acted.
+	s.duty.GiveUp()
 }
 
 func errorText(err error) string {
@@ -279,7 +292,7 @@
 func (s *staffer) changeRoles(ctx context.Context, now time.Time, token uint64, v *plan.StaffView) {
 	changing := 0
 	for id, at := range s.roleOrders {
-		if now.Sub(at) < orderPause {
+		if now.Sub(at) < rolePause {
 			changing++
 		} else {
 			delete(s.roleOrders, id)
--- /dev/null
+++ b/plan/orders.go
@@ -0,0 +1,62 @@
+package plan
+
+import "time"
+
+const (
+	// orderInterval is how long an order has to take effect before it is sent
+	// again or replaced: somewhat more than engines take to start.
+	orderInterval = 5 * time.Second
+	// lossInterval is the least time between two orders when engines are lost.
+	lossInterval = time.Second
+)
+
+// Orders remembers what was ordered for each key and decides when to order
+// again. A platform that takes engines back does not replace them by itself.
+type Orders[K comparable] struct {
+	sent map[K]*sentOrder
+}
+
+type sentOrder struct {
+	at    time.Time
+	count int
+	// failed is set if the order may not have taken effect.
+	failed bool
+	// present is the greatest number of engines seen since the order.
+	present int
+}
+
+// NewOrders returns a memory without orders.
+func NewOrders[K comparable]() *Orders[K] { return &Orders[K]{sent: make(map[K]*sentOrder)} }
+
+// Empty reports whether nothing has been ordered.
+func (o *Orders[K]) Empty() bool { return len(o.sent) == 0 }
+
+// Reset forgets all orders.
+func (o *Orders[K]) Reset() { clear(o.sent) }
+
+// Known reports whether an order was sent for the key.
+func (o *Orders[K]) Known(key K) bool { return o.sent[key] != nil }
+
+// Due reports whether to order count engines now, while present ones run. An
+// order is due if the number is another one, if the last order failed or is not
+// met in time, and without delay if engines that ran have gone.
+func (o *Orders[K]) Due(now time.Time, key K, count, present int) bool {
+	s := o.sent[key]
+	if s == nil {
+		return true
+	}
+	since := now.Sub(s.at)
+	if present < min(s.present, count) {
+		return since >= lossInterval
+	}
+	s.present = max(s.present, present)
+	if s.count == count && !s.failed && present >= count {
+		return false
+	}
+	return since >= orderInterval
+}
+
+// Sent records an order and whether it may not have taken effect.
+func (o *Orders[K]) Sent(now time.Time, key K, count, present int, failed bool) {
+	o.sent[key] = &sentOrder{at: now, count: count, failed: failed, present: present}
+}
--- /dev/null
+++ b/plan/orders_test.go
@@ -0,0 +1,48 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLostEnginesAreOrderedAgain is the load of a platform that takes back the
+// engines of a failure domain. It guards against a number that stays ordered, is
+// no longer met, and is never ordered again.
+func TestLostEnginesAreOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	o := NewOrders[string]()
+	start := time.Unix(1000, 0)
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	is.True(o.Due(start, "a", 8, 0))
+	o.Sent(start, "a", 8, 0, false)
+	is.True(!o.Due(after(4*time.Second), "a", 8, 0)) // they still start
+	is.True(!o.Due(after(6*time.Second), "a", 8, 8))
+	is.True(!o.Due(after(time.Minute), "a", 8, 8)) // met: no call
+	lost := after(time.Minute + time.Second)
+	is.True(o.Due(lost, "a", 8, 1)) // at once
+	o.Sent(lost, "a", 8, 1, false)
+	is.True(!o.Due(lost.Add(4*time.Second), "a", 8, 1))
+	is.True(o.Due(lost.Add(orderInterval), "a", 8, 1)) // not met in time
+}
+
+// TestOrdersDoNotFollowEachChange guards against calls to the platform for every
+// engine that crashes and for each new estimate of the demand.
+func TestOrdersDoNotFollowEachChange(t *testing.T) {
+	is := is.New(t)
+	o := NewOrders[string]()
+	start := time.Unix(1000, 0)
+	o.Sent(start, "a", 8, 8, false)
+	calls := 0
+	for tick := range 100 { // ten seconds
+		now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+		if present := 8 - tick%3; o.Due(now, "a", 8+tick%5, present) {
+			o.Sent(now, "a", 8+tick%5, present, false)
+			calls++
+		}
+	}
+	is.True(calls <= int(10*time.Second/lossInterval))
+	o.Sent(start, "b", 8, 8, true)
+	is.True(o.Due(start.Add(orderInterval), "b", 8, 8)) // a failed order is repeated
+}
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -89,7 +89,7 @@
 		}
 		if v.Unavailable[d] {
 			s.Reclaimable = present.Reclaimable
-			s.Standard = max(s.Standard, min(present.Standard, perDomain-present.Reclaimable))
+			s.Standard = max(s.Standard, v.replacements(perDomain, present))
 		}
 		// Standard engines leave only once the reclaimable ones that replace
 		// them are there.
@@ -104,6 +104,17 @@
 	return out
 }
 
+// replacements returns how many standard engines a failure domain needs that has
+// no more reclaimable ones. Those that are there stay; more are ordered for a
+// demand that is known.
+func (v *StaffView) replacements(perDomain int, present Staffing) int {
+	missing := perDomain - present.Reclaimable
+	if v.PromptTokensPerSecond <= 0 {
+		missing = min(present.Standard, missing)
+	}
+	return missing
+}
+
 // PerDomain returns how many engines of both classes each failure domain should
 // have.
 func (v *StaffView) PerDomain() int {
@@ -112,14 +123,22 @@
 	if v.PromptTokensPerSecond <= 0 && v.count("").Reclaimable == 0 {
 		total *= 1 + spareShare
 	}
-	if v.PromptTokensPerSecond > 0 && v.EngineTokensPerSecond > 0 {
-		prefill := v.PromptTokensPerSecond / (v.EngineTokensPerSecond * prefillLoad)
-		total = max(total, prefill+float64(v.DecodeEngines()))
+	if prefill := v.prefillNeed(); prefill > 0 {
+		total = max(total, prefill+max(v.decodeNeed(), float64(v.DecodeEngines())))
 	}
 	n := int(math.Ceil(total / float64(domains)))
 	return min(max(n, v.MinPerDomain, 2), max(v.MaxPerDomain, 1))
 }
 
+// Present returns how many engines of a class run in a failure domain.
+func (v *StaffView) Present(domain string, reclaimable bool) int {
+	s := v.count(domain)
+	if reclaimable {
+		return s.Reclaimable
+	}
+	return s.Standard
+}
+
 // count counts the engines of a failure domain, or all of them if it is empty.
 func (v *StaffView) count(domain string) Staffing {
 	var s Staffing
@@ -142,16 +161,37 @@
 	Prefill bool
 }
 
+// prefillNeed returns how many prefill engines the demand needs; 0 if it is not
+// known.
+func (v *StaffView) prefillNeed() float64 {
+	if v.PromptTokensPerSecond <= 0 || v.EngineTokensPerSecond <= 0 {
+		return 0
+	}
+	return v.PromptTokensPerSecond / (v.EngineTokensPerSecond * prefillLoad)
+}
+
+// decodeNeed returns how many decode engines the streams need; 0 if they are not
+// known.
+func (v *StaffView) decodeNeed() float64 {
+	if v.Streams <= 0 || v.Slots <= 0 {
+		return 0
+	}
+	return math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
+}
+
 // DecodeEngines returns how many engines should decode: as many as the streams
-// need, but at least one in each failure domain and never all.
+// need, but at least one in each failure domain and never all. If the engines
+// are too few for the demand, both roles get their share of them: prompts that
+// are processed on decode engines hold up the streams there, and more streams
+// then seem to need still more decode engines.
 func (v *StaffView) DecodeEngines() int {
-	want := decodeShare * float64(len(v.Engines))
-	if v.Streams > 0 && v.Slots > 0 {
-		need := math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
-		if v.Settled {
-			want = need
-		}
-		want = max(want, need)
+	engines := float64(len(v.Engines))
+	want := v.decodeNeed()
+	if prefill := v.prefillNeed(); want+prefill > engines {
+		want *= engines / (want + prefill)
+	}
+	if want == 0 || !v.Settled {
+		want = max(want, decodeShare*engines)
 	}
 	domains := make(map[string]bool)
 	for _, e := range v.Engines {
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -46,6 +46,40 @@
 	is.Equal(Staff(v)["a"], Staffing{Standard: 4})
 }
 
+// TestReclaimedEnginesAreReplaced is the load of a failure domain whose
+// reclaimable engines are taken back while no others are to be had anywhere. It
+// guards against a demand that is left to the engines of the others.
+func TestReclaimedEnginesAreReplaced(t *testing.T) {
+	is := is.New(t)
+	v := view(append(fleetOf(1, false, "a", "b", "c"), fleetOf(5, true, "b", "c")...))
+	v.Least, v.PromptTokensPerSecond, v.EngineTokensPerSecond = 18, 100_000, 50_000
+	is.Equal(Staff(v)["a"].Reclaimable, 5)
+	v.Unavailable["a"] = true
+	is.Equal(Staff(v)["a"], Staffing{Standard: 6})
+	v.Engines = append(v.Engines, fleetOf(6, false, "a")[1:]...)
+	v.Unavailable["a"] = false
+	is.Equal(Staff(v)["a"], Staffing{Standard: 6, Reclaimable: 4}) // within the bounds, until those run
+	v.Engines = append(v.Engines, fleetOf(5, true, "a")...)
+	is.Equal(Staff(v)["a"], Staffing{Standard: 1, Reclaimable: 5})
+}
+
+// TestScarceEnginesAreSharedByRoles is the load of two reclaimed failure domains
+// during a burst: the engines are too few for both prompts and streams. It guards
+// against a fleet that only decodes, so that prompts are processed there and stop
+// the streams.
+func TestScarceEnginesAreSharedByRoles(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(6, true, "a", "b", "c"))
+	v.Settled, v.Slots = true, 32
+	v.PromptTokensPerSecond, v.EngineTokensPerSecond = 500_000, 50_000 // 22 engines
+	v.Streams = 176                                                    // 22 engines
+	is.Equal(v.DecodeEngines(), 9)
+	v.Streams = 1760
+	is.True(v.DecodeEngines() < 18)
+	v.Settled = false
+	is.True(v.DecodeEngines() < 18)
+}
+
 // TestLongStreamsGetDecodeEngines is the load of a shift from long prompts to long
 // answers: streams fill the slots of few decode engines while prefill engines are
 // idle. It guards against requests that wait for a slot as long as a stream lasts.
