Report usage of lost streams and of nodes cut off truly

Streams that were lost before their first event counted as begun (windows too high by up to 819 of 3,071 requests while many callers left the engines' queues); the figures of a window were sealed 4.5 s after its end, while 26 nodes were cut off from the store and the holder (1,137 of 3,796 missing).

Change: a stream counts with its first event only; figures from which nodes with requests are missing are sealed at 0.7 of the delay instead of 0.45.

Both tests fail without their change.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -48,7 +48,10 @@
 		}
 		return e.afterUnsent(choice.Server, o.Cause)
 	case Lost:
-		e.beganAt(sentAt)
+		// A plain request may have run; a stream begins with its first event.
+		if e.route.Kind != Streaming {
+			e.beganAt(sentAt)
+		}
 		if ctx.Err() == nil {
 			choice.Failed()
 		}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -116,6 +116,11 @@
 func (nothing) Attempt(*Record, *backends.Server, string, error) {}
 func (nothing) Done(*Record)                                     {}
 
+// fakeMeter counts the requests that began.
+type fakeMeter struct{ began int }
+
+func (m *fakeMeter) Began(string, time.Time) { m.began++ }
+
 type fixture struct {
 	core     *Core
 	upstream *fakeUpstream
@@ -175,6 +180,20 @@
 	is.Equal(s.refusal.Verdict(), MayHaveRun)
 }
 
+// TestLostStreamsAreNotMetered guards against usage figures above the truth when
+// streams are lost in the queues of engines, before their first event; a plain
+// request whose answer is lost may have run and counts.
+func TestLostStreamsAreNotMetered(t *testing.T) {
+	is := is.New(t)
+	for kind, began := range map[Kind]int{Streaming: 0, Unsafe: 1} {
+		f := newFixture(kind, false, Lost{errors.New("reset")})
+		meter := &fakeMeter{}
+		f.core.Meter = meter
+		f.serve(nil)
+		is.Equal(meter.began, began)
+	}
+}
+
 // TestRefusedAttemptGoesElsewhere guards against giving a request up that
 // another backend server can run.
 func TestRefusedAttemptGoesElsewhere(t *testing.T) {
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -67,6 +67,7 @@
 		Incarnation: name, Heard: NewHeard(), Delay: 10 * time.Second,
 		Fenced: func(error) bool { return false }, Log: logr.Discard(),
 		published: make(map[int64]*publication), reported: make(map[int64]bool),
+		retryAt: make(map[int64]time.Time),
 	}
 	return &node{r, d, c}
 }
@@ -101,6 +102,32 @@
 	is.Equal(b.calls, 1)
 }
 
+// TestNodesCutOffFromTheStoreAreWaitedFor is a partition that hides a part of the
+// nodes from the store and from the holder until seconds after a window. It
+// guards against figures without their requests.
+func TestNodesCutOffFromTheStoreAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	st, b := memstore.New(), &billing{reports: map[int64]map[string]int64{}}
+	w := &way{Store: st}
+	holder, other := newNode("a", st, b, start), newNode("b", w, b, start)
+	holder.duty.held = true
+	first := holder.Windows.At(start)
+	for s := range 40 {
+		at := start.Add(time.Duration(s) * 500 * time.Millisecond)
+		holder.clock.now, other.clock.now = at, at
+		w.away = s >= 14 && s < 32 // from 2 s into the second window to 6 s after it
+		if s < 20 && s%2 == 0 {
+			holder.Counter.Began("w", at)
+			other.Counter.Began("w", at)
+		}
+		other.tick()
+		holder.tick()
+	}
+	is.Equal(b.reports[first], map[string]int64{"w": 10})
+	is.Equal(b.reports[first+1], map[string]int64{"w": 10})
+	is.Equal(b.conflicts, 0)
+}
+
 // way is one node's way to the store.
 type way struct {
 	*memstore.Store
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -30,8 +30,11 @@
 	// counts: requests that began in it are known by then.
 	publishDelay = 1200 * time.Millisecond
 	// sealShare is the part of the time until a report is due after which the
-	// figures are sealed with what is there.
+	// figures are sealed if all nodes have published their counts.
 	sealShare = 0.45
+	// lateSealShare is the same for figures from which nodes are missing that
+	// had requests: they may be cut off from the store for a while.
+	lateSealShare = 0.7
 	// keepLease is how long counts and figures stay in the store.
 	keepLease = 5 * time.Minute
 	// keepWindows is how many ended windows a node remembers and a new holder
@@ -75,8 +78,15 @@
 	published map[int64]*publication
 	reported  map[int64]bool
 	holding   bool
+	// nodes are the incarnations with counts in the window sealed last.
+	nodes map[string]Counts
+	// retryAt is when a window is looked at again from which nodes were missing.
+	retryAt map[int64]time.Time
 }
 
+// errNodesMissing means that nodes have not published their counts yet.
+var errNodesMissing = errors.New("metering: counts of nodes are missing")
+
 type publication struct {
 	counts   Counts
 	revision store.Revision
@@ -86,6 +96,7 @@
 func (r *Reporter) Run(ctx context.Context) {
 	r.published = make(map[int64]*publication)
 	r.reported = make(map[int64]bool)
+	r.retryAt = make(map[int64]time.Time)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -141,6 +152,11 @@
 			delete(r.reported, window)
 		}
 	}
+	for window := range r.retryAt {
+		if window < before {
+			delete(r.retryAt, window)
+		}
+	}
 }
 
 func (r *Reporter) write(ctx context.Context, window int64, counts Counts, p *publication) error {
@@ -204,13 +220,19 @@
 	if !held {
 		return
 	}
-	seal := time.Duration(sealShare * float64(r.Delay))
-	newest := r.Windows.At(now.Add(-seal)) - 1
+	newest := r.Windows.At(now.Add(-r.delayShare(sealShare))) - 1
 	for window := newest - keepWindows + 1; window <= newest; window++ {
-		if r.reported[window] || now.After(r.Windows.End(window).Add(r.Delay)) {
+		end := r.Windows.End(window)
+		if r.reported[window] || now.After(end.Add(r.Delay)) || now.Before(r.retryAt[window]) {
 			continue
 		}
-		if err := r.reportWindow(ctx, token, window); err != nil {
+		late := end.Add(r.delayShare(lateSealShare))
+		err := r.reportWindow(ctx, token, window, !now.Before(late))
+		if errors.Is(err, errNodesMissing) {
+			r.retryAt[window] = late
+			continue
+		}
+		if err != nil {
 			r.Log.Info("usage not reported", "window", window, "fencing_token", token, "cause", err.Error())
 			if r.Fenced(err) {
 				r.Duty.GiveUp()
@@ -221,8 +243,14 @@
 	}
 }
 
-func (r *Reporter) reportWindow(ctx context.Context, token uint64, window int64) error {
-	counts, err := r.seal(ctx, window)
+func (r *Reporter) delayShare(share float64) time.Duration {
+	return time.Duration(share * float64(r.Delay))
+}
+
+// reportWindow reports a window; if it is not late, only once all nodes that
+// should have counts have published them.
+func (r *Reporter) reportWindow(ctx context.Context, token uint64, window int64, late bool) error {
+	counts, err := r.seal(ctx, window, late)
 	if err != nil || len(counts) == 0 {
 		return err
 	}
@@ -246,7 +274,7 @@
 
 // seal returns the figures of a window. They are written once, so that every
 // later holder reports the same.
-func (r *Reporter) seal(ctx context.Context, window int64) (Counts, error) {
+func (r *Reporter) seal(ctx context.Context, window int64, late bool) (Counts, error) {
 	entry, err := r.Store.Get(ctx, sealedKey(window))
 	if err == nil {
 		return decodeCounts(entry.Value)
@@ -258,20 +286,18 @@
 	if err != nil {
 		return nil, err
 	}
+	published := r.decodeEntries(window, entries)
 	nodes := r.Heard.in(window)
 	if nodes == nil {
 		nodes = make(map[string]Counts)
 	}
-	for _, e := range entries {
-		counts, err := decodeCounts(e.Value)
-		if err != nil {
-			r.Log.Info("usage counts not readable", "key", e.Key, "cause", err.Error())
-			continue
-		}
-		incarnation := strings.TrimPrefix(e.Key, countsKey(window))
+	if !late && (missing(published, nodes) || missing(published, r.nodes)) {
+		return nil, errNodesMissing
+	}
+	for incarnation, counts := range published {
 		nodes[incarnation] = greater(nodes[incarnation], counts)
 	}
-	nodes[r.Incarnation] = greater(nodes[r.Incarnation], r.Counter.snapshot(window)[window])
+	r.nodes = nodes
 	sum := make(Counts)
 	for _, counts := range nodes {
 		sum.add(counts)
@@ -293,6 +319,32 @@
 	return sum, nil
 }
 
+// missing reports whether an expected incarnation has published no counts.
+func missing(published, expected map[string]Counts) bool {
+	for incarnation := range expected {
+		if _, ok := published[incarnation]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// decodeEntries returns the counts of a window by incarnation. This node's are
+// those that it holds.
+func (r *Reporter) decodeEntries(window int64, entries []store.Entry) map[string]Counts {
+	published := map[string]Counts{r.Incarnation: r.Counter.snapshot(window)[window]}
+	for _, e := range entries {
+		counts, err := decodeCounts(e.Value)
+		if err != nil {
+			r.Log.Info("usage counts not readable", "key", e.Key, "cause", err.Error())
+			continue
+		}
+		incarnation := strings.TrimPrefix(e.Key, countsKey(window))
+		published[incarnation] = greater(published[incarnation], counts)
+	}
+	return published
+}
+
 func decodeCounts(raw []byte) (Counts, error) {
 	var c Counts
 	if err := json.Unmarshal(raw, &c); err != nil {
