Log and count the longest pause of each stream

The line has longest_pause_ms and the route's target_ms; /metrics has the histogram longest_pause_ms. TestLongestPauseIsRecorded guards the figure.

--- a/core/core.go
+++ b/core/core.go
@@ -92,7 +92,9 @@
 	// 0 if there was none.
 	FirstEvent time.Duration
 	Events     int
-	Total      time.Duration
+	// MaxPause is the longest time between two events of a stream.
+	MaxPause time.Duration
+	Total    time.Duration
 }
 
 // Core carries requests. Its fields must be set before the first request.
@@ -130,7 +132,9 @@
 	// resumed are the choices of continued streams.
 	resumed []*backends.Choice
 	began   bool
-	settled bool
+	// lastEvent is when the last event of a stream came.
+	lastEvent time.Time
+	settled   bool
 	// retryTaken tells that the retry budget has been asked for the next attempt.
 	retryTaken bool
 	record     Record
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -194,6 +194,19 @@
 	}
 }
 
+// TestLongestPauseIsRecorded guards against a stream that stops for long and whose
+// last line looks as if it had not.
+func TestLongestPauseIsRecorded(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	var e exchange
+	for _, at := range []time.Duration{0, 50, 400, 450} {
+		e.noteEvent(start.Add(at * time.Millisecond))
+	}
+	is.Equal(e.record.MaxPause, 350*time.Millisecond)
+	is.Equal(e.record.Events, 4)
+}
+
 // TestRefusedAttemptGoesElsewhere guards against giving a request up that
 // another backend server can run.
 func TestRefusedAttemptGoesElsewhere(t *testing.T) {
--- a/core/relay.go
+++ b/core/relay.go
@@ -86,6 +86,7 @@
 // cut and the caller still waits for the rest.
 func (e *exchange) forward(answer Answer, event Event, err error, last *string) (cut bool) {
 	for err == nil {
+		e.noteEvent(time.Now())
 		if e.sink.Events(event.Bytes) != nil {
 			e.record.Reason = ReasonCallerGone
 			e.sink.Abort()
@@ -94,7 +95,6 @@
 		if event.LastID != "" {
 			*last = event.LastID
 		}
-		e.record.Events++
 		event, err = answer.Next()
 	}
 	if err == io.EOF {
@@ -108,6 +108,16 @@
 	return true
 }
 
+// noteEvent counts an event and follows the pauses between events, also over the
+// cut of a stream.
+func (e *exchange) noteEvent(now time.Time) {
+	if e.record.Events > 0 {
+		e.record.MaxPause = max(e.record.MaxPause, now.Sub(e.lastEvent))
+	}
+	e.lastEvent = now
+	e.record.Events++
+}
+
 // resume continues a cut stream after its last event at another backend server.
 // It returns nil if the stream can't go on.
 func (e *exchange) resume(ctx context.Context, failed *backends.Server, last string) Answer {
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -29,7 +29,7 @@
 
 	requests, refusals, attempts, dropped *expvar.Map
 
-	firstEvent, total, prefilled *metrics.Histogram
+	firstEvent, total, prefilled, pause *metrics.Histogram
 	// gauges returns values that are read when asked for, by name.
 	gauges func() map[string]float64
 }
@@ -38,6 +38,7 @@
 	o := &observer{
 		log: log, important: important, requests: newMap(), refusals: newMap(), attempts: newMap(), dropped: newMap(),
 		firstEvent: metrics.NewHistogram(), total: metrics.NewHistogram(), prefilled: metrics.NewHistogram(),
+		pause:  metrics.NewHistogram(),
 		budget: rate.NewLimiter(0, 0),
 	}
 	o.setRate(linesPerSecond)
@@ -100,6 +101,9 @@
 	if r.PrefilledAfter > 0 {
 		o.prefilled.Observe(r.PrefilledAfter)
 	}
+	if r.MaxPause > 0 {
+		o.pause.Observe(r.MaxPause)
+	}
 	o.total.Observe(r.Total)
 }
 
@@ -113,13 +117,16 @@
 		"estimate_ms", r.Estimate.Milliseconds(), "total_ms", r.Total.Milliseconds(), "patience_ms", r.Request.Patience.Milliseconds(),
 	}
 	if r.Route != nil {
-		fields = append(fields, "route", r.Route.Name)
+		fields = append(fields, "route", r.Route.Name, "target_ms", r.Route.Target.Milliseconds())
 	} else {
 		fields = append(fields, "host", r.Request.Host, "path", r.Request.Path)
 	}
 	if r.Request.Prompt != nil {
 		fields = append(fields, "prefilled_ms", r.PrefilledAfter.Milliseconds(), "prompt_tokens", r.Request.Prompt.Tokens, "uncached_tokens", r.Uncached)
 	}
+	if r.Events > 1 {
+		fields = append(fields, "longest_pause_ms", r.MaxPause.Milliseconds())
+	}
 	if r.Prefill != nil {
 		fields = append(fields, "prefill_server", r.Prefill.ID)
 	}
@@ -151,6 +158,7 @@
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
 	b = o.firstEvent.AppendText(b, "first_event_ms")
+	b = o.pause.AppendText(b, "longest_pause_ms")
 	b = o.prefilled.AppendText(b, "prefilled_ms")
 	b = o.total.AppendText(b, "answer_ms")
 	gauges := o.gauges()
