Let reclaimable engines return where standard ones fill the bound

Change: replacements stop one short of the bound; a failure domain that had no reclaimable engines is asked for one first, and standard engines then make room in steps of a third. Orders that lower a number go first, as the bound holds for both classes together.

TestReplacementsGiveWayAtTheBound fails without the change.

--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -151,10 +151,18 @@
 		s.raise(ctx, service.Name, v.PerDomain()*len(v.FailureDomains))
 		v.Least = s.least[service.Name]
 	}
+	s.probe(ctx, now, token, service.Name, v)
 	targets := plan.Staff(v)
 	for _, d := range v.FailureDomains {
+		standard := platform.ServerOrder{Service: service.Name, FailureDomain: d}
+		reclaimable := standard
+		reclaimable.Reclaimable = true
+		if !v.Unavailable[d] && targets[d].Standard < v.Present(d, false) {
+			// The bound holds for both classes together, so one makes room first.
+			s.order(ctx, now, token, standard, targets[d].Standard, v)
+		}
 		if !v.Unavailable[d] {
-			s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d, Reclaimable: true}, targets[d].Reclaimable, v)
+			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
 		}
 	}
 	// Refused orders show where standard servers have to replace reclaimable ones.
@@ -165,6 +173,25 @@
 	}
 }
 
+// probe asks for one more reclaimable server in each failure domain that had none
+// lately, before standard ones are given up for them.
+func (s *staffer) probe(ctx context.Context, now time.Time, token uint64, service string, v *plan.StaffView) {
+	for _, d := range v.FailureDomains {
+		until, refused := s.unavailable[d]
+		if !refused || now.Before(until) {
+			continue
+		}
+		delete(s.unavailable, d)
+		key := platform.ServerOrder{Service: service, FailureDomain: d, Reclaimable: true}
+		present := v.Present(d, true)
+		if present+v.Present(d, false) < v.MaxPerDomain {
+			s.send(ctx, now, token, key, present+1, v)
+			s.ordered.Forget(key)
+		}
+	}
+	s.noteUnavailable(now, v)
+}
+
 func (s *staffer) noteUnavailable(now time.Time, v *plan.StaffView) {
 	for _, d := range v.FailureDomains {
 		v.Unavailable[d] = now.Before(s.unavailable[d])
@@ -264,6 +291,11 @@
 	if key.Reclaimable && count == 0 && !s.ordered.Known(key) {
 		return
 	}
+	s.send(ctx, now, token, key, count, v)
+}
+
+func (s *staffer) send(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
+	present := v.Present(key.FailureDomain, key.Reclaimable)
 	o := key
 	o.Count = count
 	err := s.cloud.OrderServers(ctx, token, o)
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -34,6 +34,9 @@
 // Reset forgets all orders.
 func (o *Orders[K]) Reset() { clear(o.sent) }
 
+// Forget forgets what was ordered for a key, so that an order is due.
+func (o *Orders[K]) Forget(key K) { delete(o.sent, key) }
+
 // Known reports whether an order was sent for the key.
 func (o *Orders[K]) Known(key K) bool { return o.sent[key] != nil }
 
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -90,11 +90,8 @@
 		if v.Unavailable[d] {
 			s.Reclaimable = present.Reclaimable
 			s.Standard = max(s.Standard, v.replacements(perDomain, present))
-		}
-		// Standard engines leave only once the reclaimable ones that replace
-		// them are there.
-		if missing := s.Reclaimable - present.Reclaimable; missing > 0 && present.Standard > s.Standard {
-			s.Standard = min(present.Standard, max(s.Standard, min(perDomain, s.Standard+missing)))
+		} else {
+			s = v.returnStep(s, present, perDomain)
 		}
 		if over := s.Standard + s.Reclaimable - v.MaxPerDomain; over > 0 {
 			s.Reclaimable = max(0, s.Reclaimable-over)
@@ -104,6 +101,28 @@
 	return out
 }
 
+// returnShare is the part of the missing reclaimable engines for which standard
+// ones make room at a time when a failure domain has no room for both.
+const returnShare = 1.0 / 3
+
+// returnStep returns the next step from present to want. Standard engines leave
+// only once the reclaimable ones that replace them are there, or to make room
+// for some of these.
+func (v *StaffView) returnStep(want, present Staffing, perDomain int) Staffing {
+	missing := want.Reclaimable - present.Reclaimable
+	if missing <= 0 || present.Standard <= want.Standard {
+		return want
+	}
+	next := want
+	next.Standard = min(present.Standard, max(want.Standard, min(perDomain, want.Standard+missing)))
+	if next.Standard < v.MaxPerDomain-present.Reclaimable {
+		return next
+	}
+	step := int(math.Ceil(returnShare * float64(missing)))
+	next.Standard = max(want.Standard, v.MaxPerDomain-present.Reclaimable-step)
+	return next
+}
+
 // replacements returns how many standard engines a failure domain needs that has
 // no more reclaimable ones. Those that are there stay; more are ordered for a
 // demand that is known.
@@ -112,7 +131,8 @@
 	if v.PromptTokensPerSecond <= 0 {
 		missing = min(present.Standard, missing)
 	}
-	return missing
+	// Room for one shows when reclaimable engines can be had again.
+	return min(missing, max(present.Standard, v.MaxPerDomain-present.Reclaimable-1))
 }
 
 // PerDomain returns how many engines of both classes each failure domain should
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -63,6 +63,29 @@
 	is.Equal(Staff(v)["a"], Staffing{Standard: 1, Reclaimable: 5})
 }
 
+// TestReplacementsGiveWayAtTheBound guards against standard engines that stay for
+// ever because they fill a failure domain up to its bound and leave no room for
+// the reclaimable ones that are to be had again.
+func TestReplacementsGiveWayAtTheBound(t *testing.T) {
+	is := is.New(t)
+	v := view(append(fleetOf(1, false, "a", "b", "c"), fleetOf(7, true, "b", "c")...))
+	v.MaxPerDomain, v.Least, v.PromptTokensPerSecond, v.EngineTokensPerSecond = 8, 24, 100_000, 50_000
+	v.Unavailable["a"] = true
+	is.Equal(Staff(v)["a"], Staffing{Standard: 7}) // one less than the bound
+	rest := fleetOf(7, true, "b", "c")
+	rest = append(rest, fleetOf(1, false, "b", "c")...)
+	now := Staffing{Standard: 7}
+	v.Unavailable["a"] = false
+	for range 10 {
+		v.Engines = append(append(fleetOf(now.Standard, false, "a"), fleetOf(now.Reclaimable, true, "a")...), rest...)
+		next := Staff(v)["a"]
+		is.True(next.Standard+next.Reclaimable <= 8)
+		is.True(next.Standard+now.Reclaimable >= 5) // two thirds serve meanwhile
+		now = next
+	}
+	is.Equal(now, Staffing{Standard: 1, Reclaimable: 7})
+}
+
 // TestScarceEnginesAreSharedByRoles is the load of two reclaimed failure domains
 // during a burst: the engines are too few for both prompts and streams. It guards
 // against a fleet that only decodes, so that prompts are processed there and stop
