Do not take decode engines to hold the prompts of their subjects

Prompts were sent to the decode engine that is home to their subject as if its shared parts were cached there. In a cell a subject comes back to its decode home after about 30 s, and the KV cache of streams has displaced its parts by then, so 6,600 tokens were processed between the tokens of the streams there.

Change: only prefill engines, which all nodes share, are taken to hold the shared parts of the subjects that they are home to. At decode engines a node goes by what it has sent there itself.

Ruled out: many streams per engine (10 of 32 slots, 55 ms between events).

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -205,8 +205,10 @@
 	uncached := 0
 	if !w.Prefilled {
 		uncached = p.Tokens - s.stats.cachedTokens(p.Shared(), now)
-		if home {
+		if home && s.Role == RolePrefill {
 			// All nodes send a subject to its home, so its shared parts are there.
+			// At a decode engine they yield to the KV cache of streams before the
+			// subject comes back.
 			uncached = p.Own()
 		}
 	}
