--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -200,6 +200,32 @@
 	is.Equal(short.Server.Role, RoleDecode)
 }
 
+// TestDecodeHomesAreNoCaches is the load of many subjects with long shared parts,
+// each of which comes back after a long time. It guards against shared parts that
+// are processed between the tokens of the streams at a decode engine because the
+// subject's home was taken to have them.
+func TestDecodeHomesAreNoCaches(t *testing.T) {
+	is := is.New(t)
+	b, _ := newBalancer(engineFleet(3, 3), nil)
+	for i := range 30 {
+		c, err := b.Choose(time.Now(), engineWork(prompt(fmt.Sprint("subject", i), 4800, 200)))
+		is.NoErr(err)
+		is.True(c.Prefill)
+		c.Done()
+	}
+	// What this node has sent to a decode engine itself is there.
+	p := prompt("subject", 4800, 200)
+	w := engineWork(p)
+	w.Prefilled, w.HandleDomain = true, "near"
+	c, err := b.Choose(time.Now(), w)
+	is.NoErr(err)
+	c.FirstEvent(time.Now())
+	c.Done()
+	again, err := b.Choose(time.Now(), engineWork(p))
+	is.NoErr(err)
+	is.True(!again.Prefill)
+}
+
 // TestRestGoesToDecodeEngines guards against sending a request whose prompt is
 // processed to an engine that would process it again.
 func TestRestGoesToDecodeEngines(t *testing.T) {
