Order replacements without delay

Change: a number that grows by a quarter is ordered within a second; role orders are sent eight at a time; only a node that starts waits, until it has known of no more servers for 2 s.

TestReplacementsAreOrderedWithoutDelay guards the interval.

--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
@@ -25,7 +27,11 @@
 	// maxRoleShare bounds the part of the engines that changes its role at a
 	// time, since they serve nothing meanwhile; idle engines may all change.
 	maxRoleShare = 0.15
-	// settleTime is how long registrations are collected before the first order.
+	// roleCalls is how many role orders are sent at a time.
+	roleCalls = 8
+	// settleTime is how long a node that starts must have known of no more backend
+	// servers before it orders: an order counts those that are known, and servers
+	// that register later would be given up.
 	settleTime = 2 * time.Second
 )
 
@@ -34,7 +40,12 @@
 	*Gateway
 	cloud   *platform.Cloud
 	backend *platform.Backend
-	since   time.Time
+	// since is when this node took the duty; zero while it does not hold it.
+	since time.Time
+	// grown is when more backend servers than before were known, most how many.
+	grown   time.Time
+	most    int
+	settled bool
 	// ordered holds what was last ordered by service, failure domain and class;
 	// the count in the keys is zero.
 	ordered    *plan.Orders[platform.ServerOrder]
@@ -111,6 +122,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			s.settle(now)
 			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.nodes.PromptTokens(), s.streams())
 			token, held := s.duty.Fence()
 			if !held {
@@ -124,7 +136,7 @@
 				s.load(ctx)
 			}
 			table := s.table.Load()
-			if table == nil || now.Sub(s.since) < settleTime {
+			if table == nil || !s.settled {
 				continue
 			}
 			for _, service := range table.Services {
@@ -134,6 +146,16 @@
 	}
 }
 
+// settle notes whether the registrations that this node read at its start are
+// likely to be complete.
+func (s *staffer) settle(now time.Time) {
+	known := len(s.registry.View().All())
+	if known > s.most || s.grown.IsZero() {
+		s.most, s.grown = known, now
+	}
+	s.settled = s.settled || known > 0 && now.Sub(s.grown) >= settleTime
+}
+
 func (s *staffer) staff(ctx context.Context, now time.Time, token uint64, service *core.Service) {
 	if service.Engine == nil && service.Scaling == nil {
 		return
@@ -335,18 +357,29 @@
 	if idle(v.Engines) {
 		limit = len(v.Engines)
 	}
+	// Engines that don't answer must not hold up the orders to the others.
+	var group errgroup.Group
+	group.SetLimit(roleCalls)
 	for _, c := range v.Roles(limit - changing) {
 		if _, ordered := s.roleOrders[c.ID]; ordered {
 			continue
 		}
-		role := backends.RoleDecode
-		if c.Prefill {
-			role = backends.RolePrefill
-		}
-		err := s.backend.ChangeRole(ctx, view[c.ID], role, s.settings.Name, token)
-		s.log.Info("role ordered", "backend_server", c.ID, "prefill", c.Prefill, "streams", int(v.Streams), "decode_engines", v.DecodeEngines(), "fencing_token", token, "error", errorText(err))
 		s.roleOrders[c.ID] = now
+		group.Go(func() error {
+			s.changeRole(ctx, token, view[c.ID], c.Prefill, v)
+			return nil
+		})
+	}
+	_ = group.Wait() // the calls log their errors
+}
+
+func (s *staffer) changeRole(ctx context.Context, token uint64, server *backends.Server, prefill bool, v *plan.StaffView) {
+	role := backends.RoleDecode
+	if prefill {
+		role = backends.RolePrefill
 	}
+	err := s.backend.ChangeRole(ctx, server, role, s.settings.Name, token)
+	s.log.Info("role ordered", "backend_server", server.ID, "prefill", prefill, "streams", int(v.Streams), "decode_engines", v.DecodeEngines(), "fencing_token", token, "error", errorText(err))
 }
 
 // idle reports whether no engine has a request.
--- a/plan/orders.go
+++ b/plan/orders.go
@@ -6,8 +6,11 @@
 	// orderInterval is how long an order has to take effect before it is sent
 	// again or replaced: somewhat more than engines take to start.
 	orderInterval = 5 * time.Second
-	// lossInterval is the least time between two orders when engines are lost.
-	lossInterval = time.Second
+	// urgentInterval is the least time between two orders when engines are lost or
+	// many more are needed.
+	urgentInterval = time.Second
+	// urgentShare is the growth of a number that is ordered without delay.
+	urgentShare = 0.25
 )
 
 // Orders remembers what was ordered for each key and decides when to order
@@ -42,7 +45,8 @@
 
 // Due reports whether to order count engines now, while present ones run. An
 // order is due if the number is another one, if the last order failed or is not
-// met in time, and without delay if engines that ran have gone.
+// met in time, and almost without delay if engines that ran have gone or the
+// number grows by much.
 func (o *Orders[K]) Due(now time.Time, key K, count, present int) bool {
 	s := o.sent[key]
 	if s == nil {
@@ -50,12 +54,15 @@
 	}
 	since := now.Sub(s.at)
 	if present < min(s.present, count) {
-		return since >= lossInterval
+		return since >= urgentInterval
 	}
 	s.present = max(s.present, present)
 	if s.count == count && !s.failed && present >= count {
 		return false
 	}
+	if grown := count - s.count; grown > 1 && float64(grown) >= urgentShare*float64(s.count) {
+		return since >= urgentInterval
+	}
 	return since >= orderInterval
 }
 
--- a/plan/orders_test.go
+++ b/plan/orders_test.go
@@ -27,6 +27,19 @@
 	is.True(o.Due(lost.Add(orderInterval), "a", 8, 1)) // not met in time
 }
 
+// TestReplacementsAreOrderedWithoutDelay is a reclaim shortly after an order: the
+// standard engines of the failure domain have just been ordered down. It guards
+// against seconds in which their number can't be raised again.
+func TestReplacementsAreOrderedWithoutDelay(t *testing.T) {
+	is := is.New(t)
+	o := NewOrders[string]()
+	start := time.Unix(1000, 0)
+	o.Sent(start, "a", 1, 1, false)
+	is.True(!o.Due(start.Add(3*time.Second), "a", 2, 1))
+	is.True(o.Due(start.Add(3*time.Second), "a", 35, 1))
+	is.True(!o.Due(start.Add(urgentInterval/2), "a", 35, 1))
+}
+
 // TestOrdersDoNotFollowEachChange guards against calls to the platform for every
 // engine that crashes and for each new estimate of the demand.
 func TestOrdersDoNotFollowEachChange(t *testing.T) {
@@ -42,7 +55,7 @@
 			calls++
 		}
 	}
-	is.True(calls <= int(10*time.Second/lossInterval))
+	is.True(calls <= int(10*time.Second/urgentInterval))
 	o.Sent(start, "b", 8, 8, true)
 	is.True(o.Due(start.Add(orderInterval), "b", 8, 8)) // a failed order is repeated
 }
