Collect registrations longer on large deployments

Besides, each hint that a peer had read more ended in a full transfer of its registrations, also when the own watch had brought them meanwhile.

Change: where nodes work in several cells, changes that follow one another are collected for 0.35 instead of 0.15 of the time in which a leaving server must get no more requests (700 ms of 2 s); the first after a while is still read at once. A hint is checked again before a peer is asked, and hints about registrations wait for the own watch.

Ruled out for now: readers in each cell that pass changes on (more saved, but both readers of a cell may lose the store at once).

TestHintsThatTheWatchOvertakesCostNothing guards the hints.

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -58,7 +58,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := memstore.New()
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
 		// The boot clock does not follow virtual time.
 		start := time.Now()
 		s.now = func() time.Duration { return time.Since(start) + time.Hour }
@@ -131,7 +131,7 @@
 func TestLapsedRegistrationsAreKeptAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	r := backends.NewRegistry()
-	s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
 	clock := time.Hour
 	s.now = func() time.Duration { return clock }
 	entry := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
@@ -153,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := &compactedStore{Store: memstore.New()}
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
 		put(t, st.Store, testPrefix+"1", "ready", 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.Run(ctx, st, func() {})
@@ -217,7 +217,7 @@
 		return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
 	}, logr.Discard())
 	r := backends.NewRegistry()
-	servers := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+	servers := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
 	state := State{Config: []byte("xxxx"), Following: true, Registrations: []store.Entry{
 		{Key: testPrefix + "1", Value: []byte("ready"), Revision: 3},
 		{Key: testPrefix + "2", Value: []byte("ready"), Revision: 4},
@@ -241,7 +241,7 @@
 func TestPeerDoesNotBringBackGoneServers(t *testing.T) {
 	is := is.New(t)
 	r := backends.NewRegistry()
-	s := NewServers(r, testPrefix, decodeTest, 100*time.Millisecond, logr.Discard())
+	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
 	one := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
 	two := store.Entry{Key: testPrefix + "2", Value: []byte("ready"), Revision: 6}
 	s.reset([]store.Entry{one, two}, 6, false)
@@ -253,3 +253,47 @@
 	s.Offer([]store.Entry{one, three}, false, "peer")
 	is.Equal(ids(r), "2") // removed before the list was read
 }
+
+// countingPeers counts the questions that nodes are asked.
+type countingPeers struct {
+	state State
+	asked atomic.Int64
+}
+
+func (p *countingPeers) Pull(context.Context, string, int64) (State, error) {
+	p.asked.Add(1)
+	return p.state, nil
+}
+
+// TestHintsThatTheWatchOvertakesCostNothing guards against asking a node for all
+// registrations although the own watch has brought them meanwhile, and against
+// not asking when it has not.
+func TestHintsThatTheWatchOvertakesCostNothing(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		var table atomic.Pointer[core.Table]
+		config := NewConfig(&table, "config", func(raw []byte) (*core.Table, error) {
+			return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
+		}, logr.Discard())
+		config.follower.following.Store(true)
+		servers := NewServers(backends.NewRegistry(), testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+		servers.follower.following.Store(true)
+		servers.reset([]store.Entry{{Key: testPrefix + "1", Value: []byte("ready"), Revision: 3}}, 3, false)
+		peers := &countingPeers{state: State{Config: []byte("xxxx"), Following: true}}
+		relay := NewRelay(config, servers, peers, func() []string { return []string{"peer"} }, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { relay.Run(ctx); close(done) }()
+		synctest.Wait()
+		relay.Hint("peer", 0, 4)
+		servers.apply([]store.Event{{Entry: store.Entry{Key: testPrefix + "2", Value: []byte("ready"), Revision: 4}}}, 4, false)
+		time.Sleep(time.Second)
+		is.Equal(peers.asked.Load(), int64(0))
+		relay.Hint("peer", 4, 5)
+		time.Sleep(time.Second)
+		is.True(peers.asked.Load() > 0)
+		is.Equal(config.Version(), int64(4))
+		cancel()
+		<-done
+	})
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -42,13 +42,16 @@
 	prefix string
 	log    logr.Logger
 	// pause collects changes that come together into one call.
-	pause time.Duration
+	pause func() time.Duration
 	// onRead is called after each answer.
 	onRead func()
 	// following tells that the last call was answered.
 	following atomic.Bool
 }
 
+// fixed returns a pause that does not change.
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context, h handler) {
 	var failingSince time.Duration
@@ -101,7 +104,7 @@
 		deliver(away)
 		f.following.Store(true)
 		f.onRead()
-		sleep(ctx, f.pause)
+		sleep(ctx, f.pause())
 	}
 }
 
--- a/discovery/holder.go
+++ b/discovery/holder.go
@@ -26,7 +26,7 @@
 // NewHolder returns a follower of the leased record under key; decode returns the
 // address of its holder.
 func NewHolder(key string, decode func([]byte) (string, error), log logr.Logger) *Holder {
-	return &Holder{key: key, decode: decode, log: log, follow: follower{prefix: key, log: log, pause: holderPause}}
+	return &Holder{key: key, decode: decode, log: log, follow: follower{prefix: key, log: log, pause: fixed(holderPause)}}
 }
 
 // Run follows the record until ctx ends.
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -49,28 +49,53 @@
 	addresses func() []string
 	log       logr.Logger
 
-	mu   sync.Mutex
-	hint string
-	wake chan struct{}
+	configs, registrations hints
+}
+
+// hints holds the latest node that has read more than this one.
+type hints struct {
+	mu     sync.Mutex
+	latest hint
+	wake   chan struct{}
+}
+
+// hint says how far the node at an address has read: a version of the
+// configuration, or a revision of the registrations.
+type hint struct {
+	address string
+	version int64
+}
+
+func (h *hints) put(latest hint) {
+	h.mu.Lock()
+	h.latest = latest
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *hints) get() hint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.latest
 }
 
 // NewRelay returns a relay between the followers and other nodes.
 func NewRelay(c *Config, s *Servers, p Peers, addresses func() []string, log logr.Logger) *Relay {
-	return &Relay{config: c, servers: s, peers: p, addresses: addresses, log: log, wake: make(chan struct{}, 1)}
+	return &Relay{config: c, servers: s, peers: p, addresses: addresses, log: log,
+		configs: hints{wake: make(chan struct{}, 1)}, registrations: hints{wake: make(chan struct{}, 1)}}
 }
 
 // Hint says that the node at an address has a version of the configuration, and
 // has read registrations up to a revision. It never blocks.
 func (r *Relay) Hint(address string, configVersion int64, revision store.Revision) {
-	if configVersion <= r.config.Version() && revision <= r.servers.Revision() {
-		return
+	if configVersion > r.config.Version() {
+		r.configs.put(hint{address, configVersion})
 	}
-	r.mu.Lock()
-	r.hint = address
-	r.mu.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
+	if revision > r.servers.Revision() {
+		r.registrations.put(hint{address, int64(revision)})
 	}
 }
 
@@ -85,15 +110,22 @@
 
 // Run asks other nodes when there is a reason, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() {
+		r.followHints(ctx, &r.configs, fixed(hintDelay), r.config.Version)
+	})
+	wait.Go(func() {
+		// The own watch may be waiting for more changes to read together.
+		delay := func() time.Duration { return hintDelay + r.servers.Pause() }
+		r.followHints(ctx, &r.registrations, delay, func() int64 { return int64(r.servers.Revision()) })
+	})
 	ticker := time.NewTicker(pullEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.wake:
-			sleep(ctx, hintDelay)
-			r.askAhead(ctx)
 		case <-ticker.C:
 			if r.config.Following() && r.servers.Following() && r.servers.Known() {
 				continue
@@ -105,15 +137,19 @@
 	}
 }
 
-// askAhead asks the node that was ahead, unless the own watches have brought
-// what it has meanwhile.
-func (r *Relay) askAhead(ctx context.Context) {
-	r.mu.Lock()
-	address := r.hint
-	r.hint = ""
-	r.mu.Unlock()
-	if address != "" {
-		r.ask(ctx, address)
+// followHints asks the nodes that are ahead of the own version, unless the own
+// watch brings what they have within delay.
+func (r *Relay) followHints(ctx context.Context, hints *hints, delay func() time.Duration, version func() int64) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hints.wake:
+		}
+		sleep(ctx, delay())
+		if h := hints.get(); h.version > version() {
+			r.ask(ctx, h.address)
+		}
 	}
 }
 
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -52,7 +52,7 @@
 
 // NewServers returns a follower of the registrations under prefix. Changes within
 // pause are read together.
-func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause time.Duration, log logr.Logger) *Servers {
+func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause func() time.Duration, log logr.Logger) *Servers {
 	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, now: boottime.Now, entries: make(map[string]entry),
 		follower: follower{prefix: prefix, log: log, pause: pause}}
 }
@@ -67,6 +67,9 @@
 // Following reports whether the store is within reach.
 func (s *Servers) Following() bool { return s.follower.following.Load() }
 
+// Pause returns how long changes that follow one another are collected.
+func (s *Servers) Pause() time.Duration { return s.follower.pause() }
+
 // Revision returns the greatest revision of the registrations that were read.
 func (s *Servers) Revision() store.Revision {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g := &Gateway{file: file, settings: s, log: log, level: level, out: out, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
 	g.pool = upstream.NewPool(upstream.DefaultOptions)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
-	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, registrationPause(s), log)
+	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationPause, log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
 	g.loads = newLoads()
@@ -134,12 +134,23 @@
 	return g
 }
 
-// drainShare is the part of the time in which a leaving backend server must get no
-// more requests that registrations may wait to be read together.
-const drainShare = 0.15
+const (
+	// drainShare is the part of the time in which a leaving backend server must
+	// get no more requests that registrations may wait to be read together.
+	drainShare = 0.15
+	// largeDrainShare is the same on deployments with several cells: each change
+	// is a call of every node there, and the calls of all are many.
+	largeDrainShare = 0.35
+)
 
-func registrationPause(s platform.Settings) time.Duration {
-	return time.Duration(drainShare * float64(s.Bounds.DrainMillis) * float64(time.Millisecond))
+// registrationPause returns how long the changes of registrations that follow one
+// another are collected. The first after a while is read at once.
+func (g *Gateway) registrationPause() time.Duration {
+	share := drainShare
+	if g.cell().Count > 1 {
+		share = largeDrainShare
+	}
+	return time.Duration(share * float64(g.settings.Bounds.DrainMillis) * float64(time.Millisecond))
 }
 
 func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows, backend *platform.Backend) {
