Make reclaimed engines up in the other failure domains

Change: what a failure domain lacks is ordered as reclaimable engines in those that have some, up to their bound, and only the rest as standard ones in place. Nothing is given up elsewhere until all are there.

TestReclaimedDomainIsMadeUpElsewhere guards it.

--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -191,7 +191,13 @@
 	s.noteUnavailable(now, v)
 	targets = plan.Staff(v)
 	for _, d := range v.FailureDomains {
-		s.order(ctx, now, token, platform.ServerOrder{Service: service.Name, FailureDomain: d}, targets[d].Standard, v)
+		standard := platform.ServerOrder{Service: service.Name, FailureDomain: d}
+		reclaimable := standard
+		reclaimable.Reclaimable = true
+		if !v.Unavailable[d] {
+			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
+		}
+		s.order(ctx, now, token, standard, targets[d].Standard, v)
 	}
 }
 
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -79,6 +79,8 @@
 // through a reclaim; the rest are reclaimable where they can be had.
 func Staff(v *StaffView) map[string]Staffing {
 	perDomain := v.PerDomain()
+	elsewhere, uncovered := v.displaced(perDomain)
+	whole := len(v.Engines) >= perDomain*len(v.FailureDomains)
 	out := make(map[string]Staffing, len(v.FailureDomains))
 	for _, d := range v.FailureDomains {
 		present := v.count(d)
@@ -89,9 +91,13 @@
 		}
 		if v.Unavailable[d] {
 			s.Reclaimable = present.Reclaimable
-			s.Standard = max(s.Standard, v.replacements(perDomain, present))
+			s.Standard = max(s.Standard, v.replacements(perDomain, present, uncovered))
 		} else {
 			s = v.returnStep(s, present, perDomain)
+			s.Reclaimable += elsewhere
+			if !whole {
+				s.Reclaimable = max(s.Reclaimable, present.Reclaimable)
+			}
 		}
 		if over := s.Standard + s.Reclaimable - v.MaxPerDomain; over > 0 {
 			s.Reclaimable = max(0, s.Reclaimable-over)
@@ -123,14 +129,35 @@
 	return next
 }
 
+// displaced returns how many more reclaimable engines each other failure domain
+// gets for those that can't be had in some, and the part of these that does not
+// fit there.
+func (v *StaffView) displaced(perDomain int) (elsewhere int, uncovered float64) {
+	missing, others := 0, 0
+	for _, d := range v.FailureDomains {
+		if v.Unavailable[d] {
+			missing += max(0, perDomain-v.count(d).Reclaimable-1)
+		} else {
+			others++
+		}
+	}
+	if missing == 0 || others == 0 || v.PromptTokensPerSecond <= 0 {
+		return 0, 1
+	}
+	elsewhere = (missing + others - 1) / others
+	elsewhere = max(0, min(elsewhere, v.MaxPerDomain-perDomain))
+	return elsewhere, max(0, 1-float64(elsewhere*others)/float64(missing))
+}
+
 // replacements returns how many standard engines a failure domain needs that has
-// no more reclaimable ones. Those that are there stay; more are ordered for a
-// demand that is known.
-func (v *StaffView) replacements(perDomain int, present Staffing) int {
+// no more reclaimable ones, for the uncovered part of what it lacks. Those that
+// are there stay; more are ordered for a demand that is known.
+func (v *StaffView) replacements(perDomain int, present Staffing, uncovered float64) int {
 	missing := perDomain - present.Reclaimable
 	if v.PromptTokensPerSecond <= 0 {
 		missing = min(present.Standard, missing)
 	}
+	missing = int(math.Ceil(uncovered * float64(missing)))
 	// Room for one shows when reclaimable engines can be had again.
 	return min(missing, max(present.Standard, v.MaxPerDomain-present.Reclaimable-1))
 }
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -54,15 +54,33 @@
 	v := view(append(fleetOf(1, false, "a", "b", "c"), fleetOf(5, true, "b", "c")...))
 	v.Least, v.PromptTokensPerSecond, v.EngineTokensPerSecond = 18, 100_000, 50_000
 	is.Equal(Staff(v)["a"].Reclaimable, 5)
-	v.Unavailable["a"] = true
+	for _, d := range v.FailureDomains {
+		v.Unavailable[d] = true
+	}
 	is.Equal(Staff(v)["a"], Staffing{Standard: 6})
 	v.Engines = append(v.Engines, fleetOf(6, false, "a")[1:]...)
-	v.Unavailable["a"] = false
+	clear(v.Unavailable)
 	is.Equal(Staff(v)["a"], Staffing{Standard: 6, Reclaimable: 4}) // within the bounds, until those run
 	v.Engines = append(v.Engines, fleetOf(5, true, "a")...)
 	is.Equal(Staff(v)["a"], Staffing{Standard: 1, Reclaimable: 5})
 }
 
+// TestReclaimedDomainIsMadeUpElsewhere is the load of one failure domain whose
+// reclaimable engines are taken back while the others have some. It guards against
+// standard engines at five times the price.
+func TestReclaimedDomainIsMadeUpElsewhere(t *testing.T) {
+	is := is.New(t)
+	v := view(append(fleetOf(1, false, "a", "b", "c"), fleetOf(5, true, "b", "c")...))
+	v.Least, v.PromptTokensPerSecond, v.EngineTokensPerSecond = 18, 100_000, 50_000
+	v.Unavailable["a"] = true
+	staff := Staff(v)
+	is.Equal(staff["a"], Staffing{Standard: 1})
+	is.Equal(staff["b"], Staffing{Standard: 1, Reclaimable: 8})
+	v.Engines = append(v.Engines, fleetOf(8, true, "b")[5:]...)
+	v.Unavailable["a"] = false
+	is.Equal(Staff(v)["b"].Reclaimable, 8) // until the others are there
+}
+
 // TestReplacementsGiveWayAtTheBound guards against standard engines that stay for
 // ever because they fill a failure domain up to its bound and leave no room for
 // the reclaimable ones that are to be had again.
