Measure the demand by the time of the sample

While a call to the platform got no answer the ticker held a tick; its time was 0.5 s after the last sample, the count was that of 2.5 s.

Change: the sample takes the time itself.

TestDemandOverALongGap guards it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -61,3 +63,20 @@
 	}
 	is.True(taken <= 3+20)
 }
+
+// TestDemandOverALongGap guards against a demand that looks many times as high
+// because the loop was held up by a call without an answer.
+func TestDemandOverALongGap(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		var d demand
+		counted := uint64(0)
+		for _, gap := range []time.Duration{500, 500, 500, 2500, 10, 490, 500, 3000, 500} {
+			time.Sleep(gap * time.Millisecond)
+			counted += uint64(gap) // 1,000 tokens a second
+			d.observe(counted, 1)
+		}
+		is.True(d.tokens.highest <= 1000)
+		is.True(d.tokens.mean > 0)
+	})
+}
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -91,7 +91,10 @@
 	p.highest = max(p.mean, p.highest*(1-peakDecay))
 }
 
-func (d *demand) observe(now time.Time, counted uint64, streams int) {
+// observe takes a sample. The time is that of the sample and not of the tick that
+// led to it: a tick may have waited for seconds while a call got no answer.
+func (d *demand) observe(counted uint64, streams int) {
+	now := time.Now()
 	elapsed := now.Sub(d.at)
 	if elapsed < staffEvery/2 {
 		// A tick that comes late is followed by one that comes at once.
@@ -121,9 +124,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
 			s.settle(now)
-			s.demand.observe(now, s.balancer.PromptTokens()+s.loads.nodes.PromptTokens(), s.streams())
+			s.demand.observe(s.balancer.PromptTokens()+s.loads.nodes.PromptTokens(), s.streams())
 			token, held := s.duty.Fence()
 			if !held {
 				s.since = time.Time{}
