Keep spare decode engines in their role

Cause: decode engines beyond the need became prefill engines, up to 15 in 100 at a time, also when there were enough of those; each was out for its running streams and 3 s more.

Change: only as many change as prompts need. TestSpareDecodeEnginesStay guards it.

--- a/plan/staff.go
+++ b/plan/staff.go
@@ -262,8 +262,8 @@
 	}
 	slices.Sort(domains)
 	total := v.DecodeEngines()
-	if surplus := v.decoding() - total; surplus > 0 && surplus < minSurplus {
-		total = v.decoding()
+	if surplus := v.decoding() - total; surplus > 0 {
+		total = v.decoding() - v.releasable(surplus)
 	}
 	want := spread(total, domains, byDomain)
 	var changes []RoleChange
@@ -277,6 +277,21 @@
 	return changes[:min(len(changes), max(0, limit))]
 }
 
+// releasable returns how many of the surplus decode engines should become prefill
+// engines. A change takes an engine out for seconds, so only those change that
+// prompts need.
+func (v *StaffView) releasable(surplus int) int {
+	if surplus < minSurplus {
+		return 0
+	}
+	need := v.prefillNeed()
+	if need == 0 {
+		return surplus
+	}
+	short := int(math.Ceil(need)) - (len(v.Engines) - v.decoding())
+	return min(surplus, max(0, short))
+}
+
 // decoding returns the number of engines that decode.
 func (v *StaffView) decoding() int {
 	n := 0
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -140,6 +140,18 @@
 	is.True(len(v.Roles(100)) > 0)
 }
 
+// TestSpareDecodeEnginesStay guards against engines that are out for seconds while
+// they change to a role that has enough of them.
+func TestSpareDecodeEnginesStay(t *testing.T) {
+	is := is.New(t)
+	v := view(fleetOf(9, true, "a", "b", "c")) // 9 prefill engines
+	v.Settled, v.Streams = true, 20
+	v.PromptTokensPerSecond, v.EngineTokensPerSecond = 200_000, 50_000 // 9 engines
+	is.Equal(len(v.Roles(100)), 0)
+	v.PromptTokensPerSecond = 300_000 // 14 engines
+	is.Equal(len(v.Roles(100)), 5)
+}
+
 // TestRolesNeedASettledDemand guards against taking decode engines away in the
 // first seconds of traffic, when few streams run yet.
 func TestRolesNeedASettledDemand(t *testing.T) {
