Do not swap the roles of engines between failure domains

All of them refuse requests for seconds.

Change: engines start to decode only as far as the whole deployment has too few, and stop only as far as it has too many.

TestRolesAreNotSwapped guards it.

--- a/plan/staff.go
+++ b/plan/staff.go
@@ -261,19 +261,24 @@
 		domains = append(domains, d)
 	}
 	slices.Sort(domains)
-	total := v.DecodeEngines()
-	if surplus := v.decoding() - total; surplus > 0 {
-		total = v.decoding() - v.releasable(surplus)
-	}
-	want := spread(total, domains, byDomain)
-	var changes []RoleChange
+	total, decoding := v.DecodeEngines(), v.decoding()
+	toDecode := max(0, total-decoding)
+	toPrefill := v.releasable(decoding - total)
+	want := spread(decoding+toDecode-toPrefill, domains, byDomain)
+	// Engines that start to decode come first: without one no stream runs. None
+	// swap their roles between failure domains, since each is out for seconds.
+	var decode, prefill []RoleChange
 	for _, d := range domains {
-		changes = append(changes, domainRoles(byDomain[d], want[d])...)
+		for _, c := range domainRoles(byDomain[d], want[d]) {
+			if c.Prefill {
+				prefill = append(prefill, c)
+			} else {
+				decode = append(decode, c)
+			}
+		}
 	}
-	// Engines that start to decode come first: without one no stream runs.
-	slices.SortStableFunc(changes, func(a, b RoleChange) int {
-		return cmp.Compare(boolToInt(a.Prefill), boolToInt(b.Prefill))
-	})
+	changes := decode[:min(len(decode), toDecode)]
+	changes = append(changes, prefill[:min(len(prefill), toPrefill)]...)
 	return changes[:min(len(changes), max(0, limit))]
 }
 
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -152,6 +152,22 @@
 	is.Equal(len(v.Roles(100)), 5)
 }
 
+// TestRolesAreNotSwapped guards against engines that are out for seconds because
+// the failure domains have different shares of a number that is right in all.
+func TestRolesAreNotSwapped(t *testing.T) {
+	is := is.New(t)
+	v := view(append(fleetOf(9, true, "a", "b"), fleetOf(3, true, "c")...))
+	for i := range v.Engines {
+		v.Engines[i].Prefill = v.Engines[i].FailureDomain != "a"
+	}
+	v.Settled, v.Streams = true, 9*decodeLoad*float64(v.Slots)
+	is.Equal(v.DecodeEngines(), 9)
+	is.Equal(len(v.Roles(100)), 0)
+	v.Streams *= 1.3
+	is.Equal(v.Roles(100)[0].Prefill, false)
+	is.Equal(len(v.Roles(100)), 3)
+}
+
 // TestRolesNeedASettledDemand guards against taking decode engines away in the
 // first seconds of traffic, when few streams run yet.
 func TestRolesNeedASettledDemand(t *testing.T) {
