--- /dev/null
+++ b/gateway/serverorders.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figweir/figweir/plan"
+	"github.com/figweir/figweir/platform"
+)
+
+// probe asks for one more reclaimable server in each failure domain that had none
+// lately, before standard ones are given up for them.
+func (s *staffer) probe(ctx context.Context, now time.Time, token uint64, service string, v *plan.StaffView) {
+	for _, d := range v.FailureDomains {
+		until, refused := s.unavailable[d]
+		if !refused || now.Before(until) {
+			continue
+		}
+		delete(s.unavailable, d)
+		key := platform.ServerOrder{Service: service, FailureDomain: d, Reclaimable: true}
+		present := v.Present(d, true)
+		if present+v.Present(d, false) < v.MaxPerDomain {
+			s.send(ctx, now, token, key, present+1, v)
+			s.ordered.Forget(key)
+		}
+	}
+	s.noteUnavailable(now, v)
+}
+
+// order orders a number of servers if that is due.
+func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
+	present := v.Present(key.FailureDomain, key.Reclaimable)
+	if !s.ordered.Due(now, key, count, present) {
+		return
+	}
+	if key.Reclaimable && count == 0 && !s.ordered.Known(key) {
+		return
+	}
+	s.send(ctx, now, token, key, count, v)
+}
+
+func (s *staffer) send(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
+	present := v.Present(key.FailureDomain, key.Reclaimable)
+	o := key
+	o.Count = count
+	err := s.cloud.OrderServers(ctx, token, o)
+	s.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
+		"count", count, "present", present, "fencing_token", token, "engines", len(v.Engines),
+		"prompt_tokens_per_s", int(v.PromptTokensPerSecond), "engine_tokens_per_s", int(v.EngineTokensPerSecond), "streams", int(v.Streams), "error", errorText(err))
+	s.ordered.Sent(now, key, count, present, err != nil)
+	if !errors.Is(err, platform.ErrFenced) {
+		return
+	}
+	if key.Reclaimable {
+		s.unavailable[key.FailureDomain] = now.Add(unavailableFor)
+		return
+	}
+	// Standard servers can always be had, so another holder has acted.
+	s.duty.GiveUp()
+}
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -62,54 +62,6 @@
 	stored store.Revision
 }
 
-// demand follows the prompt tokens per second of all nodes and the streams that
-// run.
-type demand struct {
-	// since is when the first demand was seen.
-	since   time.Time
-	at      time.Time
-	counted uint64
-	tokens  peak
-	streams peak
-}
-
-// peak follows a moving average and its highest value lately.
-type peak struct{ mean, highest float64 }
-
-const (
-	// demandSettles is how long the demand is followed before engines are taken
-	// from a role because of it.
-	demandSettles = 12 * time.Second
-	// demandWeight is the weight of the newest sample in the moving average.
-	demandWeight = 0.15
-	// peakDecay is the part of the peak that is forgotten at each sample.
-	peakDecay = 0.005
-)
-
-func (p *peak) observe(sample float64) {
-	p.mean += demandWeight * (sample - p.mean)
-	p.highest = max(p.mean, p.highest*(1-peakDecay))
-}
-
-// observe takes a sample. The time is that of the sample and not of the tick that
-// led to it: a tick may have waited for seconds while a call got no answer.
-func (d *demand) observe(counted uint64, streams int) {
-	now := time.Now()
-	elapsed := now.Sub(d.at)
-	if elapsed < staffEvery/2 {
-		// A tick that comes late is followed by one that comes at once.
-		return
-	}
-	if !d.at.IsZero() && counted >= d.counted {
-		d.tokens.observe(float64(counted-d.counted) / elapsed.Seconds())
-		d.streams.observe(float64(streams))
-		if d.since.IsZero() && counted > d.counted {
-			d.since = now
-		}
-	}
-	d.at, d.counted = now, counted
-}
-
 func newStaffer(g *Gateway, cloud *platform.Cloud, backend *platform.Backend) *staffer {
 	return &staffer{
 		Gateway: g, cloud: cloud, backend: backend, ordered: plan.NewOrders[platform.ServerOrder](),
@@ -205,25 +157,6 @@
 	}
 }
 
-// probe asks for one more reclaimable server in each failure domain that had none
-// lately, before standard ones are given up for them.
-func (s *staffer) probe(ctx context.Context, now time.Time, token uint64, service string, v *plan.StaffView) {
-	for _, d := range v.FailureDomains {
-		until, refused := s.unavailable[d]
-		if !refused || now.Before(until) {
-			continue
-		}
-		delete(s.unavailable, d)
-		key := platform.ServerOrder{Service: service, FailureDomain: d, Reclaimable: true}
-		present := v.Present(d, true)
-		if present+v.Present(d, false) < v.MaxPerDomain {
-			s.send(ctx, now, token, key, present+1, v)
-			s.ordered.Forget(key)
-		}
-	}
-	s.noteUnavailable(now, v)
-}
-
 func (s *staffer) noteUnavailable(now time.Time, v *plan.StaffView) {
 	for _, d := range v.FailureDomains {
 		v.Unavailable[d] = now.Before(s.unavailable[d])
@@ -314,38 +247,6 @@
 	return list
 }
 
-// order orders a number of servers if that is due.
-func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
-	present := v.Present(key.FailureDomain, key.Reclaimable)
-	if !s.ordered.Due(now, key, count, present) {
-		return
-	}
-	if key.Reclaimable && count == 0 && !s.ordered.Known(key) {
-		return
-	}
-	s.send(ctx, now, token, key, count, v)
-}
-
-func (s *staffer) send(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
-	present := v.Present(key.FailureDomain, key.Reclaimable)
-	o := key
-	o.Count = count
-	err := s.cloud.OrderServers(ctx, token, o)
-	s.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
-		"count", count, "present", present, "fencing_token", token, "engines", len(v.Engines),
-		"prompt_tokens_per_s", int(v.PromptTokensPerSecond), "engine_tokens_per_s", int(v.EngineTokensPerSecond), "streams", int(v.Streams), "error", errorText(err))
-	s.ordered.Sent(now, key, count, present, err != nil)
-	if !errors.Is(err, platform.ErrFenced) {
-		return
-	}
-	if key.Reclaimable {
-		s.unavailable[key.FailureDomain] = now.Add(unavailableFor)
-		return
-	}
-	// Standard servers can always be had, so another holder has acted.
-	s.duty.GiveUp()
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
