Report service-level burn on the users' platform

Cause: a node on the platform had no report on burn, which the house style asks for; only figweir node had one.

The share that must be good is a checked setting.

--- a/cli/report.go
+++ b/cli/report.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"time"
 
 	"github.com/figweir/figweir/burn"
 )
@@ -20,8 +24,12 @@
 	JSON bool `name:"json" help:"Print the report as JSON, as the node sent it."`
 }
 
+type reportBurn struct {
+	reportFlags
+	Gateway string `placeholder:"HOST:PORT" help:"Ask a node on the users' platform, at its metrics address, instead of an operator listener."`
+}
+
 type (
-	reportBurn    struct{ reportFlags }
 	reportUsage   struct{ reportFlags }
 	reportSpend   struct{ reportFlags }
 	reportBlocked struct{ reportFlags }
@@ -29,29 +37,64 @@
 
 // Help implements kong.HelpProvider.
 func (*reportBurn) Help() string {
-	return "Example:\n\n    figweir report burn --operator 127.0.0.1:7300"
+	return "Examples:\n\n    figweir report burn --operator 127.0.0.1:7300\n    figweir report burn --gateway 127.0.0.1:7780"
 }
 
 // Run prints the report on service-level burn, the worst row first.
 func (c *reportBurn) Run(env *environment) error {
-	if c.JSON {
+	if c.Gateway == "" && c.JSON {
 		return c.print(env, "burn")
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	raw, err := client.report(env.context, "burn")
+	raw, address, err := c.burn(env)
 	if err != nil {
 		return err
 	}
 	var report burn.Report
 	if err := json.Unmarshal(raw, &report); err != nil {
-		return fmt.Errorf("the report of %s is not what was expected: %w", client.address, err)
+		return fmt.Errorf("the report of %s is not what was expected: %w", address, err)
+	}
+	if c.JSON {
+		return report.WriteJSON(env.out)
 	}
 	return report.WriteTable(env.out)
 }
 
+// burn returns the report and the address that it comes from.
+func (c *reportBurn) burn(env *environment) (raw []byte, address string, err error) {
+	if c.Gateway != "" {
+		raw, err = gatewayReport(env.context, c.Gateway, "burn")
+		return raw, c.Gateway, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return nil, "", err
+	}
+	raw, err = client.report(env.context, "burn")
+	return raw, client.address, err
+}
+
+// gatewayTimeout bounds the question to a node, which asks all others.
+const gatewayTimeout = 5 * time.Second
+
+// gatewayReport asks a node on the users' platform for a report.
+func gatewayReport(ctx context.Context, address, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+name, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("the node is not reached: %w", err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s has no report %q: status %d", address, name, answer.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+}
+
 // Run prints the usage report.
 func (c *reportUsage) Run(env *environment) error { return c.print(env, "usage") }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/figweir/figweir/authority"
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/boottime"
+	"github.com/figweir/figweir/burn"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/discovery"
 	"github.com/figweir/figweir/loadshare"
@@ -112,6 +113,10 @@
 	g.sharer.OnUpdate = g.noteUpdate
 	g.observer = newObserver(log, important, s.Log.LinesPerSecond)
 	g.observer.gauges = g.gauges
+	g.observer.burn = &burnReport{
+		recorder: burn.NewRecorder(maxBurnSeries), targetRatio: s.Objectives.TargetRatio,
+		addresses: g.nodes.PeerAddresses, client: peer.NewHTTPClient(), log: log,
+	}
 	_, g.peersPort, _ = net.SplitHostPort(s.Listen.Peers)
 	client := peer.NewStateClient(peer.NewHTTPClient(), peer.NewAuth(""))
 	g.holder = discovery.NewHolder(authority.DutyPrefix+dutyName, decodeHolder, log)
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -41,12 +41,15 @@
 	r := chi.NewRouter()
 	path, handler := peer.NewStateHandler(g.relay, peer.NewAuth(""))
 	r.Mount(path, handler)
+	burnPath, burnHandler := peer.NewBurnServiceHandler(g.observer.burn.recorder)
+	r.Mount(burnPath, burnHandler)
 	return r
 }
 
 func (g *Gateway) adminRoutes() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", g.observer.serveMetrics)
+	r.Get("/burn", g.observer.burn.serve)
 	return r
 }
 
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
@@ -30,6 +31,8 @@
 	requests, refusals, attempts, dropped *expvar.Map
 
 	firstEvent, total, prefilled, pause *metrics.Histogram
+	// burn follows the error budgets; nil if it is not wanted.
+	burn *burnReport
 	// gauges returns values that are read when asked for, by name.
 	gauges func() map[string]float64
 }
@@ -76,6 +79,9 @@
 // Done implements core.Observer.
 func (o *observer) Done(r *core.Record) {
 	o.count(r)
+	if o.burn != nil {
+		o.burn.observe(r, time.Now())
+	}
 	log := o.important
 	if r.Reason == "" || r.Reason == core.ReasonCallerGone {
 		if !o.budget.Allow() {
