--- a/core/attempt.go
+++ b/core/attempt.go
@@ -48,8 +48,9 @@
 		}
 		return e.afterUnsent(choice.Server, o.Cause)
 	case Lost:
-		// A plain request may have run; a stream begins with its first event.
-		if e.route.Kind != Streaming {
+		// What is lost while the caller waits has most likely run. A stream whose
+		// caller gave up before its first event was most likely still queued.
+		if e.route.Kind != Streaming || ctx.Err() == nil {
 			e.beganAt(sentAt)
 		}
 		if ctx.Err() == nil {
