--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -5,10 +5,38 @@
 	"errors"
 	"time"
 
+	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
 	"github.com/figweir/figweir/platform"
 )
 
+// orderServers orders what the failure domains should have, reclaimable servers
+// first.
+func (s *staffer) orderServers(ctx context.Context, now time.Time, token uint64, service *core.Service, v *plan.StaffView) {
+	s.probe(ctx, now, token, service.Name, v)
+	targets := plan.Staff(v)
+	for _, d := range v.FailureDomains {
+		standard, reclaimable := orderKeys(service.Name, d)
+		if !v.Unavailable[d] && targets[d].Standard < v.Present(d, false) {
+			// The bound holds for both classes together, so one makes room first.
+			s.order(ctx, now, token, standard, targets[d].Standard, v)
+		}
+		if !v.Unavailable[d] {
+			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
+		}
+	}
+	// Refused orders show where standard servers have to replace reclaimable ones.
+	s.noteUnavailable(now, v)
+	targets = plan.Staff(v)
+	for _, d := range v.FailureDomains {
+		standard, reclaimable := orderKeys(service.Name, d)
+		if !v.Unavailable[d] {
+			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
+		}
+		s.order(ctx, now, token, standard, targets[d].Standard, v)
+	}
+}
+
 // probe asks for one more reclaimable server in each failure domain that had none
 // lately, before standard ones are given up for them.
 func (s *staffer) probe(ctx context.Context, now time.Time, token uint64, service string, v *plan.StaffView) {
@@ -18,7 +46,7 @@
 			continue
 		}
 		delete(s.unavailable, d)
-		key := platform.ServerOrder{Service: service, FailureDomain: d, Reclaimable: true}
+		_, key := orderKeys(service, d)
 		present := v.Present(d, true)
 		if present+v.Present(d, false) < v.MaxPerDomain {
 			s.send(ctx, now, token, key, present+1, v)
@@ -28,6 +56,14 @@
 	s.noteUnavailable(now, v)
 }
 
+// orderKeys returns the keys of the orders of both classes in a failure domain.
+func orderKeys(service, domain string) (standard, reclaimable platform.ServerOrder) {
+	standard = platform.ServerOrder{Service: service, FailureDomain: domain}
+	reclaimable = standard
+	reclaimable.Reclaimable = true
+	return standard, reclaimable
+}
+
 // order orders a number of servers if that is due.
 func (s *staffer) order(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.StaffView) {
 	present := v.Present(key.FailureDomain, key.Reclaimable)
--- a/gateway/staffing.go
+++ b/gateway/staffing.go
@@ -129,32 +129,7 @@
 		s.raise(ctx, service.Name, v.PerDomain()*len(v.FailureDomains))
 		v.Least = s.least[service.Name]
 	}
-	s.probe(ctx, now, token, service.Name, v)
-	targets := plan.Staff(v)
-	for _, d := range v.FailureDomains {
-		standard := platform.ServerOrder{Service: service.Name, FailureDomain: d}
-		reclaimable := standard
-		reclaimable.Reclaimable = true
-		if !v.Unavailable[d] && targets[d].Standard < v.Present(d, false) {
-			// The bound holds for both classes together, so one makes room first.
-			s.order(ctx, now, token, standard, targets[d].Standard, v)
-		}
-		if !v.Unavailable[d] {
-			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
-		}
-	}
-	// Refused orders show where standard servers have to replace reclaimable ones.
-	s.noteUnavailable(now, v)
-	targets = plan.Staff(v)
-	for _, d := range v.FailureDomains {
-		standard := platform.ServerOrder{Service: service.Name, FailureDomain: d}
-		reclaimable := standard
-		reclaimable.Reclaimable = true
-		if !v.Unavailable[d] {
-			s.order(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
-		}
-		s.order(ctx, now, token, standard, targets[d].Standard, v)
-	}
+	s.orderServers(ctx, now, token, service, v)
 }
 
 func (s *staffer) noteUnavailable(now time.Time, v *plan.StaffView) {
