--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -229,6 +229,7 @@
 		late := end.Add(r.delayShare(lateSealShare))
 		err := r.reportWindow(ctx, token, window, !now.Before(late))
 		if errors.Is(err, errNodesMissing) {
+			r.Log.Info("usage of nodes is missing, sealing later", "window", window, "fencing_token", token)
 			r.retryAt[window] = late
 			continue
 		}
