Ask engines that were not tried before those that refused

Change: engines that refused are left out until no other is left; then all but the last may be asked again.

--- a/caller/run.go
+++ b/caller/run.go
@@ -68,6 +68,11 @@
 			c.awaitReports(ctx, n-1)
 		}
 		target, err := c.handler.Router.Pick(c.pool, c.work)
+		if err != nil && len(c.work.Exclude) > len(lost)+1 {
+			// Of the engines that refused, those before the last may take work by now.
+			c.work.Exclude = append(slices.Clip(lost), c.work.Exclude[len(c.work.Exclude)-1])
+			target, err = c.handler.Router.Pick(c.pool, c.work)
+		}
 		if err != nil {
 			if last == nil {
 				last = err
@@ -83,8 +88,7 @@
 		if !retryable(ctx, last) {
 			break
 		}
-		// Of the engines that refused, those before the last may take work by now.
-		c.work.Exclude = append(slices.Clip(lost), target.Name)
+		c.work.Exclude = append(c.work.Exclude, target.Name)
 		if !errors.Is(last, engine.ErrRefused) {
 			lost = append(lost, target.Name)
 		}
