Blame the backend server that failed, and none for callers that leave

Cause (found by reading the diff): a stream whose caller left, or a body that was being read then, counted as a failure of its backend server, so a server whose callers give up gets less work; after a stream was continued elsewhere, failures and the success of the rest were counted for the server that had cut it.

Change: one function decides who is blamed, and the stream's present choice follows the resume. The rule for metering lost requests moves into afterLost, so that an answer whose head came and whose first event did not is treated alike.

Before: TestLeavingCallersBlameNoServer and TestCutStreamsBlameTheServerThatCut fail; after: they pass.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -48,19 +48,19 @@
 		}
 		return e.afterUnsent(choice.Server, o.Cause)
 	case Lost:
-		// What is lost while the caller waits has most likely run. A stream whose
-		// caller gave up before its first event was most likely still queued.
-		if e.route.Kind != Streaming || ctx.Err() == nil {
-			e.beganAt(sentAt)
-		}
-		if ctx.Err() == nil {
-			choice.Failed()
-		}
-		return e.afterLost(choice.Server, o.Cause)
+		return e.afterLost(ctx, choice, o.Cause, sentAt)
 	}
 	return true
 }
 
+// blame counts a failure of a backend server, unless the caller has left or its
+// time is over: the attempt then ended because of that.
+func blame(ctx context.Context, choice *backends.Choice) {
+	if ctx.Err() == nil {
+		choice.Failed()
+	}
+}
+
 // mayArrive takes a retry for every arrival at a backend server beyond the first
 // one of the request.
 func (e *exchange) mayArrive() bool {
@@ -166,9 +166,7 @@
 		choice.Refused(time.Now())
 		event = "prefill_refused"
 	case Lost:
-		if ctx.Err() == nil {
-			choice.Failed()
-		}
+		blame(ctx, choice)
 		cause = o.Cause
 	}
 	e.Observer.Attempt(&e.record, choice.Server, event, cause)
@@ -203,9 +201,15 @@
 }
 
 // afterLost settles an attempt whose answer did not come, or came cut.
-func (e *exchange) afterLost(server *backends.Server, cause error) bool {
-	e.Observer.Attempt(&e.record, server, "lost", cause)
-	e.excluded = append(e.excluded, server.ID)
+func (e *exchange) afterLost(ctx context.Context, choice *backends.Choice, cause error, sentAt time.Time) bool {
+	// What is lost while the caller waits has most likely run. A stream whose
+	// caller gave up before its first event was most likely still queued.
+	if e.route.Kind != Streaming || ctx.Err() == nil {
+		e.beganAt(sentAt)
+	}
+	blame(ctx, choice)
+	e.Observer.Attempt(&e.record, choice.Server, "lost", cause)
+	e.excluded = append(e.excluded, choice.Server.ID)
 	if e.mayRunAgain() {
 		return false
 	}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -443,3 +443,63 @@
 	is.True(s.ended)
 	is.Equal(f.upstream.attempts[0].Server.ID, "d3")
 }
+
+// twoServers returns a registry with a near and a far backend server. The near one
+// is chosen unless it is known to fail.
+func twoServers() *backends.Registry {
+	registry := backends.NewRegistry()
+	registry.Replace([]backends.Info{
+		{ID: "near", Service: "s", Address: "near:1", FailureDomain: "z", Slots: 4},
+		{ID: "far", Service: "s", Address: "far:1", FailureDomain: "y", Slots: 4},
+	})
+	return registry
+}
+
+// TestLeavingCallersBlameNoServer guards against backend servers that get no more
+// work because callers gave up while these were at work.
+func TestLeavingCallersBlameNoServer(t *testing.T) {
+	is := is.New(t)
+	f := newFixtureOn(twoServers(), Streaming, false)
+	for range 20 {
+		f.upstream.attempts = nil
+		ctx, cancel := context.WithCancel(context.Background())
+		f.upstream.steps = []Outcome{Answered{&leavingAnswer{fakeAnswer{status: 200, stream: true, events: []Event{{Bytes: []byte("x")}}}, cancel}}}
+		f.core.Serve(ctx, f.request(nil), f.sink)
+		is.Equal(f.upstream.attempts[0].Server.ID, "near")
+	}
+}
+
+// leavingAnswer is a stream whose caller leaves after its events.
+type leavingAnswer struct {
+	fakeAnswer
+	leave func()
+}
+
+func (a *leavingAnswer) Next() (Event, error) {
+	if len(a.events) == 0 {
+		a.leave()
+		return Event{}, context.Canceled
+	}
+	return a.fakeAnswer.Next()
+}
+
+// TestCutStreamsBlameTheServerThatCut guards against crediting a backend server
+// that cuts streams with the rest of these, which another one has sent.
+func TestCutStreamsBlameTheServerThatCut(t *testing.T) {
+	is := is.New(t)
+	f := newFixtureOn(twoServers(), Streaming, true)
+	first := ""
+	for range 20 {
+		f.upstream.attempts = nil
+		f.upstream.steps = []Outcome{
+			Answered{&fakeAnswer{status: 200, stream: true, events: []Event{{Bytes: []byte("1"), LastID: "1"}}, cut: true}},
+			Answered{&fakeAnswer{status: 200, stream: true, events: []Event{{Bytes: []byte("2"), LastID: "2"}}}},
+		}
+		f.serve(nil)
+		first = f.upstream.attempts[0].Server.ID
+		if first == "far" {
+			break
+		}
+	}
+	is.Equal(first, "far")
+}
--- a/core/relay.go
+++ b/core/relay.go
@@ -15,14 +15,13 @@
 // relay hands an answer on. It reports whether the request is settled.
 func (e *exchange) relay(ctx context.Context, started func(), a *Attempt, choice *backends.Choice, answer Answer, sentAt time.Time) bool {
 	if answer.Stream() {
-		return e.relayStream(ctx, started, a, choice, answer)
+		return e.relayStream(ctx, started, a, choice, answer, sentAt)
 	}
 	defer answer.Close()
 	body, err := answer.Whole()
 	e.beganAt(sentAt)
 	if err != nil {
-		choice.Failed()
-		return e.afterLost(choice.Server, err)
+		return e.afterLost(ctx, choice, err, sentAt)
 	}
 	head := answer.Head()
 	if serverFailed(head.Status) {
@@ -47,12 +46,11 @@
 
 // relayStream hands a stream on event by event. A cut stream goes on at another
 // backend server if the route allows it.
-func (e *exchange) relayStream(ctx context.Context, started func(), a *Attempt, choice *backends.Choice, answer Answer) bool {
+func (e *exchange) relayStream(ctx context.Context, started func(), a *Attempt, choice *backends.Choice, answer Answer, sentAt time.Time) bool {
 	defer func() { answer.Close() }()
 	event, err := answer.Next()
 	if err != nil && err != io.EOF {
-		choice.Failed()
-		return e.afterLost(choice.Server, err)
+		return e.afterLost(ctx, choice, err, sentAt)
 	}
 	started()
 	e.firstEvent(choice)
@@ -70,14 +68,14 @@
 			}
 			return true
 		}
-		choice.Failed()
-		next := e.resume(ctx, choice.Server, last)
+		blame(ctx, choice)
+		next, resumed := e.resume(ctx, choice.Server, last)
 		if next == nil {
 			e.sink.Abort()
 			return true
 		}
 		answer.Close()
-		answer = next
+		answer, choice = next, resumed
 		event, err = answer.Next()
 	}
 }
@@ -119,10 +117,10 @@
 }
 
 // resume continues a cut stream after its last event at another backend server.
-// It returns nil if the stream can't go on.
-func (e *exchange) resume(ctx context.Context, failed *backends.Server, last string) Answer {
+// The answer is nil if the stream can't go on.
+func (e *exchange) resume(ctx context.Context, failed *backends.Server, last string) (Answer, *backends.Choice) {
 	if !e.route.Resumable || last == "" {
-		return nil
+		return nil, nil
 	}
 	e.excluded = append(e.excluded, failed.ID)
 	for e.ledger.refused <= maxRefused && e.ledger.unsent < maxUnsent && e.mayRunAgain() {
@@ -133,17 +131,17 @@
 			if err == nil {
 				choice.Done()
 			}
-			return nil
+			return nil, nil
 		}
 		answer := e.resumeAt(ctx, choice, last)
 		if answer != nil {
 			e.record.Resumed++
 			e.record.Reason = ""
-			return answer
+			return answer, choice
 		}
 		choice.Done()
 	}
-	return nil
+	return nil, nil
 }
 
 // resumeAt continues a stream at one backend server. The choice stays open while
