--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -265,6 +265,25 @@
 	is.True(errors.Is(err, ErrFull))
 }
 
+// TestMisstatedPromptsAddNoNegativeWork guards against engines that look idle because
+// a caller names more shared tokens than its prompt has.
+func TestMisstatedPromptsAddNoNegativeWork(t *testing.T) {
+	is := is.New(t)
+	b, r := newBalancer(engineFleet(2, 2), nil)
+	p := &Prompt{Model: "m", Tokens: 10, Parts: []Part{{"a", 50_000}, {"own", 5}}}
+	for range 2 { // the second time the shared part counts as cached
+		c, err := b.Choose(time.Now(), engineWork(p))
+		is.NoErr(err)
+		is.True(c.Uncached >= 0)
+		for _, s := range r.View().All() {
+			_, tokens := s.Work()
+			is.True(tokens >= 0)
+		}
+		c.FirstEvent(time.Now())
+		c.Done()
+	}
+}
+
 // TestLoadReturnsToZero guards against load that stays after requests have ended,
 // however they ended.
 func TestLoadReturnsToZero(t *testing.T) {
--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -204,7 +204,7 @@
 	p := w.Prompt
 	uncached := 0
 	if !w.Prefilled {
-		uncached = p.Tokens - s.stats.cachedTokens(p.Shared(), now)
+		uncached = max(0, p.Tokens-s.stats.cachedTokens(p.Shared(), now))
 		if home && s.Role == RolePrefill {
 			// All nodes send a subject to its home, so its shared parts are there.
 			// At a decode engine they yield to the KV cache of streams before the
--- a/backends/server.go
+++ b/backends/server.go
@@ -228,13 +228,14 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
-// Own returns the tokens that no other request shares.
+// Own returns the tokens that no other request shares; 0 if the caller names more
+// shared tokens than the prompt has.
 func (p *Prompt) Own() int {
 	own := p.Tokens
 	for _, part := range p.Shared() {
 		own -= part.Tokens
 	}
-	return own
+	return max(0, own)
 }
 
 // Subject is the last shared part: requests of one subject are best served by
