Choose after refusals in one place, and bound how often reports are read

Change: pick holds the rule; reports are read for refusals at most every 20 ms. TestRefusedRequestWaitsForNewLoadReports now has two engines and asserts the order in which they are asked; its fake used to ignore what was excluded.

--- a/caller/run.go
+++ b/caller/run.go
@@ -43,6 +43,9 @@
 	// admission is told of the first token.
 	admission Admission
 
+	// refused names the engines that refused, in order; lost those that failed
+	// otherwise.
+	refused, lost []string
 	// sent holds the hash of each chunk sent to the caller, by offset.
 	sent []uint64
 	// mayHaveRun is set once an engine may have started the request.
@@ -58,8 +61,6 @@
 // execute tries engines until the answer is whole or no more can be done.
 func (c *chatRun) execute(ctx context.Context) {
 	var last error
-	// lost names the engines that failed other than by refusing.
-	var lost []string
 	for n := 1; n <= c.handler.options.MaxAttempts; n++ {
 		if n > 1 && !c.handler.Admitter.Retry(c.work.Service) {
 			break
@@ -67,12 +68,7 @@
 		if errors.Is(last, engine.ErrRefused) {
 			c.awaitReports(ctx, n-1)
 		}
-		target, err := c.handler.Router.Pick(c.pool, c.work)
-		if err != nil && len(c.work.Exclude) > len(lost)+1 {
-			// Of the engines that refused, those before the last may take work by now.
-			c.work.Exclude = append(slices.Clip(lost), c.work.Exclude[len(c.work.Exclude)-1])
-			target, err = c.handler.Router.Pick(c.pool, c.work)
-		}
+		target, err := c.pick()
 		if err != nil {
 			if last == nil {
 				last = err
@@ -88,14 +84,27 @@
 		if !retryable(ctx, last) {
 			break
 		}
-		c.work.Exclude = append(c.work.Exclude, target.Name)
-		if !errors.Is(last, engine.ErrRefused) {
-			lost = append(lost, target.Name)
+		if errors.Is(last, engine.ErrRefused) {
+			c.refused = append(c.refused, target.Name)
+		} else {
+			c.lost = append(c.lost, target.Name)
 		}
 	}
 	c.fail(ctx, last)
 }
 
+// pick chooses an engine that was not tried. If none is left, one that refused
+// before the last may be chosen again, since it may take work by now.
+func (c *chatRun) pick() (Target, error) {
+	c.work.Exclude = slices.Concat(c.lost, c.refused)
+	target, err := c.handler.Router.Pick(c.pool, c.work)
+	if err == nil || len(c.refused) < 2 {
+		return target, err
+	}
+	c.work.Exclude = slices.Concat(c.lost, c.refused[len(c.refused)-1:])
+	return c.handler.Router.Pick(c.pool, c.work)
+}
+
 // awaitReports waits after the nth attempt, which was refused, until the load
 // reports of the engines have been read again.
 func (c *chatRun) awaitReports(ctx context.Context, n int) {
--- a/caller/run_test.go
+++ b/caller/run_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -32,8 +33,9 @@
 	calls    atomic.Int64
 	// maxAttempts is 1 if it is zero.
 	maxAttempts int
-	// excluded holds what each choice had to leave out.
-	excluded [][]string
+	// names are the engines to choose from, one if there are none; picked are
+	// those that were chosen.
+	names, picked []string
 	// renew, if set, is called when the handler asks for new load reports.
 	renew func()
 }
@@ -45,8 +47,16 @@
 }
 
 func (f *fakes) Pick(_ *config.Pool, w caller.Work) (caller.Target, error) {
-	f.excluded = append(f.excluded, w.Exclude)
-	return caller.Target{Name: "e", Address: f.address, Release: func() {}, Generated: func(int) {}}, nil
+	name := "e"
+	if len(f.names) > 0 {
+		i := slices.IndexFunc(f.names, func(n string) bool { return !slices.Contains(w.Exclude, n) })
+		if i < 0 {
+			return caller.Target{}, apierr.New(apierr.Unavailable, "no engine is left", apierr.NotRun())
+		}
+		name = f.names[i]
+	}
+	f.picked = append(f.picked, name)
+	return caller.Target{Name: name, Address: f.address, Release: func() {}, Generated: func(int) {}}, nil
 }
 func (f *fakes) Admit(context.Context, caller.Work) (caller.Admission, error) { return f, nil }
 func (f *fakes) Retry(string) bool                                            { return true }
@@ -165,15 +175,15 @@
 
 // Guards against a request that uses up all its attempts within a millisecond
 // on engines that change their roles together: each further attempt is chosen
-// by load reports that were read after the refusal, and an engine that refused
-// before the last one may be chosen again.
+// by load reports that were read after the refusal, engines that were not asked
+// go first, and then one that refused earlier may take the request.
 func TestRefusedRequestWaitsForNewLoadReports(t *testing.T) {
 	is := is.New(t)
 	e := standin.New(standin.DefaultSettings("e"))
 	e.SetFaults(standin.Faults{RefuseStreams: true})
 	server := httptest.NewServer(e.Handler())
 	defer server.Close()
-	f := &fakes{address: server.Listener.Addr().String(), maxAttempts: 3}
+	f := &fakes{address: server.Listener.Addr().String(), names: []string{"a", "b"}, maxAttempts: 3}
 	renewals := 0
 	f.renew = func() {
 		if renewals++; renewals == 2 {
@@ -188,6 +198,5 @@
 	h.ServeHTTP(w, r)
 	is.Equal(w.Code, http.StatusOK)
 	is.Equal(renewals, 2) // one after each refusal
-	// Engines that were not asked yet go first.
-	is.Equal(f.excluded, [][]string{nil, {"e"}, {"e", "e"}})
+	is.Equal(f.picked, []string{"a", "b", "a"})
 }
--- a/node/backends.go
+++ b/node/backends.go
@@ -22,6 +22,9 @@
 const (
 	// pollInterval is how often the load report of each engine is read.
 	pollInterval = 500 * time.Millisecond
+	// renewInterval is the least time between two readings of all load reports
+	// that refusals cause.
+	renewInterval = 20 * time.Millisecond
 	// publishInterval is how often the views of the pools are renewed.
 	publishInterval = 100 * time.Millisecond
 	// cacheEventPolls is how many load reports are read for each read of cache
@@ -48,8 +51,10 @@
 	// registered is set once the servers of a configuration are known.
 	registered atomic.Bool
 
-	// renewal joins the readings of load reports that refusals cause.
+	// renewal joins the readings of load reports that refusals cause; renewed is
+	// when the last one ended, in Unix nanoseconds.
 	renewal singleflight.Group
+	renewed atomic.Int64
 
 	mu sync.Mutex
 	// polled is the state of each server by name.
@@ -270,12 +275,17 @@
 }
 
 // Refused implements caller.Router. Calls that come while reports are being
-// read wait for those.
+// read wait for those; reports that have just been read are not read again, so
+// that refusals under load don't add to it.
 func (b *backends) Refused(ctx context.Context) {
+	if time.Since(time.Unix(0, b.renewed.Load())) < renewInterval {
+		return
+	}
 	done := b.renewal.DoChan("reports", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pollInterval)
 		defer cancel()
 		b.pollAll(ctx)
+		b.renewed.Store(time.Now().UnixNano())
 		return nil, nil
 	})
 	select {
