Write what stood twice once; read the health of servers without a lock

Each choice took a lock for every server of the service, on the path of a request, where the house style asks for atomics.

Change: boottime.Sleep, upstream.UserTimeout, standin/httpjson, standin/propertytest and orders.mayInterrupt; the moving average of failures and the end of a pause are atomics, written under the lock.

The cost of a choice was not measured.

--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,16 +11,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/standin/propertytest"
 	"github.com/figweir/figweir/store"
 )
 
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "60"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { propertytest.Fix(map[string]string{"rapid.checks": "300", "rapid.steps": "60"}) }
 
 // TestOrdersStayApart guards against conflicting orders: an order of a process
 // that has lost its authority arriving after one of its successor, a delayed
--- a/authority/types.go
+++ b/authority/types.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/figweir/figweir/boottime"
 )
 
 // Limits of the texts that a journal record holds. With one intent of the
@@ -99,16 +101,7 @@
 func (SystemClock) Now() time.Time { return time.Now() }
 
 // Sleep implements Clock.
-func (SystemClock) Sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (SystemClock) Sleep(ctx context.Context, d time.Duration) error { return boottime.Sleep(ctx, d) }
 
 // VMLister reads the platform's list of VMs.
 type VMLister interface {
--- a/backends/server.go
+++ b/backends/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,13 +70,16 @@
 
 	report atomic.Pointer[report]
 
+	// failures is a moving average of 1 for a failed attempt and 0 for others, as
+	// the bits of a float64. suspectUntil is when the server is tried again after it
+	// could not be reached, see sinceEpoch. Both are written with mu held and read
+	// without it, since every choice reads them of every server.
+	failures     atomic.Uint64
+	suspectUntil atomic.Int64
+
 	mu sync.Mutex
-	// failures is a moving average of 1 for a failed attempt and 0 for others.
-	failures float64
-	// suspectUntil is when the server is tried again after it could not be
-	// reached; suspectFor is the length of that pause.
-	suspectUntil time.Time
-	suspectFor   time.Duration
+	// suspectFor is the length of the pause until suspectUntil.
+	suspectFor time.Duration
 	// cached is when this node last had each shared part processed here.
 	cached map[string]time.Time
 }
@@ -88,7 +92,20 @@
 	at  time.Time
 }
 
-func newStats() *stats { return &stats{cached: make(map[string]time.Time)} }
+// notSuspect is a suspectUntil that is over at any time.
+const notSuspect = math.MinInt64
+
+// epoch is a time of this process. Times relative to it follow the steady clock.
+var epoch = time.Now()
+
+// sinceEpoch returns the nanoseconds from the epoch to t.
+func sinceEpoch(t time.Time) int64 { return int64(t.Sub(epoch)) }
+
+func newStats() *stats {
+	s := &stats{cached: make(map[string]time.Time)}
+	s.suspectUntil.Store(notSuspect)
+	return s
+}
 
 // Load notes the load that the server stated.
 func (s *Server) Load(now time.Time, running, waiting, slots int) {
@@ -120,13 +137,14 @@
 func (s *stats) observe(failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures *= 1 - failureWeight
+	failures := math.Float64frombits(s.failures.Load()) * (1 - failureWeight)
 	if failed {
-		s.failures += failureWeight
-		return
+		failures += failureWeight
+	} else {
+		s.suspectFor = 0
+		s.suspectUntil.Store(notSuspect)
 	}
-	s.suspectFor = 0
-	s.suspectUntil = time.Time{}
+	s.failures.Store(math.Float64bits(failures))
 }
 
 // pause keeps requests away from the server for a while that doubles with each
@@ -135,7 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspectFor = min(max(least, 2*s.suspectFor), most)
-	s.suspectUntil = now.Add(s.suspectFor)
+	s.suspectUntil.Store(sinceEpoch(now.Add(s.suspectFor)))
 }
 
 // refused pauses a server that did not take a request.
@@ -148,9 +166,7 @@
 }
 
 func (s *stats) health(now time.Time) (suspect bool, failures float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Before(s.suspectUntil), s.failures
+	return sinceEpoch(now) < s.suspectUntil.Load(), math.Float64frombits(s.failures.Load())
 }
 
 func (s *stats) touch(parts []Part, now time.Time) {
--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -28,8 +28,12 @@
 // Now returns the boot time.
 func (Clock) Now() time.Time { return time.Unix(0, int64(Now())) }
 
-// Sleep waits for d or until ctx ends, and returns the error of ctx.
-func (Clock) Sleep(ctx context.Context, d time.Duration) error {
+// Sleep implements the clocks of other packages, see the function Sleep.
+func (Clock) Sleep(ctx context.Context, d time.Duration) error { return Sleep(ctx, d) }
+
+// Sleep waits for d or until ctx ends, and returns the error of ctx. The wait goes
+// by the steady clock, which is good enough for pauses.
+func Sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/membership"
 	"github.com/figweir/figweir/store"
@@ -274,12 +275,5 @@
 
 // sleep waits for d and reports whether ctx is still alive.
 func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return boottime.Sleep(ctx, d) == nil
 }
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -108,11 +108,7 @@
 	}
 }
 
+// sleep waits for d or until ctx ends; the callers look at ctx themselves.
 func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = boottime.Sleep(ctx, d)
 }
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"golang.org/x/sys/unix"
 
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
@@ -56,16 +53,9 @@
 // listen opens a listener whose connections notice a peer that has fallen
 // silent.
 func listen(address string) (net.Listener, error) {
-	userTimeout := upstream.DefaultOptions.UserTimeout
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			return errors.Join(controlErr, err)
-		},
+		Control:         upstream.UserTimeout(upstream.DefaultOptions.UserTimeout),
 	}
 	return config.Listen(context.Background(), "tcp", address)
 }
--- a/load/run.go
+++ b/load/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/figweir/figweir/boottime"
 )
 
 // Run sends all requests of the scenario at their times and returns the result.
@@ -49,12 +51,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return boottime.Sleep(ctx, time.Until(at))
 }
--- /dev/null
+++ b/loadshare/rapid_test.go
@@ -0,0 +1,5 @@
+package loadshare
+
+import "github.com/figweir/figweir/standin/propertytest"
+
+func init() { propertytest.Fix(map[string]string{"rapid.checks": "300"}) }
--- a/node/backends.go
+++ b/node/backends.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/figweir/figweir/apierr"
+	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/caller"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
@@ -52,7 +53,7 @@
 	registered atomic.Bool
 
 	// renewal joins the readings of load reports that refusals cause; renewed is
-	// when the last one ended, in Unix nanoseconds.
+	// the boot time at which the last one ended.
 	renewal singleflight.Group
 	renewed atomic.Int64
 
@@ -278,14 +279,14 @@
 // read wait for those; reports that have just been read are not read again, so
 // that refusals under load don't add to it.
 func (b *backends) Refused(ctx context.Context) {
-	if time.Since(time.Unix(0, b.renewed.Load())) < renewInterval {
+	if boottime.Now()-time.Duration(b.renewed.Load()) < renewInterval {
 		return
 	}
 	done := b.renewal.DoChan("reports", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pollInterval)
 		defer cancel()
 		b.pollAll(ctx)
-		b.renewed.Store(time.Now().UnixNano())
+		b.renewed.Store(int64(boottime.Now()))
 		return nil, nil
 	})
 	select {
--- a/node/config.go
+++ b/node/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/configsync"
 	"github.com/figweir/figweir/operator"
@@ -27,11 +28,7 @@
 	return operator.ApplyResponse{Revision: result.Revision, State: state, Missing: result.Missing}, nil
 }
 
+// sleep waits for d or until ctx ends; the callers look at ctx themselves.
 func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = boottime.Sleep(ctx, d)
 }
--- a/orders/capacity.go
+++ b/orders/capacity.go
@@ -87,11 +87,8 @@
 	for {
 		err := c.journal.Do(ctx, c.platformTarget, entry, func(ctx context.Context, token uint64) error {
 			if ch != nil && !sent {
-				if err := c.idle(ctx, ch); err != nil {
-					return authority.Refused(err)
-				}
-				if !c.duty.MayAct(t.number) {
-					return authority.Refused(ErrNotHolder)
+				if err := c.mayInterrupt(ctx, t, ch); err != nil {
+					return err
 				}
 			}
 			sent = true
--- a/orders/change.go
+++ b/orders/change.go
@@ -146,11 +146,8 @@
 	entry := authority.Order{Kind: string(order.Kind), Detail: string(order.Role) + order.Model + " " + order.Version + " " + order.ID}
 	return c.journal.Do(ctx, ch.engine.target(ch.server), entry, func(ctx context.Context, token uint64) error {
 		if order.Kind == engine.OrderRole && !sent {
-			if err := c.idle(ctx, ch); err != nil {
-				return authority.Refused(err)
-			}
-			if !c.duty.MayAct(t.number) {
-				return authority.Refused(ErrNotHolder)
+			if err := c.mayInterrupt(ctx, t, ch); err != nil {
+				return err
 			}
 		}
 		sent = true
@@ -197,3 +194,15 @@
 		c.stats.notSent.Add(1)
 	}
 }
+
+// mayInterrupt refuses an order that takes a server out unless the server is idle
+// and the tenure still stands.
+func (c *Controller) mayInterrupt(ctx context.Context, t *tenure, ch *change) error {
+	if err := c.idle(ctx, ch); err != nil {
+		return authority.Refused(err)
+	}
+	if !c.duty.MayAct(t.number) {
+		return authority.Refused(ErrNotHolder)
+	}
+	return nil
+}
--- a/orders/machine_test.go
+++ b/orders/machine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -13,15 +12,10 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/plan"
+	"github.com/figweir/figweir/standin/propertytest"
 )
 
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "100", "rapid.steps": "30"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { propertytest.Fix(map[string]string{"rapid.checks": "100", "rapid.steps": "30"}) }
 
 // TestChangesUnderFaults guards against streams cut by a role change or a stop,
 // orders of two holders interleaved at an engine that ignores fencing tokens or
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,7 +4,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"net/http"
 	"sync"
 
@@ -15,13 +14,10 @@
 	"github.com/figweir/figweir/platform/kvserver"
 	"github.com/figweir/figweir/standin/billing"
 	"github.com/figweir/figweir/standin/fault"
+	"github.com/figweir/figweir/standin/httpjson"
 	"github.com/figweir/figweir/standin/memstore"
-	"github.com/figweir/figweir/store"
 )
 
-// maxRequestBytes allows one value of the largest size in base64.
-const maxRequestBytes = 2 * store.MaxValueBytes
-
 // Server serves the platform's interfaces over HTTP.
 type Server struct {
 	Store   *memstore.Store
@@ -85,12 +81,12 @@
 	s.mu.Lock()
 	vms := append([]fleet.VM{}, s.vms...)
 	s.mu.Unlock()
-	encode(w, http.StatusOK, vms)
+	httpjson.Encode(w, http.StatusOK, vms)
 }
 
 func (s *Server) replaceVMs(w http.ResponseWriter, r *http.Request) {
 	var vms []fleet.VM
-	if !decode(w, r, &vms) {
+	if !httpjson.Decode(w, r, &vms) {
 		return
 	}
 	s.SetVMs(vms)
@@ -98,13 +94,13 @@
 }
 
 func (s *Server) listOrders(w http.ResponseWriter, _ *http.Request) {
-	encode(w, http.StatusOK, s.Orders())
+	httpjson.Encode(w, http.StatusOK, s.Orders())
 }
 
 // order records an order once; a repeat with the same id has no effect.
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o fleet.Order
-	if !decode(w, r, &o) {
+	if !httpjson.Decode(w, r, &o) {
 		return
 	}
 	s.mu.Lock()
@@ -132,17 +128,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func encode(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -76,16 +77,19 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: userTimeout / probes, Interval: userTimeout / probes, Count: probes - 1,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			if controlErr != nil {
-				return controlErr
-			}
-			return err
-		},
+		Control: UserTimeout(userTimeout),
+	}
+}
+
+// UserTimeout returns a Control function, for dialers and listeners, that bounds
+// how long written bytes may stay unacknowledged.
+func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(controlErr, err)
 	}
 }
 
