Count the standard engines that a reclaimed failure domain keeps

Cause (found by reading the diff): one standard engine a failure domain was assumed where the least number of the configuration may be greater, so more engines than were missing were ordered elsewhere.

Change: one function says how many are kept.

Before: TestKeptEnginesAreNotMadeUp fails (5 instead of 3); after: it passes.

--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -31,7 +31,7 @@
 	requests, refusals, attempts, dropped *expvar.Map
 
 	firstEvent, total, prefilled, pause *metrics.Histogram
-	// burn follows the error budgets; nil if it is not wanted.
+	// burn follows the error budgets.
 	burn *burnReport
 	// gauges returns values that are read when asked for, by name.
 	gauges func() map[string]float64
@@ -79,9 +79,7 @@
 // Done implements core.Observer.
 func (o *observer) Done(r *core.Record) {
 	o.count(r)
-	if o.burn != nil {
-		o.burn.observe(r, time.Now())
-	}
+	o.burn.observe(r, time.Now())
 	log := o.important
 	if r.Reason == "" || r.Reason == core.ReasonCallerGone {
 		if !o.budget.Allow() {
--- a/plan/staff.go
+++ b/plan/staff.go
@@ -82,7 +82,7 @@
 		present := v.count(d)
 		s := Staffing{Standard: perDomain}
 		if v.ReclaimablePrice > 0 && v.ReclaimablePrice < 1 {
-			s.Standard = min(perDomain, max(1, v.MinPerDomain))
+			s.Standard = v.keptStandard(perDomain)
 			s.Reclaimable = perDomain - s.Standard
 		}
 		if v.Unavailable[d] {
@@ -103,6 +103,12 @@
 	return out
 }
 
+// keptStandard returns how many standard engines a failure domain keeps where
+// reclaimable ones can be had.
+func (v *StaffView) keptStandard(perDomain int) int {
+	return min(perDomain, max(1, v.MinPerDomain))
+}
+
 // returnShare is the part of the missing reclaimable engines for which standard
 // ones make room at a time when a failure domain has no room for both.
 const returnShare = 1.0 / 3
@@ -132,7 +138,7 @@
 	missing, others := 0, 0
 	for _, d := range v.FailureDomains {
 		if v.Unavailable[d] {
-			missing += max(0, perDomain-v.count(d).Reclaimable-1)
+			missing += max(0, perDomain-v.count(d).Reclaimable-v.keptStandard(perDomain))
 		} else {
 			others++
 		}
--- a/plan/staff_test.go
+++ b/plan/staff_test.go
@@ -81,6 +81,17 @@
 	is.Equal(Staff(v)["b"].Reclaimable, 8) // until the others are there
 }
 
+// TestKeptEnginesAreNotMadeUp guards against ordering engines elsewhere for the
+// standard ones that a reclaimed failure domain still has.
+func TestKeptEnginesAreNotMadeUp(t *testing.T) {
+	is := is.New(t)
+	v := view(append(fleetOf(4, false, "a", "b", "c"), fleetOf(2, true, "b", "c")...))
+	v.MinPerDomain, v.Least, v.PromptTokensPerSecond, v.EngineTokensPerSecond = 4, 18, 100_000, 50_000
+	v.Unavailable["a"] = true // two are missing, one for each of the others
+	is.Equal(Staff(v)["a"], Staffing{Standard: 4})
+	is.Equal(Staff(v)["b"], Staffing{Standard: 4, Reclaimable: 3})
+}
+
 // TestReplacementsGiveWayAtTheBound guards against standard engines that stay for
 // ever because they fill a failure domain up to its bound and leave no room for
 // the reclaimable ones that are to be had again.
