--- a/peer/auth.go
+++ b/peer/auth.go
@@ -19,7 +19,8 @@
 
 // Auth is a connect interceptor that sends the shared secret with each call
 // that a client makes and checks it on each call that a server receives. An
-// empty secret accepts every call; a node uses that on loopback only.
+// empty secret accepts every call; nodes use that on loopback, and where the
+// network lets nobody but nodes reach the peers' listener.
 type Auth struct {
 	header string
 	digest [sha256.Size]byte
--- a/plan/orders_test.go
+++ b/plan/orders_test.go
@@ -25,6 +25,8 @@
 	o.Sent(lost, "a", 8, 1, false)
 	is.True(!o.Due(lost.Add(4*time.Second), "a", 8, 1))
 	is.True(o.Due(lost.Add(orderInterval), "a", 8, 1)) // not met in time
+	o.Sent(start, "b", 8, 8, false)
+	is.True(o.Due(after(2*time.Second), "b", 8, 1)) // lost right after an order
 }
 
 // TestReplacementsAreOrderedWithoutDelay is a reclaim shortly after an order: the
