Check leaving servers in the soak after faults, too

Change: the excuse ends 2 s after the last such fault, and a server leaves at the begin of the calm part, which lasts until a request there would be found.

Bounds are unchanged.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -139,13 +139,15 @@
 		f := faults[w.random.IntN(len(faults))]
 		length := time.Duration(200+w.random.IntN(2500)) * time.Millisecond
 		r := rand.New(rand.NewPCG(w.Seed, w.random.Uint64()))
+		excused := func() {}
 		if f.excuses {
-			w.ledger.calm(time.Time{})
+			excused = w.ledger.excuse()
 		}
 		stop := f.begin(w, r)
 		active.Go(func() {
 			time.Sleep(length)
 			stop()
+			excused()
 		})
 		time.Sleep(time.Duration(w.random.IntN(1200)) * time.Millisecond)
 	}
@@ -156,9 +158,9 @@
 	}
 	w.store.SetFault(nil)
 	time.Sleep(recovery)
-	w.ledger.calm(time.Now())
 	recovered := time.Now()
-	time.Sleep(settle)
+	release(w, w.random)
+	time.Sleep(calmEnd)
 	cancel()
 	clients.Wait()
 	result := w.ledger.Judge()
@@ -167,8 +169,11 @@
 }
 
 const (
-	// settle is the time of the calm parts, in which requests have to be served.
+	// settle is the time that the nodes have before the first fault.
 	settle = 2 * time.Second
+	// calmEnd is the time without faults at the end, in which requests have to be
+	// served and a leaving server must get none after drainSlack.
+	calmEnd = drainSlack + 2*time.Second
 	// recovery is the time that the nodes have after the last fault.
 	recovery = 6 * time.Second
 )
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -20,6 +20,9 @@
 	left     map[string]time.Time
 	windows  map[int64]string
 	findings []string
+	// excuses counts the faults that are on and excuse late knowledge; calmFrom is
+	// when the nodes have caught up after the last one.
+	excuses  int
 	calmFrom time.Time
 }
 
@@ -57,7 +60,7 @@
 		return
 	}
 	l.runs[r.Attempt] = append(l.runs[r.Attempt], r)
-	if at, ok := l.left[b.id]; ok && time.Since(at) > drainSlack && at.After(l.calmFrom) {
+	if at, ok := l.left[b.id]; ok && l.excuses == 0 && time.Since(at) > drainSlack && at.After(l.calmFrom) {
 		l.findings = append(l.findings, fmt.Sprintf("request %s reached %s %v after it had said that it leaves", r.Attempt, b.id, time.Since(at)))
 	}
 }
@@ -69,15 +72,21 @@
 	l.left[b.id] = time.Now()
 }
 
-// calm says that no fault that excuses late knowledge is on from now on; a zero
-// time says that one begins.
-func (l *Ledger) calm(from time.Time) {
+// catchUp is the time that nodes have to learn what they missed in a fault.
+const catchUp = 2 * time.Second
+
+// excuse says that a fault begins in which nodes may know late of leaving servers.
+// It returns what says that the fault has ended.
+func (l *Ledger) excuse() (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from.IsZero() {
-		from = time.Now().Add(time.Hour)
+	l.excuses++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.excuses--
+		l.calmFrom = time.Now().Add(catchUp)
 	}
-	l.calmFrom = from
 }
 
 // usage takes a usage report. Two reports of a window with different figures are
