Log and count what tells a silent watch from a lost one

A watch that is never answered leaves no line for 26 s, and config_following stays 1.

Change: config_answer_age_ms and registrations_answer_age_ms; store lost says whether a watch or a list had no answer and for how long; nodes read, node gone; a peer that did not answer is a line at the ordinary level. No logic changes.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -43,6 +43,9 @@
 // Following reports whether the store is within reach.
 func (c *Config) Following() bool { return c.follower.following.Load() }
 
+// AnswerAge returns how long ago the store last answered; false if it never did.
+func (c *Config) AnswerAge() (time.Duration, bool) { return c.follower.answerAge() }
+
 // Version returns the version in force; 0 if there is none.
 func (c *Config) Version() int64 {
 	if t := c.table.Load(); t != nil {
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -47,6 +47,15 @@
 	onRead func()
 	// following tells that the last call was answered.
 	following atomic.Bool
+	// answered is the boot time of the last answer, in nanoseconds; 0 if there
+	// was none.
+	answered atomic.Int64
+}
+
+// answerAge returns how long ago the store last answered; false if it never did.
+func (f *follower) answerAge() (time.Duration, bool) {
+	at := f.answered.Load()
+	return boottime.Now() - time.Duration(at), at != 0
 }
 
 // fixed returns a pause that does not change.
@@ -62,6 +71,7 @@
 	for ctx.Err() == nil {
 		var err error
 		var deliver func(away bool)
+		sent := boottime.Now()
 		if !listed {
 			var entries []store.Entry
 			entries, revision, err = f.store.List(ctx, f.prefix)
@@ -85,7 +95,8 @@
 				return
 			}
 			if !failing {
-				f.log.Info("store lost", "prefix", f.prefix, "cause", err.Error())
+				f.log.Info("store lost", "prefix", f.prefix, "watching", listed, "waited_ms", (boottime.Now() - sent).Milliseconds(),
+					"revision", revision, "cause", err.Error())
 				failing, failingSince = true, boottime.Now()
 			}
 			// A list finds changes that a broken watch can't tell of.
@@ -95,6 +106,7 @@
 			pause = min(2*pause, maxRetry)
 			continue
 		}
+		f.answered.Store(int64(boottime.Now()))
 		failed := boottime.Now() - failingSince
 		away := failing && failed > awayAfter
 		if failing {
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -242,6 +242,7 @@
 		n.take(e)
 	}
 	n.reorder()
+	n.log.Info("nodes read", "count", len(n.nodes))
 }
 
 func (n *Nodes) apply(events []store.Event, _ store.Revision, _ bool) {
@@ -254,6 +255,7 @@
 			n.take(e.Entry)
 		case name != n.self.Name:
 			delete(n.nodes, name)
+			n.log.Info("node gone", "name", name, "count", len(n.nodes))
 		}
 	}
 	n.reorder()
@@ -265,5 +267,8 @@
 		n.log.Info("node entry not readable", "key", e.Key)
 		return
 	}
+	if _, known := n.nodes[node.Name]; !known {
+		n.log.V(1).Info("node known", "name", node.Name, "peers", node.Peers)
+	}
 	n.nodes[node.Name] = node
 }
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -156,9 +156,10 @@
 func (r *Relay) ask(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	s, err := r.peers.Pull(ctx, address, r.config.Version())
+	known := r.config.Version()
+	s, err := r.peers.Pull(ctx, address, known)
 	if err != nil {
-		r.log.V(1).Info("peer not asked", "address", address, "cause", err.Error())
+		r.log.Info("peer did not answer", "address", address, "config_version", known, "cause", err.Error())
 		return
 	}
 	if len(s.Config) > 0 {
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -67,6 +67,9 @@
 // Following reports whether the store is within reach.
 func (s *Servers) Following() bool { return s.follower.following.Load() }
 
+// AnswerAge returns how long ago the store last answered; false if it never did.
+func (s *Servers) AnswerAge() (time.Duration, bool) { return s.follower.answerAge() }
+
 // Pause returns how long changes that follow one another are collected.
 func (s *Servers) Pause() time.Duration { return s.follower.pause() }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -5,7 +5,7 @@
 	pool := g.pool.Stats()
 	token, held := g.duty.Fence()
 	calls := &g.store.Calls
-	return map[string]float64{
+	gauges := map[string]float64{
 		"config_version": float64(g.config.Version()), "config_following": number(g.config.Following()),
 		"registrations_following": number(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
 		"nodes": float64(g.nodes.Count()), "load_peers": float64(g.loads.Peers()), "ready": number(g.ready.Load()),
@@ -19,6 +19,13 @@
 		"load_updates_sent_total": float64(g.sharer.Sent.Load()), "load_updates_received_total": float64(g.sharer.Received.Load()),
 		"log_queue_dropped_total": float64(g.out.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
 	}
+	if age, ok := g.config.AnswerAge(); ok {
+		gauges["config_answer_age_ms"] = float64(age.Milliseconds())
+	}
+	if age, ok := g.servers.AnswerAge(); ok {
+		gauges["registrations_answer_age_ms"] = float64(age.Milliseconds())
+	}
+	return gauges
 }
 
 func number(b bool) float64 {
