Give a watch up that the store has not answered in time

Cause: a node sends its next watch 100 ms after a version. The store had fallen silent in between and never got it. The node waited 25 s and 1 s more for the answer and took itself for current. Class: silence was taken for "nothing has changed".

Change: each follower has a bound, the time in which a change must be known: that of the deployment for configurations and withdrawn keys (config_ms, revocation_ms), for leaving servers (drain_ms), 4 s for the holder of the duty, 6 s for nodes. A watch waits half of it for a change and a quarter more for its answer; a list without an answer is given up as early, and its pause has passed by then. So whatever the store swallowed, one list that it answers is on its way within three quarters of the bound.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -29,9 +29,9 @@
 }
 
 // NewConfig returns a follower of the configuration under key, which puts
-// tables into table.
-func NewConfig(table *atomic.Pointer[core.Table], key string, decode func([]byte) (*core.Table, error), log logr.Logger) *Config {
-	return &Config{table: table, key: key, decode: decode, log: log, follower: follower{prefix: key, log: log, pause: fixed(configPause)}}
+// tables into table. A version has to be in force within bound.
+func NewConfig(table *atomic.Pointer[core.Table], key string, decode func([]byte) (*core.Table, error), bound time.Duration, log logr.Logger) *Config {
+	return &Config{table: table, key: key, decode: decode, log: log, follower: follower{prefix: key, log: log, bound: bound, pause: fixed(configPause)}}
 }
 
 // Run follows the configuration until ctx ends.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -58,7 +58,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := memstore.New()
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 		// The boot clock does not follow virtual time.
 		start := time.Now()
 		s.now = func() time.Duration { return time.Since(start) + time.Hour }
@@ -131,7 +131,7 @@
 func TestLapsedRegistrationsAreKeptAfterAnOutage(t *testing.T) {
 	is := is.New(t)
 	r := backends.NewRegistry()
-	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 	clock := time.Hour
 	s.now = func() time.Duration { return clock }
 	entry := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
@@ -153,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := &compactedStore{Store: memstore.New()}
 		r := backends.NewRegistry()
-		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+		s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 		put(t, st.Store, testPrefix+"1", "ready", 0)
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.Run(ctx, st, func() {})
@@ -193,7 +193,7 @@
 		}
 		return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
 	}
-	c := NewConfig(&table, "config", decode, logr.Discard())
+	c := NewConfig(&table, "config", decode, applyBound, logr.Discard())
 	c.Offer([]byte("xxx"), "store")
 	c.Offer([]byte("xx"), "peer")
 	c.Offer(nil, "peer")
@@ -215,9 +215,9 @@
 	var table atomic.Pointer[core.Table]
 	config := NewConfig(&table, "config", func(raw []byte) (*core.Table, error) {
 		return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
-	}, logr.Discard())
+	}, applyBound, logr.Discard())
 	r := backends.NewRegistry()
-	servers := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+	servers := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 	state := State{Config: []byte("xxxx"), Following: true, Registrations: []store.Entry{
 		{Key: testPrefix + "1", Value: []byte("ready"), Revision: 3},
 		{Key: testPrefix + "2", Value: []byte("ready"), Revision: 4},
@@ -241,7 +241,7 @@
 func TestPeerDoesNotBringBackGoneServers(t *testing.T) {
 	is := is.New(t)
 	r := backends.NewRegistry()
-	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+	s := NewServers(r, testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 	one := store.Entry{Key: testPrefix + "1", Value: []byte("ready"), Revision: 5}
 	two := store.Entry{Key: testPrefix + "2", Value: []byte("ready"), Revision: 6}
 	s.reset([]store.Entry{one, two}, 6, false)
@@ -274,9 +274,9 @@
 		var table atomic.Pointer[core.Table]
 		config := NewConfig(&table, "config", func(raw []byte) (*core.Table, error) {
 			return core.NewTable(int64(len(raw)), core.Limits{}, nil, nil, nil), nil
-		}, logr.Discard())
+		}, applyBound, logr.Discard())
 		config.follower.following.Store(true)
-		servers := NewServers(backends.NewRegistry(), testPrefix, decodeTest, fixed(100*time.Millisecond), logr.Discard())
+		servers := NewServers(backends.NewRegistry(), testPrefix, decodeTest, fixed(100*time.Millisecond), applyBound, logr.Discard())
 		servers.follower.following.Store(true)
 		servers.reset([]store.Entry{{Key: testPrefix + "1", Value: []byte("ready"), Revision: 3}}, 3, false)
 		peers := &countingPeers{state: State{Config: []byte("xxxx"), Following: true}}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -16,12 +16,17 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. A watch counts as one
-	// call, so longer ones cost less.
-	watchWait = 25 * time.Second
-	// minRetry and maxRetry bound the pause after a failed call.
-	minRetry = 100 * time.Millisecond
-	maxRetry = 600 * time.Millisecond
+	// callShare is the part of a follower's bound after which a call without an
+	// answer is given up. The list that follows has the rest of the bound: the
+	// store may have swallowed the call, and its next answer counts from there.
+	callShare = 0.75
+	// watchShare is the part of the bound for which one watch waits for a change.
+	// The rest of callShare is for its answer, which a slow store delays.
+	watchShare = 0.5
+	// minRetry is the first pause after a failed call, and retryShare the part of
+	// the bound that the pause grows to.
+	minRetry   = 100 * time.Millisecond
+	retryShare = 0.25
 	// awayAfter is how long calls must have failed before the store counts as
 	// away. A watch that is cut and comes back at once is no outage.
 	awayAfter = 400 * time.Millisecond
@@ -41,6 +46,9 @@
 	store  store.Store
 	prefix string
 	log    logr.Logger
+	// bound is the time in which a change must be known here once the store
+	// answers, whatever became of the calls before.
+	bound time.Duration
 	// pause collects changes that come together into one call.
 	pause func() time.Duration
 	// onRead is called after each answer.
@@ -61,33 +69,50 @@
 // fixed returns a pause that does not change.
 func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
+// share returns a part of the bound.
+func (f *follower) share(part float64) time.Duration {
+	return time.Duration(part * float64(f.bound))
+}
+
+// progress is how far a follower has read.
+type progress struct {
+	// listed tells that the entries were read, so that a watch can go on from
+	// revision.
+	listed   bool
+	revision store.Revision
+}
+
+// read makes one call and returns what hands its answer to h.
+func (f *follower) read(ctx context.Context, h handler, p *progress) (deliver func(away bool), err error) {
+	ctx, cancel := context.WithTimeout(ctx, f.share(callShare))
+	defer cancel()
+	if !p.listed {
+		entries, at, err := f.store.List(ctx, f.prefix)
+		return func(away bool) {
+			p.listed, p.revision = true, at
+			h.reset(entries, at, away)
+		}, err
+	}
+	events, at, err := f.store.Watch(ctx, f.prefix, p.revision, f.share(watchShare))
+	return func(away bool) {
+		p.revision = at
+		h.apply(events, at, away)
+	}, err
+}
+
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context, h handler) {
 	var failingSince time.Duration
 	failing := false
 	pause := minRetry
-	var revision store.Revision
-	listed := false
+	var p progress
 	for ctx.Err() == nil {
-		var err error
-		var deliver func(away bool)
 		sent := boottime.Now()
-		if !listed {
-			var entries []store.Entry
-			entries, revision, err = f.store.List(ctx, f.prefix)
-			deliver = func(away bool) { h.reset(entries, revision, away) }
-		} else {
-			var events []store.Event
-			var at store.Revision
-			events, at, err = f.store.Watch(ctx, f.prefix, revision, watchWait)
-			deliver = func(away bool) {
-				revision = at
-				h.apply(events, at, away)
-			}
-		}
+		deliver, err := f.read(ctx, h, &p)
+		waited := boottime.Now() - sent
 		if errors.Is(err, store.ErrCompacted) {
-			f.log.Info("store history lost, reading again", "prefix", f.prefix, "revision", revision)
-			listed, err = false, nil
+			f.log.Info("store history lost, reading again", "prefix", f.prefix, "revision", p.revision)
+			p.listed = false
 			continue
 		}
 		if err != nil {
@@ -95,15 +120,16 @@
 				return
 			}
 			if !failing {
-				f.log.Info("store lost", "prefix", f.prefix, "watching", listed, "waited_ms", (boottime.Now() - sent).Milliseconds(),
-					"revision", revision, "cause", err.Error())
+				f.log.Info("store lost", "prefix", f.prefix, "watching", p.listed, "waited_ms", waited.Milliseconds(),
+					"revision", p.revision, "cause", err.Error())
 				failing, failingSince = true, boottime.Now()
 			}
 			// A list finds changes that a broken watch can't tell of.
-			listed = false
+			p.listed = false
 			f.following.Store(false)
-			sleep(ctx, pause/2+rand.N(pause/2))
-			pause = min(2*pause, maxRetry)
+			// A call that was given up has taken its pause already.
+			sleep(ctx, pause/2+rand.N(pause/2)-waited)
+			pause = max(minRetry, min(2*pause, f.share(retryShare)))
 			continue
 		}
 		f.answered.Store(int64(boottime.Now()))
@@ -112,7 +138,7 @@
 		if failing {
 			f.log.Info("store regained", "prefix", f.prefix, "after_ms", failed.Milliseconds())
 		}
-		failing, pause, listed = false, minRetry, true
+		failing, pause = false, minRetry
 		deliver(away)
 		f.following.Store(true)
 		f.onRead()
--- a/discovery/holder.go
+++ b/discovery/holder.go
@@ -19,6 +19,10 @@
 	address atomic.Pointer[string]
 }
 
+// holderBound is the time in which a new holder is known. Others send it their
+// usage counts, and a free duty is taken.
+const holderBound = 4 * time.Second
+
 // holderPause collects changes of the holder. A duty that is free costs little
 // for a moment.
 const holderPause = 200 * time.Millisecond
@@ -26,7 +30,7 @@
 // NewHolder returns a follower of the leased record under key; decode returns the
 // address of its holder.
 func NewHolder(key string, decode func([]byte) (string, error), log logr.Logger) *Holder {
-	return &Holder{key: key, decode: decode, log: log, follow: follower{prefix: key, log: log, pause: fixed(holderPause)}}
+	return &Holder{key: key, decode: decode, log: log, follow: follower{prefix: key, log: log, bound: holderBound, pause: fixed(holderPause)}}
 }
 
 // Run follows the record until ctx ends.
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -177,7 +177,7 @@
 
 // Follow follows the list until ctx ends.
 func (n *Nodes) Follow(ctx context.Context, st store.Store, onRead func()) {
-	f := &follower{store: st, prefix: nodesPrefix, log: n.log, pause: fixed(nodesPause), onRead: onRead}
+	f := &follower{store: st, prefix: nodesPrefix, log: n.log, bound: nodeLease, pause: fixed(nodesPause), onRead: onRead}
 	f.run(ctx, n)
 }
 
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -51,10 +51,10 @@
 }
 
 // NewServers returns a follower of the registrations under prefix. Changes within
-// pause are read together.
-func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause func() time.Duration, log logr.Logger) *Servers {
+// pause are read together; a server that leaves has to be known within bound.
+func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Info, error), pause func() time.Duration, bound time.Duration, log logr.Logger) *Servers {
 	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, now: boottime.Now, entries: make(map[string]entry),
-		follower: follower{prefix: prefix, log: log, pause: pause}}
+		follower: follower{prefix: prefix, log: log, bound: bound, pause: pause}}
 }
 
 // Run follows the registrations until ctx ends.
--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -65,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		st := &silentStore{Store: memstore.New()}
 		var table atomic.Pointer[core.Table]
-		config := NewConfig(&table, "config", decodeVersion, logr.Discard())
+		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { config.Run(ctx, st, func() {}); close(done) }()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,8 +104,8 @@
 	g := &Gateway{file: file, settings: s, log: log, level: level, out: out, registry: backends.NewRegistry(), truth: boottime.NewTrueTime()}
 	g.pool = upstream.NewPool(upstream.DefaultOptions)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
-	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationPause, log)
-	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, log)
+	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationPause, s.Drain(), log)
+	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, s.Apply(), log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
 	g.loads = newLoads()
 	g.incarnation = rand.Uint64() | 1
@@ -155,7 +155,7 @@
 	if g.cell().Count > 1 {
 		share = largeDrainShare
 	}
-	return time.Duration(share * float64(g.settings.Bounds.DrainMillis) * float64(time.Millisecond))
+	return time.Duration(share * float64(g.settings.Drain()))
 }
 
 func (g *Gateway) newDuties(counter *metering.Counter, windows metering.Windows, backend *platform.Backend) {
