End watches by beats that the store leaves unanswered

Cause: short watches find a silent store, but each is a call.

Change: watches wait 25 s again. LiveStore sends a lease renewal with each watch, which costs a tenth of a call and is answered at once, and one every half bound. When one has no answer for half the bound, all watches of the node end and their followers list. All four followers share the beats. A list is still given up after three quarters of the bound.

What remains: a silence of less than half the bound that begins between the arrival of a watch and that of its beat, or ends between them. It is not noticed by the beats, only by other nodes that are ahead and after 25 s.

TestWatchSentIntoASilentStoreIsNoticed has the store wrapped as the gateway has it, bound and cases unchanged. TestQuietStoreCostsFewWatches is new.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -16,13 +16,13 @@
 )
 
 const (
-	// callShare is the part of a follower's bound after which a call without an
+	// watchWait is how long one watch waits for a change. A watch counts as one
+	// call, so longer ones cost less.
+	watchWait = 25 * time.Second
+	// listShare is the part of a follower's bound after which a list without an
 	// answer is given up. The list that follows has the rest of the bound: the
-	// store may have swallowed the call, and its next answer counts from there.
-	callShare = 0.75
-	// watchShare is the part of the bound for which one watch waits for a change.
-	// The rest of callShare is for its answer, which a slow store delays.
-	watchShare = 0.5
+	// store may have swallowed the first just before it answers again.
+	listShare = 0.75
 	// minRetry is the first pause after a failed call, and retryShare the part of
 	// the bound that the pause grows to.
 	minRetry   = 100 * time.Millisecond
@@ -47,7 +47,8 @@
 	prefix string
 	log    logr.Logger
 	// bound is the time in which a change must be known here once the store
-	// answers, whatever became of the calls before.
+	// answers, whatever became of the calls before. The store has to end watches
+	// that it may have swallowed, see LiveStore.
 	bound time.Duration
 	// pause collects changes that come together into one call.
 	pause func() time.Duration
@@ -84,16 +85,16 @@
 
 // read makes one call and returns what hands its answer to h.
 func (f *follower) read(ctx context.Context, h handler, p *progress) (deliver func(away bool), err error) {
-	ctx, cancel := context.WithTimeout(ctx, f.share(callShare))
-	defer cancel()
 	if !p.listed {
+		ctx, cancel := context.WithTimeout(ctx, f.share(listShare))
+		defer cancel()
 		entries, at, err := f.store.List(ctx, f.prefix)
 		return func(away bool) {
 			p.listed, p.revision = true, at
 			h.reset(entries, at, away)
 		}, err
 	}
-	events, at, err := f.store.Watch(ctx, f.prefix, p.revision, f.share(watchShare))
+	events, at, err := f.store.Watch(ctx, f.prefix, p.revision, watchWait)
 	return func(away bool) {
 		p.revision = at
 		h.apply(events, at, away)
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -64,8 +64,13 @@
 	// ordered are the nodes by failure domain and name.
 	ordered  []Node
 	position atomic.Pointer[position]
+	// lease is that of this node's entry; 0 while there is none.
+	lease atomic.Uint64
 }
 
+// Lease returns the lease of this node's entry; 0 while there is none.
+func (n *Nodes) Lease() store.LeaseID { return store.LeaseID(n.lease.Load()) }
+
 // NewNodes returns the list of nodes, with only this one in it.
 func NewNodes(self Node, log logr.Logger) *Nodes {
 	return &Nodes{
@@ -205,6 +210,7 @@
 	var lease store.LeaseID
 	for ctx.Err() == nil {
 		lease = n.keep(ctx, st, raw, lease)
+		n.lease.Store(uint64(lease))
 		sleep(ctx, nodeRenewEvery)
 	}
 	if lease == 0 {
--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/standin/memstore"
@@ -45,6 +46,13 @@
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
+func (s *silentStore) Renew(ctx context.Context, lease store.LeaseID) error {
+	if err := s.swallow(ctx); err != nil {
+		return err
+	}
+	return s.Store.Renew(ctx, lease)
+}
+
 // applyBound is the time in which a version has to be in force on the deployments
 // with the shortest.
 const applyBound = 2 * time.Second
@@ -68,7 +76,9 @@
 		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
-		go func() { config.Run(ctx, st, func() {}); close(done) }()
+		live := NewLiveStore(st, func() store.LeaseID { return 0 }, applyBound)
+		go live.Run(ctx)
+		go func() { config.Run(ctx, live, func() {}); close(done) }()
 		for version := 1; version <= 3; version++ {
 			put(t, st.Store, "config", strconv.Itoa(version), 0)
 			time.Sleep(300 * time.Millisecond)
@@ -95,3 +105,24 @@
 	}
 	return core.NewTable(version, core.Limits{}, nil, nil, nil), nil
 }
+
+// TestQuietStoreCostsFewWatches guards against watches that are sent again and again
+// though nothing changes: each is a call of every node.
+func TestQuietStoreCostsFewWatches(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		st := &silentStore{Store: memstore.New()}
+		var table atomic.Pointer[core.Table]
+		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		live := NewLiveStore(st, func() store.LeaseID { return 0 }, applyBound)
+		go live.Run(ctx)
+		go func() { config.Run(ctx, live, func() {}); close(done) }()
+		time.Sleep(time.Minute)
+		is.True(st.Calls()[memstore.OpWatch] <= 3)
+		is.Equal(st.Calls()[memstore.OpList], 1)
+		cancel()
+		<-done
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 	registry *backends.Registry
 	pool     *upstream.Pool
 	store    *platform.Store
+	// live is store with watches that end when it falls silent.
+	live     *discovery.LiveStore
 	servers  *discovery.Servers
 	config   *discovery.Config
 	nodes    *discovery.Nodes
@@ -107,6 +109,7 @@
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationPause, s.Drain(), log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, s.Apply(), log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, Peers: s.Listen.Peers, Load: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
+	g.live = discovery.NewLiveStore(g.store, g.nodes.Lease, min(s.Apply(), s.Drain()))
 	g.loads = newLoads()
 	g.incarnation = rand.Uint64() | 1
 	g.sharer = loadshare.NewSharer(g.incarnation, g.ownWork, g.recipients, log)
@@ -328,10 +331,11 @@
 
 func (g *Gateway) follow(ctx context.Context, group *sync.WaitGroup) {
 	onRead := func() { g.updateReady() }
-	group.Go(func() { g.config.Run(ctx, g.store, onRead) })
-	group.Go(func() { g.servers.Run(ctx, g.store, onRead) })
-	group.Go(func() { g.nodes.Follow(ctx, g.store, onRead) })
-	group.Go(func() { g.holder.Run(ctx, g.store, onRead) })
+	group.Go(func() { g.live.Run(ctx) })
+	group.Go(func() { g.config.Run(ctx, g.live, onRead) })
+	group.Go(func() { g.servers.Run(ctx, g.live, onRead) })
+	group.Go(func() { g.nodes.Follow(ctx, g.live, onRead) })
+	group.Go(func() { g.holder.Run(ctx, g.live, onRead) })
 	group.Go(func() { g.relay.Run(ctx) })
 }
 
