Move the TCP proxy of the soak to the stand-ins

Tests of other packages need connections that fall silent. SilenceOpen is new: the open connections pass nothing on, new ones work.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -10,6 +10,7 @@
 
 	"github.com/figweir/figweir/platform/backendsim"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/standin/tcpproxy"
 )
 
 // fault begins and returns what ends it.
@@ -70,8 +71,8 @@
 
 func storeAway(w *World, r *rand.Rand) func() {
 	n := w.anyNode(r)
-	n.storeway.Set(Mode(1 + r.IntN(int(modes)-1)))
-	return func() { n.storeway.Set(Pass) }
+	n.storeway.Set(tcpproxy.Mode(1 + r.IntN(int(tcpproxy.Modes)-1)))
+	return func() { n.storeway.Set(tcpproxy.Pass) }
 }
 
 func storeFails(w *World, r *rand.Rand) func() {
@@ -93,8 +94,8 @@
 
 func serverCut(w *World, r *rand.Rand) func() {
 	b := w.anyBackend(r)
-	b.proxy.Set(Mode(1 + r.IntN(int(modes)-1)))
-	return func() { b.proxy.Set(Pass) }
+	b.proxy.Set(tcpproxy.Mode(1 + r.IntN(int(tcpproxy.Modes)-1)))
+	return func() { b.proxy.Set(tcpproxy.Pass) }
 }
 
 func serverFaults(w *World, r *rand.Rand) func() {
@@ -154,7 +155,7 @@
 	active.Wait()
 	for _, n := range w.nodes {
 		n.signal(syscall.SIGCONT)
-		n.storeway.Set(Pass)
+		n.storeway.Set(tcpproxy.Pass)
 	}
 	w.store.SetFault(nil)
 	time.Sleep(recovery)
--- a/soak/world.go
+++ b/soak/world.go
@@ -24,6 +24,7 @@
 	"github.com/figweir/figweir/platform/backendsim"
 	"github.com/figweir/figweir/platform/kvserver"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/standin/tcpproxy"
 	"github.com/figweir/figweir/store"
 )
 
@@ -60,7 +61,7 @@
 	index    int
 	ip       string
 	settings string
-	storeway *Proxy
+	storeway *tcpproxy.Proxy
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -73,7 +74,7 @@
 type backend struct {
 	id, service, role string
 	sim               *backendsim.Server
-	proxy             *Proxy
+	proxy             *tcpproxy.Proxy
 	gone              chan struct{}
 	draining          atomic.Bool
 }
@@ -168,7 +169,7 @@
 	if err != nil {
 		return nil
 	}
-	if b.proxy, err = NewProxy("127.0.0.1:0", address); err != nil {
+	if b.proxy, err = tcpproxy.New("127.0.0.1:0", address); err != nil {
 		return nil
 	}
 	w.closed = append(w.closed, b.proxy.Close)
@@ -218,7 +219,7 @@
 func (w *World) addNode(i int, storeAddress string) error {
 	n := &node{index: i, ip: fmt.Sprintf("%s.%d", w.net, 10+i)}
 	var err error
-	if n.storeway, err = NewProxy("127.0.0.1:0", storeAddress); err != nil {
+	if n.storeway, err = tcpproxy.New("127.0.0.1:0", storeAddress); err != nil {
 		return err
 	}
 	w.closed = append(w.closed, n.storeway.Close)
--- a/soak/proxy.go
+++ b/standin/tcpproxy/tcpproxy.go
@@ -1,4 +1,6 @@
-package soak
+// Package tcpproxy passes TCP connections on and disturbs them, for tests of what a
+// process does when connections are delayed, reset or silent.
+package tcpproxy
 
 import (
 	"io"
@@ -23,7 +25,8 @@
 	// DeafUp passes nothing on to the server, DeafDown nothing to the client.
 	DeafUp
 	DeafDown
-	modes
+	// Modes is their number.
+	Modes
 )
 
 // proxyDelay is the time for which Delay holds a piece up.
@@ -37,15 +40,18 @@
 
 	mu   sync.Mutex
 	open map[net.Conn]bool
+	// silenced is set for the connections that are open when SilenceOpen is
+	// called, and replaced then.
+	silenced *atomic.Bool
 }
 
-// NewProxy starts a proxy on a loopback address.
-func NewProxy(listen, target string) (*Proxy, error) {
+// New starts a proxy on a loopback address.
+func New(listen, target string) (*Proxy, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, open: make(map[net.Conn]bool)}
+	p := &Proxy{listener: l, target: target, open: make(map[net.Conn]bool), silenced: new(atomic.Bool)}
 	go p.accept()
 	return p, nil
 }
@@ -61,6 +67,15 @@
 	}
 }
 
+// SilenceOpen passes nothing more on over the connections that are open. New ones
+// work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silenced.Store(true)
+	p.silenced = new(atomic.Bool)
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -105,10 +120,11 @@
 	}
 	p.mu.Lock()
 	p.open[client], p.open[server] = true, true
+	silenced := p.silenced
 	p.mu.Unlock()
 	var wait sync.WaitGroup
-	wait.Go(func() { p.copy(server, client, DeafUp) })
-	wait.Go(func() { p.copy(client, server, DeafDown) })
+	wait.Go(func() { p.copy(server, client, DeafUp, silenced) })
+	wait.Go(func() { p.copy(client, server, DeafDown, silenced) })
 	wait.Wait()
 	p.mu.Lock()
 	delete(p.open, client)
@@ -119,7 +135,7 @@
 
 // copy passes one direction on until it ends. Bytes that arrive while the
 // direction is deaf are lost, like those of a connection that has fallen silent.
-func (p *Proxy) copy(to, from net.Conn, deaf Mode) {
+func (p *Proxy) copy(to, from net.Conn, deaf Mode, silenced *atomic.Bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -127,7 +143,7 @@
 		if mode == Delay {
 			time.Sleep(proxyDelay)
 		}
-		if n > 0 && mode != Silent && mode != deaf {
+		if n > 0 && mode != Silent && mode != deaf && !silenced.Load() {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				reset(from)
 				return
