Open another connection to a node after a call has failed

What callers would see: 404 or 401 by an older configuration, and requests at leaving servers, from a node that the store does not answer and whose questions to another node all fail.

Cause: calls between nodes share one HTTP/2 connection for each node. One that has fallen silent, without a reset, stays in use: each call waits for its timeout and fails, until the kernel gives the connection up.

Change: each node has a transport of its own, which is replaced when a call over it fails. The old one's other calls go on.

Before: TestSilentConnectionToANodeIsReplaced fails, "http2: timeout awaiting response headers" on the second question. After: it passes.

--- a/peer/http.go
+++ b/peer/http.go
@@ -18,14 +18,45 @@
 )
 
 // NewHTTPClient returns a client for calls between nodes: HTTP/2 without TLS,
-// one connection for each node, which keeps header bytes low.
-func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// one connection for each node, which keeps header bytes low. A call that fails
+// leaves its connection to the calls before it; the next one opens another.
+func NewHTTPClient() *http.Client { return &http.Client{Transport: &transports{}} }
+
+func newTransport() *http.Transport {
+	return &http.Transport{
 		Protocols:             Protocols(),
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
-	}}
+	}
+}
+
+// transports holds a transport for each node. HTTP/2 goes on using a connection
+// that has fallen silent, so a transport is replaced when a call over it fails.
+type transports struct {
+	byHost sync.Map // string → *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transports) RoundTrip(r *http.Request) (*http.Response, error) {
+	found, ok := t.byHost.Load(r.URL.Host)
+	if !ok {
+		found, _ = t.byHost.LoadOrStore(r.URL.Host, newTransport())
+	}
+	transport := found.(*http.Transport)
+	response, err := transport.RoundTrip(r)
+	if err != nil && t.byHost.CompareAndDelete(r.URL.Host, transport) {
+		transport.CloseIdleConnections()
+	}
+	return response, err
+}
+
+// CloseIdleConnections is called by the method of http.Client.
+func (t *transports) CloseIdleConnections() {
+	t.byHost.Range(func(_, transport any) bool {
+		transport.(*http.Transport).CloseIdleConnections()
+		return true
+	})
 }
 
 // Protocols returns what the peer listener's http.Server must speak.
