--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -54,8 +54,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Fresh asks for a new connection.
-	Fresh bool
 	// Belongs reports whether an answer is the one to this request. Nil takes
 	// every answer.
 	Belongs func(http.Header) bool
@@ -94,7 +92,7 @@
 // *NotSentError or a *LostError. The exchange ends, and its connection is
 // closed, when ctx ends.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, r.Address, r.Fresh)
+	c, err := p.get(ctx, r.Address)
 	if err != nil {
 		return nil, &NotSentError{r.Address, err}
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -102,11 +102,9 @@
 
 // get returns an idle connection that is still usable, or dials. An error means
 // that there is no connection, so nothing was sent.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
-	if !fresh {
-		if c := p.takeIdle(address); c != nil {
-			return c, nil
-		}
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	if c := p.takeIdle(address); c != nil {
+		return c, nil
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	p.mu.Lock()
