Soak: the store falls silent for all nodes, and a withdrawn key is checked

Cause: the soak cut one node at a time from the store, so the others' datagrams made up for a watch that was lost, and it did not ask whether the newest configuration is in force.

Change: after the last fault the store falls silent for all nodes, up to 0.2 s after a version and for up to 2.5 s. In the calm part a key is withdrawn, and no node may accept it 2.5 s later (bound 2 s).

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -40,6 +40,27 @@
 	}
 }
 
+// askOnce sends one request over a new connection and returns the status of its
+// answer. The ledger judges whether it may run.
+func (w *World) askOnce(n *node, key string) (status int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/safe/x", n.ip, callerPort), nil)
+	if err != nil {
+		return 0, err
+	}
+	r.Host = backendsim.Host
+	id := fmt.Sprintf("%x-once-%d", w.Seed, n.index)
+	w.ledger.ask(id, &asked{kind: "safe", key: key, sent: time.Now()})
+	backendsim.Sign(r.Header, id, key, time.Second)
+	transport := &http.Transport{DisableKeepAlives: true}
+	answer, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, err
+	}
+	return answer.StatusCode, answer.Body.Close()
+}
+
 // request sends one request once and notes its answer.
 func (w *World) request(t *http.Transport, n *node, id string, a *asked, random *rand.Rand) {
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -158,18 +159,24 @@
 		n.storeway.Set(tcpproxy.Pass)
 	}
 	w.store.SetFault(nil)
+	w.silence()
 	time.Sleep(recovery)
 	recovered := time.Now()
 	release(w, w.random)
+	late := w.withdrawn()
 	time.Sleep(calmEnd)
 	cancel()
 	clients.Wait()
 	result := w.ledger.Judge()
+	result.Findings = append(result.Findings, late...)
 	result.Findings = append(result.Findings, w.ledger.recovered(recovered)...)
 	return result
 }
 
 const (
+	// applySlack is the time after which a configuration must be in force: the
+	// bound of the settings, 2 s, and what a request may take on its way here.
+	applySlack = 2500 * time.Millisecond
 	// settle is the time that the nodes have before the first fault.
 	settle = 2 * time.Second
 	// calmEnd is the time without faults at the end, in which requests have to be
@@ -179,6 +186,36 @@
 	recovery = 6 * time.Second
 )
 
+// silence lets the store fall silent for all nodes shortly after a version, when they
+// have sent their next watches or are about to.
+func (w *World) silence() {
+	excused := w.ledger.excuse()
+	w.writeConfig()
+	time.Sleep(time.Duration(w.random.IntN(200)) * time.Millisecond)
+	for _, n := range w.nodes {
+		n.storeway.Set(tcpproxy.Silent)
+	}
+	time.Sleep(time.Duration(50+w.random.IntN(2500)) * time.Millisecond)
+	for _, n := range w.nodes {
+		n.storeway.Set(tcpproxy.Pass)
+	}
+	excused()
+}
+
+// withdrawn withdraws a key and checks that no node accepts it after applySlack.
+func (w *World) withdrawn() (findings []string) {
+	w.keyB.Store(false)
+	w.writeConfig()
+	time.Sleep(applySlack)
+	for _, n := range w.nodes {
+		status, err := w.askOnce(n, "key-b")
+		if err == nil && status != http.StatusUnauthorized {
+			findings = append(findings, fmt.Sprintf("node %d answers %d to a key that was withdrawn %v before", n.index, status, applySlack))
+		}
+	}
+	return findings
+}
+
 // recovered checks that most requests of the calm end were answered whole.
 func (l *Ledger) recovered(from time.Time) []string {
 	l.mu.Lock()
