Bound the head of a backend server's answer

What callers would see: a node that is killed for its memory, with every request that it holds, because one backend server sends bytes without end in place of a head.

Cause: the head was read by http.ReadResponse, which has no bound, and interim answers were passed over without a count.

Change: a head, with the interim answers before it, has at most 64 KiB. Past that the answer is lost (the request may have run) and the connection is closed.

--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// endlessServer answers with start and then repeats text until the caller closes.
+func endlessServer(t *testing.T, start, text string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, start)
+		block := strings.Repeat(text, 1+(32<<10)/len(text))
+		for {
+			if _, err := io.WriteString(c, block); err != nil {
+				return
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestEndlessHeadIsGivenUp guards against a backend server that sends bytes without
+// end in place of a head, or in one, until the memory of the node is full.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	cases := map[string]struct{ start, text string }{
+		"status line":     {"", "x"},
+		"header line":     {"HTTP/1.1 200 OK\r\nX-Fill: ", "x"},
+		"headers":         {"HTTP/1.1 200 OK\r\n", "X-Fill: x\r\n"},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := endlessServer(t, c.start, c.text)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := NewPool(DefaultOptions).Do(ctx, get(address))
+			var lost *LostError
+			is.True(errors.As(err, &lost))
+			is.True(errors.Is(err, ErrLargeHead)) // not only when the time is over
+		})
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -45,6 +44,10 @@
 // answers to other requests in place of the one that was waited for.
 var ErrForeignAnswer = errors.New("answer belongs to another request")
 
+// ErrLargeHead is the cause of a LostError if the head of the answer, with interim
+// answers before it, is longer than maxHeadBytes.
+var ErrLargeHead = errors.New("head of the answer too large")
+
 // Request is one request, ready to be written.
 type Request struct {
 	Address string
@@ -166,7 +169,7 @@
 // other requests are passed over; after the latter the connection is not kept.
 func (a *Answer) readHead(r *Request) error {
 	for range maxForeignAnswers + 1 {
-		resp, err := readResponse(a.conn.reader, r.Method)
+		resp, err := readResponse(a.conn, r.Method)
 		if err != nil {
 			return err
 		}
@@ -185,10 +188,16 @@
 	return ErrForeignAnswer
 }
 
-func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+func readResponse(c *conn, method string) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	request := &http.Request{Method: method}
 	for {
-		resp, err := http.ReadResponse(reader, request)
+		resp, err := http.ReadResponse(c.reader, request)
+		if err != nil && c.head.left == 0 {
+			// A head that is cut at the bound may fail as malformed.
+			return nil, ErrLargeHead
+		}
 		if err != nil {
 			return nil, err
 		}
