Bound what a node holds of backend servers' answers

Cause: one answer might take 16 MiB, and the buffer twice that while it grows; a machine has 184 to 536 MB, and nothing bounded the sum.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	budgetShare = 0.8
 	// memoryShare is the part of the machine's memory that the Go heap may use.
 	memoryShare = 0.6
+	// answersShare is the part of the machine's memory for answers of backend
+	// servers that are being read.
+	answersShare = 0.125
 )
 
 // Gateway is one node.
@@ -129,7 +132,9 @@
 	g.counter, g.heard = counter, metering.NewHeard()
 	g.front = &platform.Front{Tables: &g.table, OnReject: g.observer.rejected}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.loads, g.cell, g.sharer.Changed)
-	backend := &platform.Backend{Pool: g.pool, OnFreeFailed: g.observer.freeFailed}
+	backend := &platform.Backend{
+		Pool: g.pool, Answers: platform.NewAnswerBytes(answersMemory(s.Limits.MemoryMB)), OnFreeFailed: g.observer.freeFailed,
+	}
 	g.front.Core = &core.Core{
 		Tables:   &g.table,
 		Chooser:  g.balancer,
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -63,6 +63,12 @@
 // callerKeepAlive is the time between keep-alive probes to callers.
 const callerKeepAlive = 5 * time.Second
 
-func limitMemory(megabytes int) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+func limitMemory(megabytes int) { debug.SetMemoryLimit(memoryPart(memoryShare, megabytes)) }
+
+// answersMemory returns the bytes for answers that are being read.
+func answersMemory(megabytes int) int64 { return memoryPart(answersShare, megabytes) }
+
+// memoryPart returns a share of the machine's memory in bytes.
+func memoryPart(share float64, megabytes int) int64 {
+	return int64(share * float64(megabytes) * (1 << 20))
 }
