Let the retry budget follow the number of nodes

What callers would see: nothing by itself; a service that fails gets more retries than the deployment allows.

Cause: the part was worked out once, at the first retry of a service, from the list of nodes as it was then.

Change: the part follows the list. Before the list was read a node has one extra retry.

Before: TestBudgetFollowsTheNumberOfNodes fails without the change, 21 retries where the others are not known. After: it passes; TestBudgetIsSharedByNodes is unchanged but for the constructor.

--- a/admit/retry.go
+++ b/admit/retry.go
@@ -12,7 +12,7 @@
 	// millitokens is the level; a retry takes 1,000.
 	millitokens atomic.Int64
 	perAttempt  int64
-	limit       int64
+	limit       atomic.Int64
 }
 
 const retryMillitokens = 1000
@@ -20,16 +20,21 @@
 // NewRetryBudget returns a full bucket. share is the number of retries that one
 // first attempt pays for, and burst the number of retries that can be saved up.
 func NewRetryBudget(share float64, burst int) *RetryBudget {
-	b := &RetryBudget{perAttempt: int64(share * retryMillitokens), limit: int64(burst) * retryMillitokens}
-	b.millitokens.Store(b.limit)
+	b := &RetryBudget{perAttempt: int64(share * retryMillitokens)}
+	b.SetBurst(burst)
+	b.millitokens.Store(b.limit.Load())
 	return b
 }
 
+// SetBurst changes the number of retries that can be saved up. What is saved above
+// it is lost.
+func (b *RetryBudget) SetBurst(burst int) { b.limit.Store(int64(burst) * retryMillitokens) }
+
 // FirstAttempt fills the bucket by the share of one attempt.
 func (b *RetryBudget) FirstAttempt() {
 	for {
 		old := b.millitokens.Load()
-		level := min(b.limit, old+b.perAttempt)
+		level := min(b.limit.Load(), old+b.perAttempt)
 		if level == old || b.millitokens.CompareAndSwap(old, level) {
 			return
 		}
@@ -40,10 +45,11 @@
 func (b *RetryBudget) Retry() bool {
 	for {
 		old := b.millitokens.Load()
-		if old < retryMillitokens {
+		level := min(b.limit.Load(), old)
+		if level < retryMillitokens {
 			return false
 		}
-		if b.millitokens.CompareAndSwap(old, old-retryMillitokens) {
+		if b.millitokens.CompareAndSwap(old, level-retryMillitokens) {
 			return true
 		}
 	}
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -61,6 +61,8 @@
 	// lapsed holds until when nodes count whose entries vanished in an outage of
 	// the store.
 	lapsed map[string]time.Duration
+	// read tells that the list was read.
+	read bool
 	// ordered are the nodes by failure domain and name.
 	ordered  []Node
 	position atomic.Pointer[position]
@@ -81,9 +83,15 @@
 
 // Count returns the number of nodes, at least 1.
 func (n *Nodes) Count() int {
+	count, _ := n.Shares()
+	return count
+}
+
+// Shares returns the number of nodes, at least 1; false before the list was read.
+func (n *Nodes) Shares() (count int, known bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return max(1, len(n.nodes))
+	return max(1, len(n.nodes)), n.read
 }
 
 // List returns the nodes ordered by name.
@@ -262,6 +270,7 @@
 		n.take(e)
 	}
 	n.keepLapsed(before, away)
+	n.read = true
 	n.reorder()
 	n.log.Info("nodes read", "count", len(n.nodes), "lapsed", len(n.lapsed))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/figweir/figweir/admit"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/platform"
 )
@@ -49,7 +48,7 @@
 // TestBudgetIsSharedByNodes guards against nodes that each use the whole budget.
 func TestBudgetIsSharedByNodes(t *testing.T) {
 	is := is.New(t)
-	b := &budget{ratio: 0.2, extra: 56, nodes: func() int { return 16 }, services: make(map[string]*admit.RetryBudget)}
+	b := newBudget(0.2, 56, func() (int, bool) { return 16, true })
 	taken := 0
 	for b.Retry("s") {
 		taken++
