Do not take a slow store for a silent one

What callers would see: an older configuration for longer, while the store takes more than a second for each answer, and a store that gets more calls for being slow.

Cause: a beat without an answer for half the bound ended all watches, also when the answer came a little later; each follower then listed and watched anew, every few seconds.

Change: an answer that is late is waited for, and the next beats may take twice as long as it took, at most the bound. A silent store is noticed as early as before.

Before: TestSlowStoreIsFollowed (answers of 1.2 s) fails, more than 3 lists in a minute. After: it passes.

--- a/discovery/livestore.go
+++ b/discovery/livestore.go
@@ -6,13 +6,19 @@
 	"sync"
 	"time"
 
+	"github.com/figweir/figweir/boottime"
 	"github.com/figweir/figweir/store"
 )
 
-// beatShare is the part of the bound after which a beat without an answer means
-// silence, and the time between two beats. The rest of the bound is for the list
-// that follows.
-const beatShare = 0.5
+const (
+	// beatShare is the part of the bound after which a beat without an answer means
+	// silence, and the time between two beats. The rest of the bound is for the list
+	// that follows.
+	beatShare = 0.5
+	// slowFactor is how much longer than the last answer to a beat took the next may
+	// take, if that is more: a slow store is not silent.
+	slowFactor = 2
+)
 
 // ErrSilent ends watches while the store leaves calls without an answer.
 var ErrSilent = errors.New("the store is silent")
@@ -29,6 +35,11 @@
 	bound time.Duration
 	// sent asks for a beat because a watch was sent.
 	sent chan struct{}
+	// now is the boot clock.
+	now func() time.Duration
+	// patience is how long the next beat may take, at most the bound. Only Run uses
+	// it.
+	patience time.Duration
 
 	mu sync.Mutex
 	// live ends when the store leaves a beat without an answer.
@@ -39,7 +50,7 @@
 // NewLiveStore returns a store whose silence ends watches early enough for a list to
 // find within bound what they missed. Run has to be called.
 func NewLiveStore(s store.Store, lease func() store.LeaseID, bound time.Duration) *LiveStore {
-	l := &LiveStore{Store: s, lease: lease, bound: bound, sent: make(chan struct{}, 1)}
+	l := &LiveStore{Store: s, lease: lease, bound: bound, now: boottime.Now, sent: make(chan struct{}, 1)}
 	l.live, l.silent = context.WithCancelCause(context.Background())
 	return l
 }
@@ -63,6 +74,7 @@
 // Run sends beats until ctx ends.
 func (l *LiveStore) Run(ctx context.Context) {
 	interval := time.Duration(beatShare * float64(l.bound))
+	l.patience = interval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -76,14 +88,22 @@
 	}
 }
 
-// beat waits for the answer to one beat. Refusals are answers: a watch that is
-// refused ends by itself.
-func (l *LiveStore) beat(ctx context.Context, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// beat waits for the answer to one beat, also when it is late. Refusals are answers:
+// a watch that is refused ends by itself.
+func (l *LiveStore) beat(ctx context.Context, interval time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, l.bound)
 	defer cancel()
-	if err := l.Store.Renew(ctx, l.lease()); err == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
+	silence := time.AfterFunc(l.patience, l.fallSilent)
+	defer silence.Stop()
+	sent := l.now()
+	err := l.Store.Renew(ctx, l.lease())
+	if err == nil || errors.Is(err, store.ErrNotFound) {
+		l.patience = min(l.bound, max(interval, slowFactor*(l.now()-sent)))
 	}
+}
+
+// fallSilent ends all watches.
+func (l *LiveStore) fallSilent() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent(ErrSilent)
--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -26,6 +26,8 @@
 	// silences counts how often it fell silent.
 	silences atomic.Int64
 	forgets  bool
+	// slow is how long each answer takes.
+	slow time.Duration
 }
 
 // fallSilent is silent for a while.
@@ -38,12 +40,21 @@
 
 func (s *silentStore) swallow(ctx context.Context) error {
 	if !s.silent.Load() {
-		return nil
+		return s.delay(ctx)
 	}
 	<-ctx.Done()
 	return store.ErrUnavailable
 }
 
+func (s *silentStore) delay(ctx context.Context) error {
+	select {
+	case <-time.After(s.slow):
+		return nil
+	case <-ctx.Done():
+		return store.ErrUnavailable
+	}
+}
+
 func (s *silentStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
 	if err := s.swallow(ctx); err != nil {
 		return nil, 0, err
@@ -117,6 +128,29 @@
 	})
 }
 
+// TestSlowStoreIsFollowed guards against a node that takes a slow store for a silent
+// one, and asks it for everything again and again.
+func TestSlowStoreIsFollowed(t *testing.T) {
+	followSilentStore(t, func(t *testing.T, st *silentStore, config *Config) {
+		is := is.New(t)
+		put(t, st.Store, "config", "1", 0)
+		time.Sleep(time.Second)
+		st.slow = 1200 * time.Millisecond
+		for version := 2; version <= 8; version++ {
+			put(t, st.Store, "config", strconv.Itoa(version), 0)
+			time.Sleep(8 * time.Second)
+			is.Equal(config.Version(), int64(version))
+		}
+		is.True(st.Calls()[memstore.OpList] <= 3)
+		st.slow = 0
+		time.Sleep(5 * time.Second)
+		st.fallSilent(6 * time.Second)
+		put(t, st.Store, "config", "9", 0)
+		time.Sleep(applyBound)
+		is.Equal(config.Version(), int64(9)) // silence is noticed as early as before
+	})
+}
+
 // followSilentStore runs a follower of the configuration in virtual time.
 func followSilentStore(t *testing.T, run func(t *testing.T, st *silentStore, config *Config)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -125,12 +159,15 @@
 		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		live := NewLiveStore(st, func() store.LeaseID { return 0 }, applyBound)
+		// The boot clock does not follow virtual time.
+		start := time.Now()
+		live.now = func() time.Duration { return time.Since(start) }
 		var wait sync.WaitGroup
 		wait.Go(func() { live.Run(ctx) })
 		wait.Go(func() { config.Run(ctx, live, func() {}) })
+		defer wait.Wait()
+		defer cancel()
 		run(t, st, config)
-		cancel()
-		wait.Wait()
 	})
 }
 
