--- a/discovery/livestore.go
+++ b/discovery/livestore.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/figweir/figweir/boottime"
@@ -11,11 +12,11 @@
 )
 
 const (
-	// beatShare is the part of the bound after which a beat without an answer means
-	// silence, and the time between two beats. The rest of the bound is for the list
+	// heartbeatShare is the part of the bound after which a heartbeat without an answer means
+	// silence, and the time between two heartbeats. The rest of the bound is for the list
 	// that follows.
-	beatShare = 0.5
-	// slowFactor is how much longer than the last answer to a beat took the next may
+	heartbeatShare = 0.5
+	// slowFactor is how much longer than the last answer to a heartbeat took the next may
 	// take, if that is more: a slow store is not silent.
 	slowFactor = 2
 )
@@ -25,24 +26,27 @@
 
 // LiveStore is a store whose watches end when it falls silent. A watch that waits
 // looks the same whether nothing changes, or the store never got it. So each watch
-// comes with a beat, a lease renewal, which the store answers at once, and beats go
-// on while watches wait. All watches share the beats, which cost the store a tenth
+// comes with a heartbeat, a lease renewal, which the store answers at once, and heartbeats go
+// on while watches wait. All watches share the heartbeats, which cost the store a tenth
 // of another call.
 type LiveStore struct {
 	store.Store
-	// lease is renewed by the beats. A store that does not know it answers too.
+	// lease is renewed by the heartbeats. A store that does not know it answers too.
 	lease func() store.LeaseID
 	bound time.Duration
-	// sent asks for a beat because a watch was sent.
+	// sent asks for a heartbeat because a watch was sent.
 	sent chan struct{}
 	// now is the boot clock.
 	now func() time.Duration
-	// patience is how long the next beat may take, at most the bound. Only Run uses
+	// patience is how long the next heartbeat may take, at most the bound. Only Run uses
 	// it.
 	patience time.Duration
+	// answered is the boot time of the last answer to a heartbeat, in nanoseconds;
+	// 0 if there was none.
+	answered atomic.Int64
 
 	mu sync.Mutex
-	// live ends when the store leaves a beat without an answer.
+	// live ends when the store leaves a heartbeat without an answer.
 	live   context.Context
 	silent context.CancelCauseFunc
 }
@@ -71,9 +75,16 @@
 	return l.Store.Watch(ctx, prefix, after, wait)
 }
 
-// Run sends beats until ctx ends.
+// AnswerAge returns how long ago the store last answered a heartbeat; false if it
+// never did.
+func (l *LiveStore) AnswerAge() (time.Duration, bool) {
+	at := l.answered.Load()
+	return l.now() - time.Duration(at), at != 0
+}
+
+// Run sends heartbeats until ctx ends.
 func (l *LiveStore) Run(ctx context.Context) {
-	interval := time.Duration(beatShare * float64(l.bound))
+	interval := time.Duration(heartbeatShare * float64(l.bound))
 	l.patience = interval
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -84,13 +95,13 @@
 		case <-l.sent:
 		case <-ticker.C:
 		}
-		l.beat(ctx, interval)
+		l.heartbeat(ctx, interval)
 	}
 }
 
-// beat waits for the answer to one beat, also when it is late. Refusals are answers:
+// heartbeat waits for the answer to one heartbeat, also when it is late. Refusals are answers:
 // a watch that is refused ends by itself.
-func (l *LiveStore) beat(ctx context.Context, interval time.Duration) {
+func (l *LiveStore) heartbeat(ctx context.Context, interval time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, l.bound)
 	defer cancel()
 	silence := time.AfterFunc(l.patience, l.fallSilent)
@@ -98,6 +109,7 @@
 	sent := l.now()
 	err := l.Store.Renew(ctx, l.lease())
 	if err == nil || errors.Is(err, store.ErrNotFound) {
+		l.answered.Store(int64(l.now()))
 		l.patience = min(l.bound, max(interval, slowFactor*(l.now()-sent)))
 	}
 }
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -83,12 +83,12 @@
 
 // Count returns the number of nodes, at least 1.
 func (n *Nodes) Count() int {
-	count, _ := n.Shares()
+	count, _ := n.Size()
 	return count
 }
 
-// Shares returns the number of nodes, at least 1; false before the list was read.
-func (n *Nodes) Shares() (count int, known bool) {
+// Size returns the number of nodes, at least 1; false before the list was read.
+func (n *Nodes) Size() (count int, known bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return max(1, len(n.nodes)), n.read
--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -111,7 +111,7 @@
 func silenceAfterVersion(t *testing.T, after, length time.Duration, forgets bool) {
 	followSilentStore(t, func(t *testing.T, st *silentStore, config *Config) {
 		st.forgets = forgets
-		// The beats that go on in any case don't meet the short silences.
+		// The heartbeats that go on in any case don't meet the short silences.
 		time.Sleep(370 * time.Millisecond)
 		for version := 1; version <= 3; version++ {
 			put(t, st.Store, "config", strconv.Itoa(version), 0)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -19,7 +19,7 @@
 
 func (g *Gateway) newBudget() *budget {
 	bounds := &g.settings.Bounds
-	return newBudget(bounds.RetryRatio*budgetShare, bounds.RetryExtra*budgetShare, g.nodes.Shares)
+	return newBudget(bounds.RetryRatio*budgetShare, bounds.RetryExtra*budgetShare, g.nodes.Size)
 }
 
 func newBudget(ratio, extra float64, nodes func() (int, bool)) *budget {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -19,6 +19,9 @@
 		"load_updates_sent_total": float64(g.sharer.Sent.Load()), "load_updates_received_total": float64(g.sharer.Received.Load()),
 		"log_queue_dropped_total": float64(g.out.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
 	}
+	if age, ok := g.live.AnswerAge(); ok {
+		gauges["store_answer_age_ms"] = float64(age.Milliseconds())
+	}
 	if age, ok := g.config.AnswerAge(); ok {
 		gauges["config_answer_age_ms"] = float64(age.Milliseconds())
 	}
