--- a/discovery/livestore.go
+++ b/discovery/livestore.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// heartbeatShare is the part of the bound after which a heartbeat without an answer means
-	// silence, and the time between two heartbeats. The rest of the bound is for the list
-	// that follows.
+	// heartbeatShare is the part of the bound after which a heartbeat without an
+	// answer means silence, and the time between two heartbeats. The rest of the
+	// bound is for the list that follows.
 	heartbeatShare = 0.5
-	// slowFactor is how much longer than the last answer to a heartbeat took the next may
-	// take, if that is more: a slow store is not silent.
+	// slowFactor is how much longer than the last answer to a heartbeat took the
+	// next may take, if that is more: a slow store is not silent.
 	slowFactor = 2
 )
 
@@ -26,9 +26,9 @@
 
 // LiveStore is a store whose watches end when it falls silent. A watch that waits
 // looks the same whether nothing changes, or the store never got it. So each watch
-// comes with a heartbeat, a lease renewal, which the store answers at once, and heartbeats go
-// on while watches wait. All watches share the heartbeats, which cost the store a tenth
-// of another call.
+// comes with a heartbeat, a lease renewal, which the store answers at once, and
+// heartbeats go on while watches wait. All watches share them; one costs the store a
+// tenth of another call.
 type LiveStore struct {
 	store.Store
 	// lease is renewed by the heartbeats. A store that does not know it answers too.
@@ -38,8 +38,8 @@
 	sent chan struct{}
 	// now is the boot clock.
 	now func() time.Duration
-	// patience is how long the next heartbeat may take, at most the bound. Only Run uses
-	// it.
+	// patience is how long the next heartbeat may take, at most the bound. Only Run
+	// uses it.
 	patience time.Duration
 	// answered is the boot time of the last answer to a heartbeat, in nanoseconds;
 	// 0 if there was none.
