--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -19,6 +18,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/logging"
 	standin "github.com/figweir/figweir/standin/engine"
+	"github.com/figweir/figweir/standin/logbuffer"
 	"github.com/figweir/figweir/standin/service"
 )
 
@@ -235,28 +235,10 @@
 	is.Equal(chatErr.Status, http.StatusUnauthorized)
 }
 
-// lockedBuffer collects the logs of all nodes.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // Guards against keys in logs, errors, or anything that a backend server sees.
 func TestKeysNeverLeaveTheNode(t *testing.T) {
 	is := is.New(t)
-	seen := &lockedBuffer{}
+	seen := &logbuffer.Buffer{}
 	d := start(t, Options{Log: logging.New(seen, true)})
 	record := func(r *http.Request, body []byte) {
 		_ = r.Header.Write(seen)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"github.com/figweir/figweir/standin/logbuffer"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -42,29 +42,11 @@
 	return m.Run(), nil
 }
 
-// lockedBuffer collects the log of a process while it runs.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // process is a process that a test started.
 type process struct {
 	name string
 	cmd  *exec.Cmd
-	log  lockedBuffer
+	log  logbuffer.Buffer
 	// ended is closed when the process has ended.
 	ended chan struct{}
 }
