--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -27,7 +27,7 @@
 	silences atomic.Int64
 	forgets  bool
 	// slow is how long each answer takes.
-	slow time.Duration
+	slow atomic.Int64
 }
 
 // fallSilent is silent for a while.
@@ -48,7 +48,7 @@
 
 func (s *silentStore) delay(ctx context.Context) error {
 	select {
-	case <-time.After(s.slow):
+	case <-time.After(time.Duration(s.slow.Load())):
 		return nil
 	case <-ctx.Done():
 		return store.ErrUnavailable
@@ -135,14 +135,14 @@
 		is := is.New(t)
 		put(t, st.Store, "config", "1", 0)
 		time.Sleep(time.Second)
-		st.slow = 1200 * time.Millisecond
+		st.slow.Store(int64(1200 * time.Millisecond))
 		for version := 2; version <= 8; version++ {
 			put(t, st.Store, "config", strconv.Itoa(version), 0)
 			time.Sleep(8 * time.Second)
 			is.Equal(config.Version(), int64(version))
 		}
 		is.True(st.Calls()[memstore.OpList] <= 3)
-		st.slow = 0
+		st.slow.Store(0)
 		time.Sleep(5 * time.Second)
 		st.fallSilent(6 * time.Second)
 		put(t, st.Store, "config", "9", 0)
