Let no stopping node take the duty

Cause: frontend-kgn-a-2 reported usage at 8.71 s and ended at 8.98 s, a planned stop. frontend-kgn-b-1 was stopping itself since 6.04 s, took the duty at 9.38 s, reported at 9.55 s and ended at 10.52 s. By then a-2 had been started again, took the duty and reported at 10.78 s.

Change: a node that is asked to stop is no candidate; a holder keeps its duty until its end, as before.

What remains: a holder that ends soon after it took the duty, by a crash, still gives it back to a restarted one before it within the lease.

Before: TestStoppingNodeTakesNoDuty fails. After: it passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,7 +214,7 @@
 
 func (g *Gateway) dutyCandidate() bool {
 	holder, known := g.holder.Address()
-	return g.settings.Cloud.Address != "" && g.ready.Load() && known && holder == "" && g.nodes.Rank() < dutyCandidates
+	return g.settings.Cloud.Address != "" && g.ready.Load() && !g.stopping.Load() && known && holder == "" && g.nodes.Rank() < dutyCandidates
 }
 
 // decodeHolder returns the address of the process in the record of a duty.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +17,7 @@
 
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/standin/memstore"
 )
 
 const testSettings = `{
@@ -63,6 +67,36 @@
 	is.True(taken <= 3+20)
 }
 
+// TestStoppingNodeTakesNoDuty guards against a duty that comes back to a node within
+// the time in which holders must not alternate, because the one between was stopping.
+func TestStoppingNodeTakesNoDuty(t *testing.T) {
+	is := is.New(t)
+	s, err := platform.ParseSettings("test", []byte(testSettings))
+	is.NoErr(err)
+	s.Cloud.Address = "127.0.0.1:5"
+	lines := logging.NewAsync(io.Discard)
+	t.Cleanup(lines.Close)
+	g := New("", s, lines)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	read := make(chan struct{}, 1)
+	wait.Go(func() {
+		g.holder.Run(ctx, memstore.New(), func() {
+			select {
+			case read <- struct{}{}:
+			default:
+			}
+		})
+	})
+	<-read
+	g.ready.Store(true)
+	is.True(g.dutyCandidate())
+	g.stopping.Store(true)
+	is.True(!g.dutyCandidate())
+	cancel()
+	wait.Wait()
+}
+
 // TestDemandOverALongGap guards against a demand that looks many times as high
 // because the loop was held up by a call without an answer.
 func TestDemandOverALongGap(t *testing.T) {
