--- a/discovery/silence_test.go
+++ b/discovery/silence_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/standin/memstore"
 	"github.com/figweir/figweir/store"
@@ -189,3 +190,39 @@
 		is.Equal(st.Calls()[memstore.OpList], 1)
 	})
 }
+
+// TestLeavingServerIsNoticedAfterASilence guards against work for a server that says
+// that it leaves, because the store was silent when the watch of registrations was sent.
+func TestLeavingServerIsNoticedAfterASilence(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for _, length := range []time.Duration{60 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond} {
+		for after := time.Duration(0); after < 2*pause; after += 45 * time.Millisecond {
+			t.Run(fmt.Sprintf("%v-%v", length, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					st := &silentStore{Store: memstore.New()}
+					r := backends.NewRegistry()
+					s := NewServers(r, testPrefix, decodeTest, fixed(pause), applyBound, logr.Discard())
+					ctx, cancel := context.WithCancel(context.Background())
+					live := NewLiveStore(st, func() store.LeaseID { return 0 }, applyBound)
+					var wait sync.WaitGroup
+					defer wait.Wait()
+					defer time.Sleep(time.Second) // the removal of lapsed entries ends
+					defer cancel()
+					wait.Go(func() { live.Run(ctx) })
+					wait.Go(func() { s.Run(ctx, live, func() {}) })
+					put(t, st.Store, testPrefix+"1", "ready", 0)
+					put(t, st.Store, testPrefix+"2", "ready", 0)
+					time.Sleep(1370 * time.Millisecond)
+					put(t, st.Store, testPrefix+"3", "ready", 0)
+					time.Sleep(after)
+					st.fallSilent(length)
+					put(t, st.Store, testPrefix+"1", "draining", 0)
+					time.Sleep(applyBound)
+					if got := ids(r); got != "2,3" {
+						t.Errorf("servers %s get work %v after the first said that it leaves", got, applyBound)
+					}
+				})
+			})
+		}
+	}
+}
