node: ready only after admission knows the pools

Cause: a node set its registered flag, on which readiness depends, before its admission had learned the pools of the configuration. A request between the two was refused with 503 'no backend server takes work now'.

Change: one function applies a configuration to both parts and sets configApplied last.

--- a/node/backends.go
+++ b/node/backends.go
@@ -51,8 +51,6 @@
 	// trackers maps the name of a pool to its tracker. The map is immutable; a new
 	// one replaces it when the configuration changes.
 	trackers atomic.Pointer[map[string]*route.Tracker]
-	// registered is set once the servers of a configuration are registered.
-	registered atomic.Bool
 
 	// refresh merges concurrent refreshes of the load reports. lastRefresh is the
 	// boot time at which the last one ended, in nanoseconds.
@@ -120,7 +118,6 @@
 		trackers[pool.Name] = tracker
 	}
 	b.trackers.Store(&trackers)
-	b.registered.Store(true)
 	b.dropUnregistered(snapshot)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,8 @@
 	callers      *caller.Handler
 	listeners    *listeners
 	draining     atomic.Bool
+	// configApplied is set once all parts of the node know the pools of a configuration.
+	configApplied atomic.Bool
 }
 
 // New returns a node with open listeners. Run starts serving. New returns an
@@ -181,7 +183,7 @@
 	if n.draining.Load() {
 		return errors.New("the node is being stopped")
 	}
-	if !n.sync.Ready() || !n.backends.registered.Load() {
+	if !n.sync.Ready() || !n.configApplied.Load() {
 		return errors.New("the node does not know the current configuration yet")
 	}
 	_, err := n.sync.Snapshot()
--- a/node/peers.go
+++ b/node/peers.go
@@ -55,14 +55,23 @@
 	bus.Handle(n.bus, "server-leaving", bus.TopicServerLeaving, n.onServerLeaving)
 	bus.Handle(n.bus, "config-metrics", bus.TopicConfigChanged, func(_ context.Context, e bus.Event[bus.ConfigChanged]) error {
 		n.metrics.ConfigRevision.Set(int64(e.Value.Revision))
-		n.backends.applyConfig()
-		if snapshot := n.config.Load(); snapshot != nil {
-			n.admission.applyConfig(snapshot)
-		}
+		n.applyConfig()
 		return nil
 	})
 }
 
+// applyConfig applies the configuration in force to the parts that hold state for its
+// pools. A request that arrives before both parts know its pool is refused.
+func (n *Node) applyConfig() {
+	snapshot := n.config.Load()
+	if snapshot == nil {
+		return
+	}
+	n.backends.applyConfig()
+	n.admission.applyConfig(snapshot)
+	n.configApplied.Store(true)
+}
+
 // announceConfig publishes an event for each configuration revision that is put
 // in force, until ctx is canceled.
 func (n *Node) announceConfig(ctx context.Context) {
