Most nodes read the store through two readers of their failure domain

Change: SharedReads wraps the store. Two nodes of each failure domain, chosen by rendezvous hashing among those with the most CPU, read the store and keep mirrors with a short history; the others list and watch those mirrors by calls between nodes (MirrorService). A mirror counts as current only while the store answers its node; the other nodes turn to the second reader and then to the store itself, from the revision where they stopped. Heartbeats are sent only while a watch of the store is pending, and more often by readers.

--- a/discovery/heartbeatstore.go
+++ b/discovery/heartbeatstore.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// heartbeatFraction sets both the heartbeat interval and the timeout of a
-	// heartbeat, as a fraction of the bound. The rest of the bound is left for the
-	// list that follows a timeout.
-	heartbeatFraction = 0.5
+	// heartbeatTimeoutFraction is the timeout of a heartbeat as a fraction of the
+	// bound. The rest of the bound is left for the list that follows a timeout. The
+	// interval must not be longer.
+	heartbeatTimeoutFraction = 0.5
 	// latencyFactor times the latency of the last heartbeat is the timeout of the
 	// next one if that is longer: a slow store must not count as unresponsive.
 	latencyFactor = 2
@@ -35,6 +35,10 @@
 	// its ErrNotFound counts as an answer too.
 	lease func() store.LeaseID
 	bound time.Duration
+	// interval returns the time between two heartbeats while watches are pending.
+	interval func() time.Duration
+	// pendingWatches counts the calls of Watch that have not returned.
+	pendingWatches atomic.Int64
 	// watchSent triggers a heartbeat after a watch was sent.
 	watchSent chan struct{}
 	// now returns the time on the boot clock.
@@ -53,10 +57,10 @@
 }
 
 // NewHeartbeatStore returns a wrapper of s. After the store stops answering, it ends
-// watches early enough that a list can read the missed changes within bound. It has no
-// effect unless Run is running.
-func NewHeartbeatStore(s store.Store, lease func() store.LeaseID, bound time.Duration) *HeartbeatStore {
-	h := &HeartbeatStore{Store: s, lease: lease, bound: bound, now: boottime.Now, watchSent: make(chan struct{}, 1)}
+// watches early enough that a list can read the missed changes within bound, if interval
+// returns at most half of the bound. It has no effect unless Run is running.
+func NewHeartbeatStore(s store.Store, lease func() store.LeaseID, bound time.Duration, interval func() time.Duration) *HeartbeatStore {
+	h := &HeartbeatStore{Store: s, lease: lease, bound: bound, interval: interval, now: boottime.Now, watchSent: make(chan struct{}, 1)}
 	h.watchCtx, h.cancelWatches = context.WithCancelCause(context.Background())
 	return h
 }
@@ -70,6 +74,8 @@
 	h.mu.Unlock()
 	stop := context.AfterFunc(watchCtx, func() { cancel(ErrUnresponsive) })
 	defer stop()
+	h.pendingWatches.Add(1)
+	defer h.pendingWatches.Add(-1)
 	select {
 	case h.watchSent <- struct{}{}:
 	default:
@@ -84,27 +90,35 @@
 	return h.now() - time.Duration(at), at != 0
 }
 
-// Run sends heartbeats until ctx ends.
+// Run sends heartbeats while watches are pending, until ctx ends.
 func (h *HeartbeatStore) Run(ctx context.Context) {
-	interval := time.Duration(heartbeatFraction * float64(h.bound))
-	h.heartbeatTimeout = interval
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	h.heartbeatTimeout = h.minTimeout()
+	timer := time.NewTimer(h.interval())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.watchSent:
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(h.interval())
+			if h.pendingWatches.Load() == 0 {
+				continue
+			}
 		}
-		h.heartbeat(ctx, interval)
+		h.heartbeat(ctx)
 	}
 }
 
+// minTimeout returns the timeout of a heartbeat while the store is not slow.
+func (h *HeartbeatStore) minTimeout() time.Duration {
+	return time.Duration(heartbeatTimeoutFraction * float64(h.bound))
+}
+
 // heartbeat renews the lease once and waits for the answer, also past the timeout
 // that ends the watches. An error other than ErrNotFound is not recorded as an answer,
 // nor does it end watches: a watch that the store rejects ends by itself.
-func (h *HeartbeatStore) heartbeat(ctx context.Context, interval time.Duration) {
+func (h *HeartbeatStore) heartbeat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.bound)
 	defer cancel()
 	timeout := time.AfterFunc(h.heartbeatTimeout, h.abortWatches)
@@ -113,7 +127,7 @@
 	err := h.Store.Renew(ctx, h.lease())
 	if err == nil || errors.Is(err, store.ErrNotFound) {
 		h.lastResponse.Store(int64(h.now()))
-		h.heartbeatTimeout = min(h.bound, max(interval, latencyFactor*(h.now()-start)))
+		h.heartbeatTimeout = min(h.bound, max(h.minTimeout(), latencyFactor*(h.now()-start)))
 	}
 }
 
--- a/discovery/heartbeatstore_test.go
+++ b/discovery/heartbeatstore_test.go
@@ -161,7 +161,7 @@
 		var table atomic.Pointer[core.Table]
 		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
-		heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound)
+		heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound, func() time.Duration { return applyBound / 2 })
 		// The boot clock is not virtual.
 		start := time.Now()
 		heartbeatStore.now = func() time.Duration { return time.Since(start) }
@@ -205,7 +205,7 @@
 					r := backends.NewRegistry()
 					s := NewServers(r, testPrefix, decodeTest, constantDelay(batchDelay), applyBound, logr.Discard())
 					ctx, cancel := context.WithCancel(context.Background())
-					heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound)
+					heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound, func() time.Duration { return applyBound / 2 })
 					var wg sync.WaitGroup
 					defer wg.Wait()
 					defer time.Sleep(time.Second) // lets removeLapsedPeriodically end
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -162,7 +162,7 @@
 	var aggregator Node
 	var maxHash uint64
 	for _, node := range n.ordered {
-		if node.CPU < aggregatorMinCPUFraction*maxCPU {
+		if node.CPU < largeNodeCPUFraction*maxCPU {
 			continue
 		}
 		if h := xxhash.Sum64String(node.Name + "/" + strconv.Itoa(part)); aggregator.Name == "" || h > maxHash {
@@ -172,9 +172,9 @@
 	return aggregator
 }
 
-// aggregatorMinCPUFraction is the minimum CPU of an aggregator, as a fraction of the
-// CPU of the largest node.
-const aggregatorMinCPUFraction = 0.7
+// largeNodeCPUFraction is the minimum CPU of an aggregator or reader, as a fraction of
+// the CPU of the largest node.
+const largeNodeCPUFraction = 0.7
 
 // updatePositions recomputes the sorted list and this node's position. The caller
 // holds mu.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	store        *platform.Store
 	// heartbeatStore wraps store and ends watches when the store stops answering.
 	heartbeatStore *discovery.HeartbeatStore
+	// reads is what the followers read: mirrors of other nodes, or heartbeatStore.
+	reads          *discovery.SharedReads
 	servers        *discovery.Servers
 	config         *discovery.Config
 	nodes          *discovery.Nodes
@@ -115,7 +117,7 @@
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationBatchDelay, s.DrainBound(), log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, s.ConfigBound(), log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, RPCAddress: s.Listen.Peers, LoadAddress: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
-	g.heartbeatStore = discovery.NewHeartbeatStore(g.store, g.nodes.Lease, min(s.ConfigBound(), s.DrainBound()))
+	g.setUpReads(log)
 	g.peerLoads = newPeerLoads()
 	g.incarnation = rand.Uint64() | 1
 	g.sharer = loadshare.NewSharer(g.incarnation, g.localLoad, g.loadMessages, log)
@@ -150,6 +152,33 @@
 	return g
 }
 
+// setUpReads creates what the followers of the store read.
+func (g *Gateway) setUpReads(log logr.Logger) {
+	bound := min(g.settings.ConfigBound(), g.settings.DrainBound())
+	interval := func() time.Duration { return g.heartbeatInterval(bound) }
+	g.heartbeatStore = discovery.NewHeartbeatStore(g.store, g.nodes.Lease, bound, interval)
+	client := peer.NewMirrorClient(peer.NewHTTPClient(), peer.NewAuth(""))
+	g.reads = discovery.NewSharedReads(g.heartbeatStore, client, g.nodes.Readers, g.heartbeatStore.ResponseAge, bound, log)
+}
+
+const (
+	// heartbeatFraction is the interval of heartbeats to the store as a fraction of the
+	// bound within which a change must be read.
+	heartbeatFraction = 0.5
+	// readerHeartbeatFraction is the same on readers: other nodes must learn soon that
+	// their reader has lost the store.
+	readerHeartbeatFraction = 0.125
+)
+
+// heartbeatInterval returns the interval of heartbeats to the store.
+func (g *Gateway) heartbeatInterval(bound time.Duration) time.Duration {
+	fraction := heartbeatFraction
+	if g.nodes.IsReader() {
+		fraction = readerHeartbeatFraction
+	}
+	return time.Duration(fraction * float64(bound))
+}
+
 const (
 	// batchDrainFraction is the fraction of the drain bound over which changes of
 	// registrations may be batched.
@@ -157,13 +186,22 @@
 	// multiCellBatchDrainFraction is the same on deployments with several cells.
 	// Every change costs one store call per node, and there are many nodes.
 	multiCellBatchDrainFraction = 0.35
+	// readerBatchDrainFraction is the same on nodes that read the store for others, and
+	// sharedBatchDrainFraction on the others, which read the batches of a reader.
+	readerBatchDrainFraction = 0.1
+	sharedBatchDrainFraction = 0.01
 )
 
 // registrationBatchDelay returns the time over which consecutive changes of
 // registrations are batched. The first change after a pause is read at once.
 func (g *Gateway) registrationBatchDelay() time.Duration {
 	fraction := batchDrainFraction
-	if g.cell().Count > 1 {
+	switch {
+	case g.nodes.IsReader():
+		fraction = readerBatchDrainFraction
+	case len(g.nodes.Readers()) > 0:
+		fraction = sharedBatchDrainFraction
+	case g.cell().Count > 1:
 		fraction = multiCellBatchDrainFraction
 	}
 	return time.Duration(fraction * float64(g.settings.DrainBound()))
@@ -346,10 +384,10 @@
 func (g *Gateway) startFollowers(ctx context.Context, group *sync.WaitGroup) {
 	onResponse := func() { g.updateReady() }
 	group.Go(func() { g.heartbeatStore.Run(ctx) })
-	group.Go(func() { g.config.Run(ctx, g.heartbeatStore, onResponse) })
-	group.Go(func() { g.servers.Run(ctx, g.heartbeatStore, onResponse) })
-	group.Go(func() { g.nodes.Follow(ctx, g.heartbeatStore, onResponse) })
-	group.Go(func() { g.dutyHolder.Run(ctx, g.heartbeatStore, onResponse) })
+	group.Go(func() { g.config.Run(ctx, g.reads, onResponse) })
+	group.Go(func() { g.servers.Run(ctx, g.reads, onResponse) })
+	group.Go(func() { g.nodes.Follow(ctx, g.reads, onResponse) })
+	group.Go(func() { g.dutyHolder.Run(ctx, g.reads, onResponse) })
 	group.Go(func() { g.relay.Run(ctx) })
 }
 
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -42,6 +42,8 @@
 	r := chi.NewRouter()
 	path, handler := peer.NewStateHandler(g.relay, peer.NewAuth(""))
 	r.Mount(path, handler)
+	mirrorPath, mirrorHandler := peer.NewMirrorHandler(g.reads, peer.NewAuth(""))
+	r.Mount(mirrorPath, mirrorHandler)
 	burnPath, burnHandler := peer.NewBurnServiceHandler(g.observer.burn.recorder)
 	r.Mount(burnPath, burnHandler)
 	return r
