Announce role changes to all nodes; charge retries as they count; share them whole

Cause: while an engine changes its role it refuses everything for three seconds. And a node's share of the extra retries, 1.76, was rounded down to 1. So requests were refused as 'servers full' while engines were free.

Change: the holder announces the engines that it has ordered to change by datagram to all nodes, at once and twice a second while they change; nodes select them only if there is no other. A retry that was acquired for a prefill is left for the run if the prefill is free. Budgets hold fractions of retries. Usage is published again one second after a failure. Nodes that fall back to the store read batches as before, and go back to a reader after two seconds.

Tests: TestEngineThatChangesItsRoleIsAvoided, TestRoleChangesAreAnnounced, TestRefusedPrefillTakesOneRetry, TestSharesOfLargeFleetAreNotRoundedDown, TestRefusedPublicationsAreNotRepeatedAtOnce. TestRefusedPrefillTakesOneRetry was seen to fail with the old charge; the others test new functions.

--- a/admit/retry.go
+++ b/admit/retry.go
@@ -19,8 +19,8 @@
 const millitokensPerRetry = 1000
 
 // NewRetryBudget returns a budget with a full bucket. ratio is the number of retries per
-// first attempt, and burst the number of retries that the bucket holds.
-func NewRetryBudget(ratio float64, burst int) *RetryBudget {
+// first attempt, and burst the number of retries that the bucket holds, to a thousandth.
+func NewRetryBudget(ratio, burst float64) *RetryBudget {
 	b := &RetryBudget{perFirstAttempt: int64(ratio * millitokensPerRetry)}
 	b.SetBurst(burst)
 	b.millitokens.Store(b.capacity.Load())
@@ -28,7 +28,9 @@
 }
 
 // SetBurst changes the number of retries that the bucket holds. A level above it is lost.
-func (b *RetryBudget) SetBurst(burst int) { b.capacity.Store(int64(burst) * millitokensPerRetry) }
+func (b *RetryBudget) SetBurst(burst float64) {
+	b.capacity.Store(int64(burst * millitokensPerRetry))
+}
 
 // FirstAttempt counts a first attempt: it adds the ratio of NewRetryBudget to the bucket.
 func (b *RetryBudget) FirstAttempt() {
@@ -60,7 +62,7 @@
 	// Ratio and Burst are the parameters of NewRetryBudget. They must be set before the
 	// first use.
 	Ratio float64
-	Burst int
+	Burst float64
 
 	budgets sync.Map
 }
--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -139,6 +139,37 @@
 	is.True(errors.Is(err, ErrNoServer))
 }
 
+// TestEngineThatChangesItsRoleIsAvoided guards against every node finding out by refused
+// requests which engines change their role, in a reclaim after which many do so at once.
+func TestEngineThatChangesItsRoleIsAvoided(t *testing.T) {
+	is := is.New(t)
+	registrations := engines(2, 2)
+	b, r := newBalancer(registrations, nil)
+	now := time.Now()
+	changing := r.View().ByHash(r.View().All()["p0"].Hash)
+	changing.SetRoleChange(RoleDecode, now.Add(time.Minute))
+	chooseAll := func(now time.Time) map[string]int {
+		chosen := make(map[string]int)
+		for i := range 50 {
+			c, err := b.Choose(now, engineCriteria(prompt(fmt.Sprint(i), 0, 20_000)))
+			is.NoErr(err)
+			chosen[c.Server.ID]++
+			c.Done()
+		}
+		return chosen
+	}
+	is.Equal(chooseAll(now)["p0"], 0)
+	is.True(chooseAll(now.Add(2 * time.Minute))["p0"] > 0) // the change has failed
+	registrations[0].Role = RoleDecode
+	r.Replace(registrations)
+	is.True(!r.View().All()["p0"].isChangingRole(now)) // the change is complete
+	// An engine that changes its role is used if there is no other.
+	b, r = newBalancer(engines(0, 1), nil)
+	r.View().All()["d0"].SetRoleChange(RolePrefill, now.Add(time.Minute))
+	_, err := b.Choose(now, engineCriteria(prompt("a", 0, 100)))
+	is.NoErr(err)
+}
+
 // TestNodesAgreeOnPreferredServer simulates many sessions with long shared prompts. It
 // guards against nodes that send the same shared part to different engines, each of which
 // would have to process it.
--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		suspended, failureRate := s.stats.health(now)
-		if suspended || failureRate > maxHealthyFailureRate {
+		if suspended || failureRate > maxHealthyFailureRate || s.isChangingRole(now) {
 			unhealthy = append(unhealthy, s)
 		} else {
 			healthy = append(healthy, s)
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -24,6 +24,16 @@
 // PrefillHashes returns the set of the hashes of all prefill engines.
 func (v *View) PrefillHashes() map[uint64]bool { return v.prefillHashes }
 
+// ByHash returns the server with the given hash of its id, or nil.
+func (v *View) ByHash(hash uint64) *Server {
+	for _, s := range v.byID {
+		if s.Hash == hash {
+			return s
+		}
+	}
+	return nil
+}
+
 // All returns all registered servers by id, including draining ones.
 func (v *View) All() map[string]*Server { return v.byID }
 
--- a/backends/server.go
+++ b/backends/server.go
@@ -71,6 +71,8 @@
 	prefillTokens atomic.Int64
 
 	report atomic.Pointer[report]
+	// roleChange is the last announced change of the role; nil if there was none.
+	roleChange atomic.Pointer[roleChange]
 
 	// failureRate is a moving average of 1 for a failed attempt and 0 for others, as
 	// the bits of a float64. suspendedUntil is when the server is selected again after
@@ -87,6 +89,26 @@
 	cached map[string]time.Time
 }
 
+// roleChange is a change of an engine's role. The engine refuses all requests from the
+// order until it has the new role.
+type roleChange struct {
+	to Role
+	// until is when the change is assumed to have failed.
+	until time.Time
+}
+
+// SetRoleChange records that the engine was ordered to change its role. It is selected
+// again once its registration shows the new role, or at the given time.
+func (s *Server) SetRoleChange(to Role, until time.Time) {
+	s.stats.roleChange.Store(&roleChange{to, until})
+}
+
+// isChangingRole reports whether the engine refuses requests because its role changes.
+func (s *Server) isChangingRole(now time.Time) bool {
+	c := s.stats.roleChange.Load()
+	return c != nil && s.Role != c.to && now.Before(c.until)
+}
+
 // report is the load that a server reported with an answer.
 type report struct {
 	running, waiting, slots int64
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -154,8 +154,12 @@
 	handle, o := e.Upstream.Prefill(ctx, a)
 	if handle != nil {
 		if e.prefilled {
-			// The first separate prefill of a request is not charged to the retry budget.
 			e.chargeAttempt(nil)
+		} else {
+			// The first separate prefill that an engine accepts is not charged to the
+			// retry budget, so a retry that was acquired for it is left for the next
+			// attempt.
+			e.retryAcquired = e.chargedAttempts > 0
 		}
 		choice.Prefilled(time.Now())
 		e.record.PrefilledAfter = time.Since(e.request.ArrivedAt)
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -360,6 +360,29 @@
 	is.Equal(len(f.upstream.freed), 0)
 }
 
+// TestRefusedPrefillTakesOneRetry guards against requests that are refused for want of
+// retries in a role change or a reclaim, when many prefill engines refuse or lose prompts
+// at the same time: the prefill that an engine then accepts is not charged to the budget.
+func TestRefusedPrefillTakesOneRetry(t *testing.T) {
+	for _, failed := range []Outcome{Refused{}, Lost{errors.New("connection reset")}} {
+		is := is.New(t)
+		registry := engineRegistry()
+		f := newFixtureWith(registry, Streaming, false, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}})
+		f.upstream.prefillOutcomes = []Outcome{failed, nil}
+		f.budget.retries = 1
+		s := f.serve(longPromptRequest())
+		is.True(s.ended)
+		is.Equal(f.budget.retries, 0)
+
+		// A refused run after that is charged again.
+		f = newFixtureWith(registry, Streaming, false, Refused{}, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}})
+		f.upstream.prefillOutcomes = []Outcome{failed, nil}
+		f.budget.retries = 1
+		s = f.serve(longPromptRequest())
+		is.True(s.refusal != nil)
+	}
+}
+
 // TestUnusedHandleIsFreed guards against KV cache that remains on an engine after its
 // request has been refused.
 func TestUnusedHandleIsFreed(t *testing.T) {
--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -22,7 +22,7 @@
 	mirrorMarginFraction = 0.125
 	maxMirrorAgeFraction = 0.35
 	// readerRetryInterval is how long a reader that failed is not asked again.
-	readerRetryInterval = 3 * time.Second
+	readerRetryInterval = 2 * time.Second
 )
 
 // MirrorClient calls the mirrors of other nodes.
@@ -58,6 +58,8 @@
 	mirrors map[string]*mirror
 	// read holds, by prefix, the greatest revision up to which this node has read.
 	read map[string]store.Revision
+	// viaReader holds, by prefix, whether the last successful call was to a reader.
+	viaReader map[string]bool
 	// failedUntil holds the readers that failed and until when they are not asked.
 	failedUntil map[string]time.Duration
 }
@@ -68,7 +70,7 @@
 func NewSharedReads(st store.Store, c MirrorClient, readers func() []string, storeAge func() (time.Duration, bool), bound time.Duration, log logr.Logger) *SharedReads {
 	return &SharedReads{
 		Store: st, client: c, readers: readers, storeAge: storeAge, bound: bound, log: log, now: boottime.Now,
-		mirrors: make(map[string]*mirror), read: make(map[string]store.Revision), failedUntil: make(map[string]time.Duration),
+		mirrors: make(map[string]*mirror), read: make(map[string]store.Revision), viaReader: make(map[string]bool), failedUntil: make(map[string]time.Duration),
 	}
 }
 
@@ -81,7 +83,7 @@
 		cancel()
 		if err == nil {
 			m.invalidate()
-			s.advance(prefix, at)
+			s.advance(prefix, at, true)
 			return entries, at, nil
 		}
 		s.skipReader(address, prefix, err)
@@ -92,7 +94,7 @@
 		return nil, 0, err
 	}
 	m.reset(entries, at)
-	s.advance(prefix, at)
+	s.advance(prefix, at, false)
 	return entries, at, nil
 }
 
@@ -106,7 +108,7 @@
 		cancel()
 		if err == nil {
 			m.invalidate()
-			s.advance(prefix, at)
+			s.advance(prefix, at, true)
 			return events, at, nil
 		}
 		if errors.Is(err, store.ErrCompacted) {
@@ -127,7 +129,7 @@
 		return nil, 0, err
 	}
 	m.apply(events, after, at)
-	s.advance(prefix, at)
+	s.advance(prefix, at, false)
 	return events, at, nil
 }
 
@@ -184,10 +186,19 @@
 	return m, s.read[prefix]
 }
 
+// ViaReader reports whether this node last read a prefix from a reader, and not from the
+// store.
+func (s *SharedReads) ViaReader(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.viaReader[prefix]
+}
+
 // advance records that this node has read a prefix up to a revision.
-func (s *SharedReads) advance(prefix string, at store.Revision) {
+func (s *SharedReads) advance(prefix string, at store.Revision, viaReader bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.viaReader[prefix] = viaReader
 	s.read[prefix] = max(s.read[prefix], at)
 }
 
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -282,6 +282,12 @@
 		role = backends.RolePrefill
 	}
 	err := a.backend.ChangeRole(ctx, server, role, a.settings.Name, token)
+	if err == nil {
+		until := time.Now().Add(roleOrderTimeout)
+		server.SetRoleChange(role, until)
+		a.roleChanges.add(server.Hash, prefill, until)
+		a.sharer.NotifyChange()
+	}
 	a.log.Info("role ordered", "backend_server", server.ID, "prefill", prefill, "streams", int(v.Streams), "decode_engines", v.DecodeEngines(), "fencing_token", token, "error", errorText(err))
 }
 
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -42,12 +42,12 @@
 }
 
 // burst returns this node's share of the extra retries.
-func (b *retryBudgets) burst() int {
+func (b *retryBudgets) burst() float64 {
 	nodes, loaded := b.nodeCount()
 	if !loaded {
 		return burstBeforeNodeList
 	}
-	return int(b.extraRetries) / max(minBudgetNodes, nodes)
+	return b.extraRetries / float64(max(minBudgetNodes, nodes))
 }
 
 const (
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -13,6 +13,28 @@
 	return n
 }
 
+// TestSharesOfLargeFleetAreNotRoundedDown guards against a large part of the shared
+// budget that no node of a fleet of hundreds can use.
+func TestSharesOfLargeFleetAreNotRoundedDown(t *testing.T) {
+	is := is.New(t)
+	const nodes, extra, ratio = 195, 344, 0.5
+	retries := 0
+	for range nodes {
+		b := newRetryBudgets(ratio, extra, func() (int, bool) { return nodes, true })
+		b.FirstAttempt("s")
+		for b.Retry("s") {
+			retries++
+		}
+		// What is left of the share counts towards the next retry.
+		b.FirstAttempt("s")
+		for b.Retry("s") {
+			retries++
+		}
+	}
+	is.True(retries > nodes)
+	is.True(retries <= extra+2*ratio*nodes)
+}
+
 // TestRetryBudgetFollowsNodeCount guards against a node that starts during a store
 // outage and keeps the retry share of a small deployment, although many nodes share
 // the budget.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,8 +100,10 @@
 	// if there is none.
 	peersPort  string
 	autoscaler *autoscaler
-	ready      atomic.Bool
-	stopping   atomic.Bool
+	// roleChanges holds the role changes that this node has ordered.
+	roleChanges *roleChanges
+	ready       atomic.Bool
+	stopping    atomic.Bool
 }
 
 // New returns a node with the settings s that were read from file. The file is read
@@ -120,6 +122,7 @@
 	g.setUpReads(log)
 	g.peerLoads = newPeerLoads()
 	g.incarnation = rand.Uint64() | 1
+	g.roleChanges = newRoleChanges(rand.Uint64() | 1)
 	g.sharer = loadshare.NewSharer(g.incarnation, g.localLoad, g.loadMessages, log)
 	g.sharer.OnUpdate = g.handleLoadUpdate
 	g.observer = newObserver(log, failureLog, s.Log.LinesPerSecond)
@@ -187,7 +190,7 @@
 	// Every change costs one store call per node, and there are many nodes.
 	multiCellBatchDrainFraction = 0.35
 	// readerBatchDrainFraction is the same on nodes that read the store for others, and
-	// sharedBatchDrainFraction on the others, which read the batches of a reader.
+	// sharedBatchDrainFraction on nodes that read the batches of a reader.
 	readerBatchDrainFraction = 0.1
 	sharedBatchDrainFraction = 0.01
 )
@@ -199,7 +202,7 @@
 	switch {
 	case g.nodes.IsReader():
 		fraction = readerBatchDrainFraction
-	case len(g.nodes.Readers()) > 0:
+	case g.reads.ViaReader(platform.ServersPrefix):
 		fraction = sharedBatchDrainFraction
 	case g.cell().Count > 1:
 		fraction = multiCellBatchDrainFraction
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -73,6 +73,9 @@
 func (g *Gateway) loadMessages(u *figweirv1.LoadUpdate) []loadshare.Message {
 	cell := g.cell()
 	messages := []loadshare.Message{{Update: u, Recipients: g.nodes.CellPeers(cell.Count)}}
+	if changes := g.roleChanges.updateDue(time.Now()); changes != nil {
+		messages = append(messages, loadshare.Message{Update: changes, Recipients: g.nodes.LoadAddresses()})
+	}
 	if cell.Count == 1 {
 		return messages
 	}
@@ -184,6 +187,9 @@
 	case figweirv1.Scope_SCOPE_TOTAL:
 		g.peerLoads.totals.Update(now, u)
 		return
+	case figweirv1.Scope_SCOPE_ROLE_CHANGES:
+		applyRoleChanges(g.registry.View(), now, u.ChangingServers)
+		return
 	}
 	g.peerLoads.nodes.Update(now, u)
 	if udp, ok := from.(*net.UDPAddr); ok && g.peersPort != "" {
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -128,6 +128,27 @@
 	is.Equal(b.conflicts, 0)
 }
 
+// TestRefusedPublicationsAreNotRepeatedAtOnce guards against a flood of calls to a store
+// that refuses many nodes for seconds.
+func TestRefusedPublicationsAreNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	st, b := memstore.New(), &fakeBilling{reports: map[int64]map[string]int64{}}
+	n := newTestNode("a", st, b, start)
+	n.Counter.RequestStarted("w", start)
+	st.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+	const refusedFor = 9 * time.Second
+	ended := n.Windows.End(n.Windows.At(start)).Add(publishDelay)
+	for at := ended; at.Before(ended.Add(refusedFor)); at = at.Add(tickInterval) {
+		n.clock.now = at
+		n.tick()
+	}
+	is.True(st.Calls()[memstore.OpGrant] <= int(refusedFor/publishRetryDelay)+1)
+	st.SetFault(nil)
+	n.clock.now = ended.Add(refusedFor + publishRetryDelay)
+	n.tick()
+	is.Equal(st.Calls()[memstore.OpPut], 1)
+}
+
 // partitionedStore is one node's connection to the store. Writes fail while unreachable.
 type partitionedStore struct {
 	*memstore.Store
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -35,6 +35,10 @@
 	// lateSealFraction is the same if counts of nodes that had requests are missing:
 	// these nodes may be unable to reach the store for a while.
 	lateSealFraction = 0.7
+	// publishRetryDelay is the time between two attempts to publish while the store
+	// refuses them. Refused calls cost as much as others, and the store may refuse many
+	// nodes at the same time.
+	publishRetryDelay = time.Second
 	// dataTTL is how long counts and sealed figures stay in the store.
 	dataTTL = 5 * time.Minute
 	// retainedWindows is how many ended windows a node retains and a new holder
@@ -83,6 +87,8 @@
 	dutyHeld     bool
 	// lastSealed holds the counts of the window that was sealed last, by incarnation.
 	lastSealed map[string]Counts
+	// publishAt is when to publish again after a failure, in true time.
+	publishAt time.Time
 	// retryAt is when to try again to seal a window whose counts were incomplete.
 	retryAt map[int64]time.Time
 }
@@ -128,6 +134,8 @@
 	last := r.Windows.At(now.Add(-delay)) - 1
 	if delay == 0 {
 		last = r.Windows.At(now)
+	} else if now.Before(r.publishAt) {
+		return
 	}
 	for window, counts := range r.Counter.snapshot(last) {
 		p := r.published[window]
@@ -140,6 +148,7 @@
 		}
 		if err := r.writeCounts(ctx, window, counts, p); err != nil {
 			r.Log.Info("cannot publish usage counts", "window", window, "cause", err.Error())
+			r.publishAt = now.Add(publishRetryDelay)
 			return
 		}
 	}
