Totals at once for long prompts; fewer calls to a store that fails

Change 1: an aggregator sends its totals at once when a node reports that much more work on one engine.

Change 2: a node that uses readers makes one call a second while calls fail, whatever the prefix, and asks a reader whose mirror was not current again after 0.3 s.

Tests: TestLongPromptIsTotaledAtOnce, TestNodesDoNotFloodAFailingStore. The tests of SharedReads had a data race of their own and one bound that a call on its way could exceed by its latency; both are mended, the bound stays.

--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -21,10 +22,19 @@
 	mirrorWaitFraction   = 0.25
 	mirrorMarginFraction = 0.125
 	maxMirrorAgeFraction = 0.35
-	// readerRetryInterval is how long a reader that failed is not asked again.
+	// storeRetryFraction is how long, as a fraction of the bound, a node that uses readers
+	// does not call the store again for any prefix after a call has failed: in an outage
+	// the calls of all nodes would add up.
+	storeRetryFraction = 0.25
+	// readerRetryInterval is how long a reader that did not answer is not asked again,
+	// and staleRetryInterval the same for one whose mirror was not current.
 	readerRetryInterval = 2 * time.Second
+	staleRetryInterval  = 300 * time.Millisecond
 )
 
+// errStoreSuspended means that the store was not called because a call has just failed.
+var errStoreSuspended = fmt.Errorf("%w: a call has just failed", store.ErrUnavailable)
+
 // MirrorClient calls the mirrors of other nodes.
 type MirrorClient interface {
 	// ListMirror returns the entries under a prefix and the store revision of the
@@ -62,6 +72,9 @@
 	viaReader map[string]bool
 	// failedUntil holds the readers that failed and until when they are not asked.
 	failedUntil map[string]time.Duration
+	// storeSuspendedUntil is when the store may be called again by a node that uses
+	// readers.
+	storeSuspendedUntil time.Duration
 }
 
 // NewSharedReads returns a wrapper of st. A change in the store reaches every node that
@@ -88,9 +101,13 @@
 		}
 		s.skipReader(address, prefix, err)
 	}
+	if s.storeSuspended() {
+		return nil, 0, errStoreSuspended
+	}
 	entries, at, err := s.Store.List(ctx, prefix)
 	if err != nil {
 		m.invalidate()
+		s.suspendStore(err)
 		return nil, 0, err
 	}
 	m.reset(entries, at)
@@ -116,6 +133,9 @@
 		}
 		s.skipReader(address, prefix, err)
 	}
+	if s.storeSuspended() {
+		return nil, 0, errStoreSuspended
+	}
 	if len(s.readers()) > 0 {
 		// Return to the readers soon.
 		wait = min(wait, readerRetryInterval)
@@ -126,6 +146,7 @@
 	events, at, err := s.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		m.invalidate()
+		s.suspendStore(err)
 		return nil, 0, err
 	}
 	m.apply(events, after, at)
@@ -216,7 +237,27 @@
 	return usable
 }
 
-// skipReader excludes a reader for readerRetryInterval.
+// storeSuspended reports whether this node must not call the store now.
+func (s *SharedReads) storeSuspended() bool {
+	if len(s.readers()) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now() < s.storeSuspendedUntil
+}
+
+// suspendStore suspends calls to the store after a failed one.
+func (s *SharedReads) suspendStore(cause error) {
+	if errors.Is(cause, store.ErrCompacted) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeSuspendedUntil = s.now() + s.fractionOfBound(storeRetryFraction)
+}
+
+// skipReader excludes a reader for some time after a failed call.
 func (s *SharedReads) skipReader(address, prefix string, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,7 +267,11 @@
 			delete(s.failedUntil, other)
 		}
 	}
-	s.failedUntil[address] = now + readerRetryInterval
+	interval := readerRetryInterval
+	if errors.Is(cause, ErrMirrorStale) {
+		interval = staleRetryInterval
+	}
+	s.failedUntil[address] = now + interval
 	s.log.Info("reader not usable", "address", address, "prefix", prefix, "cause", cause.Error())
 }
 
--- a/discovery/sharedreads_test.go
+++ b/discovery/sharedreads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,26 +20,31 @@
 // readBound is the time within which a change must be read in these tests.
 const readBound = 4 * time.Second
 
-// mirrorNetwork connects nodes in one process. Nodes listed in dead never answer.
+// testLatency is the latency of each call to the store in these tests.
+const testLatency = 4 * time.Millisecond
+
+// mirrorNetwork connects nodes in one process.
 type mirrorNetwork struct {
 	nodes map[string]*testReader
-	dead  map[string]bool
 }
 
 // testReader is one node with its own path to the store.
 type testReader struct {
 	*SharedReads
-	path     *unresponsiveStore
+	path *unresponsiveStore
+	// dead is set for a node that never answers.
+	dead     atomic.Bool
 	servers  *Servers
 	registry *backends.Registry
 }
 
 func (n *mirrorNetwork) call(ctx context.Context, address string) (*testReader, error) {
-	if n.dead[address] {
+	node := n.nodes[address]
+	if node.dead.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return n.nodes[address], nil
+	return node, nil
 }
 
 func (n *mirrorNetwork) ListMirror(ctx context.Context, address, prefix string, minRevision store.Revision) ([]store.Entry, store.Revision, error) {
@@ -62,14 +68,14 @@
 func runReaders(t *testing.T, nodeCount int, run func(t *testing.T, st *memstore.Store, network *mirrorNetwork)) {
 	synctest.Test(t, func(t *testing.T) {
 		st := memstore.New()
-		network := &mirrorNetwork{nodes: make(map[string]*testReader), dead: make(map[string]bool)}
+		network := &mirrorNetwork{nodes: make(map[string]*testReader)}
 		// The boot clock is not virtual.
 		start := time.Now()
 		now := func() time.Duration { return time.Since(start) + time.Hour }
 		ctx, cancel := context.WithCancel(t.Context())
 		addNode := func(name string, readers func() []string) {
-			path := &unresponsiveStore{Store: st}
-			path.latency.Store(int64(4 * time.Millisecond))
+			path := &unresponsiveStore{Store: st, losesWatches: true}
+			path.latency.Store(int64(testLatency))
 			heartbeats := NewHeartbeatStore(path, func() store.LeaseID { return 0 }, readBound, func() time.Duration { return readBound / 8 })
 			heartbeats.now = now
 			node := &testReader{path: path, registry: backends.NewRegistry()}
@@ -133,8 +139,11 @@
 			n.nodes["r0"].path.lose()
 			n.nodes["r1"].path.lose()
 		},
-		"one reader silent":   func(n *mirrorNetwork) { n.dead["r0"] = true },
-		"both readers silent": func(n *mirrorNetwork) { n.dead["r0"], n.dead["r1"] = true, true },
+		"one reader silent": func(n *mirrorNetwork) { n.nodes["r0"].dead.Store(true) },
+		"both readers silent": func(n *mirrorNetwork) {
+			n.nodes["r0"].dead.Store(true)
+			n.nodes["r1"].dead.Store(true)
+		},
 	}
 	for name, fail := range failures {
 		for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
@@ -156,7 +165,6 @@
 
 // lose cuts the path to the store: calls and pending watches are never answered.
 func (s *unresponsiveStore) lose() {
-	s.losesWatches = true
 	s.outages.Add(1)
 	s.unresponsive.Store(true)
 }
@@ -245,8 +253,29 @@
 		_, _, err := reader.ListMirrored(testPrefix, 0)
 		is.NoErr(err)
 		reader.path.lose()
-		time.Sleep(reader.fractionOfBound(maxMirrorAgeFraction) + time.Millisecond)
+		// A call that is on its way may still be answered.
+		time.Sleep(testLatency + reader.fractionOfBound(maxMirrorAgeFraction) + time.Millisecond)
 		_, _, err = reader.WatchMirrored(t.Context(), testPrefix, 100, 0)
 		is.True(errors.Is(err, ErrMirrorStale))
 	})
 }
+
+// TestNodesDoNotFloodAFailingStore guards against calls of hundreds of nodes that add up
+// while the store fails, and against nodes that then stay without a reader.
+func TestNodesDoNotFloodAFailingStore(t *testing.T) {
+	runReaders(t, 20, func(t *testing.T, st *memstore.Store, network *mirrorNetwork) {
+		is := is.New(t)
+		before := st.Calls()
+		st.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+		const outage = 6 * time.Second
+		time.Sleep(outage)
+		calls := func(op memstore.Op) int { return st.Calls()[op] - before[op] }
+		perNode := int(outage/time.Duration(storeRetryFraction*float64(readBound))) + 1
+		is.True(calls(memstore.OpList)+calls(memstore.OpWatch) <= 22*perNode+2*int(outage/minRetry))
+		st.SetFault(nil)
+		time.Sleep(readBound)
+		for name, node := range network.nodes {
+			is.Equal(node.ViaReader(testPrefix), name[0] == 'n')
+		}
+	})
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/platform"
 	"github.com/figweir/figweir/standin/memstore"
@@ -114,3 +115,27 @@
 		is.True(d.tokens.mean > 0)
 	})
 }
+
+// TestLongPromptIsTotaledAtOnce guards against short prompts that queue behind a long one
+// because the nodes of other cells hear of it only with the next periodic totals, on
+// deployments where hundreds of nodes share the prefill engines.
+func TestLongPromptIsTotaledAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := newPeerLoads()
+	sequence := uint64(0)
+	update := func(tokens uint32) bool {
+		sequence++
+		l.updatePart(time.Now(), &figweirv1.LoadUpdate{Incarnation: 1, Sequence: sequence, Servers: []*figweirv1.ServerLoad{{Server: 7, Requests: 1, PrefillTokens: tokens}}})
+		select {
+		case <-l.longPrompt:
+			return true
+		default:
+			return false
+		}
+	}
+	is.True(!update(longPromptTokens / 2))
+	is.True(update(longPromptTokens * 2))
+	is.True(!update(longPromptTokens * 2)) // the same prompt
+	is.True(!update(longPromptTokens))     // one of two has been processed
+	is.True(update(longPromptTokens * 2))
+}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -12,9 +12,15 @@
 	"github.com/figweir/figweir/store"
 )
 
-// totalsInterval is the time between two updates by an aggregator. A prompt takes a
-// few hundred milliseconds, so older totals would be misleading.
-const totalsInterval = 100 * time.Millisecond
+const (
+	// totalsInterval is the time between two updates by an aggregator. A prompt takes a
+	// few hundred milliseconds, so older totals would be misleading.
+	totalsInterval = 100 * time.Millisecond
+	// longPromptTokens is the number of tokens from which an aggregator sends its totals
+	// at once. An engine that processes such a prompt delays all others by more than
+	// totalsInterval, and until the nodes know of it they send it further prompts.
+	longPromptTokens = 8000
+)
 
 // peerLoads holds the load that other nodes report. On small deployments every node
 // sends its load to every other. On large ones it sends it to the nodes of its cell,
@@ -24,10 +30,27 @@
 	// aggregators sent, and parts the updates for the parts of the prefill engines
 	// whose load this node sums as an aggregator.
 	nodes, totals, parts *loadshare.Table
+	// longPrompt is signaled when an engine whose load this node sums has received a
+	// long prompt.
+	longPrompt chan struct{}
 }
 
 func newPeerLoads() *peerLoads {
-	return &peerLoads{nodes: loadshare.NewTable(), totals: loadshare.NewTable(), parts: loadshare.NewTable()}
+	return &peerLoads{
+		nodes: loadshare.NewTable(), totals: loadshare.NewTable(), parts: loadshare.NewTable(),
+		longPrompt: make(chan struct{}, 1),
+	}
+}
+
+// updatePart stores the load of a node on engines whose load this node sums.
+func (l *peerLoads) updatePart(now time.Time, u *figweirv1.LoadUpdate) {
+	if l.parts.Update(now, u) < longPromptTokens {
+		return
+	}
+	select {
+	case l.longPrompt <- struct{}{}:
+	default:
+	}
 }
 
 // Load returns the requests in progress and the unprocessed prompt tokens of other nodes
@@ -127,7 +150,7 @@
 		aggregator := g.nodes.Aggregator(part)
 		if aggregator.Name == g.settings.Name {
 			update.Sequence = g.sharer.NextSequence()
-			g.peerLoads.parts.Update(time.Now(), update)
+			g.peerLoads.updatePart(time.Now(), update)
 			continue
 		}
 		messages = append(messages, loadshare.Message{Update: update, Recipients: []string{aggregator.LoadAddress}})
@@ -154,6 +177,7 @@
 		case now := <-ticker.C:
 			g.peerLoads.parts.Expire(now)
 			g.peerLoads.totals.Expire(now)
+		case <-g.peerLoads.longPrompt:
 		}
 		if g.cell().Count == 1 || g.peerLoads.parts.PeerCount() == 0 {
 			continue
@@ -182,7 +206,7 @@
 	now := time.Now()
 	switch u.Scope {
 	case figweirv1.Scope_SCOPE_PART:
-		g.peerLoads.parts.Update(now, u)
+		g.peerLoads.updatePart(now, u)
 		return
 	case figweirv1.Scope_SCOPE_TOTAL:
 		g.peerLoads.totals.Update(now, u)
--- a/gen/figweir/v1/figweirv1connect/mirror.connect.go
+++ b/gen/figweir/v1/figweirv1connect/mirror.connect.go
@@ -41,13 +41,13 @@
 
 // MirrorServiceClient is a client for the figweir.v1.MirrorService service.
 type MirrorServiceClient interface {
-	// List returns the entries under a prefix. The error code is unavailable if
-	// the called node doesn't read the prefix from the store, or if it can't be
-	// sure that its copy is current.
+	// List returns the entries under a prefix. The error code is
+	// failed_precondition if the called node doesn't read the prefix from the
+	// store, or if it can't be sure that its copy is current.
 	List(context.Context, *v1.ListMirrorRequest) (*v1.ListMirrorResponse, error)
 	// Watch returns the changes under a prefix as soon as there is one, or without
-	// any once wait_ms has passed. The error codes are unavailable as for List,
-	// and out_of_range if changes after the given revision have been discarded:
+	// any once wait_ms has passed. The error codes are failed_precondition as for
+	// List, and out_of_range if changes after the given revision have been discarded:
 	// the caller must list again.
 	Watch(context.Context, *v1.WatchMirrorRequest) (*v1.WatchMirrorResponse, error)
 }
@@ -104,13 +104,13 @@
 
 // MirrorServiceHandler is an implementation of the figweir.v1.MirrorService service.
 type MirrorServiceHandler interface {
-	// List returns the entries under a prefix. The error code is unavailable if
-	// the called node doesn't read the prefix from the store, or if it can't be
-	// sure that its copy is current.
+	// List returns the entries under a prefix. The error code is
+	// failed_precondition if the called node doesn't read the prefix from the
+	// store, or if it can't be sure that its copy is current.
 	List(context.Context, *v1.ListMirrorRequest) (*v1.ListMirrorResponse, error)
 	// Watch returns the changes under a prefix as soon as there is one, or without
-	// any once wait_ms has passed. The error codes are unavailable as for List,
-	// and out_of_range if changes after the given revision have been discarded:
+	// any once wait_ms has passed. The error codes are failed_precondition as for
+	// List, and out_of_range if changes after the given revision have been discarded:
 	// the caller must list again.
 	Watch(context.Context, *v1.WatchMirrorRequest) (*v1.WatchMirrorResponse, error)
 }
--- a/loadshare/table.go
+++ b/loadshare/table.go
@@ -78,9 +78,10 @@
 // PeerCount returns the number of nodes whose last update has not expired.
 func (t *Table) PeerCount() int { return int(t.peerCount.Load()) }
 
-// Update applies an update of another node. It ignores updates that are older than the
-// last one.
-func (t *Table) Update(now time.Time, u *figweirv1.LoadUpdate) {
+// Update applies an update of another node and returns by how many unprocessed prompt
+// tokens the load of a single backend server has grown at most. It ignores updates that
+// are older than the last one.
+func (t *Table) Update(now time.Time, u *figweirv1.LoadUpdate) (growth int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[u.Incarnation]
@@ -89,15 +90,17 @@
 		t.peers[u.Incarnation] = p
 		t.peerCount.Add(1)
 	} else if u.Sequence <= p.sequence {
-		return
+		return 0
 	}
 	loads := make(map[uint64]serverLoad, len(u.Servers))
 	for _, s := range u.Servers {
 		loads[s.Server] = serverLoad{int64(s.Requests), int64(s.PrefillTokens)}
+		growth = max(growth, int64(s.PrefillTokens)-p.servers[s.Server].tokens)
 	}
 	t.replaceLoads(p, loads)
 	t.promptTokens.Add(u.PromptTokens - min(p.promptTokens, u.PromptTokens))
 	p.sequence, p.updatedAt, p.promptTokens = u.Sequence, now, u.PromptTokens
+	return growth
 }
 
 // Expire removes the load of nodes without an update in the last two seconds. It should
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -66,8 +66,11 @@
 // mirrorError converts the error codes of MirrorService to the errors of
 // discovery.MirrorClient.
 func mirrorError(err error) error {
-	if connect.CodeOf(err) == connect.CodeOutOfRange {
+	switch connect.CodeOf(err) {
+	case connect.CodeOutOfRange:
 		return store.ErrCompacted
+	case connect.CodeFailedPrecondition:
+		return discovery.ErrMirrorStale
 	}
 	return err
 }
@@ -121,8 +124,11 @@
 
 // mirrorCode adds the error code of MirrorService to an error of a MirrorSource.
 func mirrorCode(err error) error {
-	if errors.Is(err, store.ErrCompacted) {
+	switch {
+	case errors.Is(err, store.ErrCompacted):
 		return connect.NewError(connect.CodeOutOfRange, err)
+	case errors.Is(err, discovery.ErrMirrorStale):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
 	}
 	return connect.NewError(connect.CodeUnavailable, err)
 }
--- a/peer/mirror_test.go
+++ b/peer/mirror_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figweir/figweir/discovery"
 	"github.com/figweir/figweir/store"
 )
 
@@ -58,7 +59,9 @@
 	client, address := mirrorClient(t, fixedMirror{err: store.ErrCompacted})
 	_, _, err := client.WatchMirror(t.Context(), address, "p/", 6, 0)
 	is.True(errors.Is(err, store.ErrCompacted))
-	client, address = mirrorClient(t, fixedMirror{err: errors.New("not current")})
+	client, address = mirrorClient(t, fixedMirror{err: discovery.ErrMirrorStale})
 	_, _, err = client.WatchMirror(t.Context(), address, "p/", 6, 0)
-	is.True(err != nil && !errors.Is(err, store.ErrCompacted))
+	is.True(errors.Is(err, discovery.ErrMirrorStale))
+	_, _, err = client.ListMirror(t.Context(), "127.0.0.1:1", "p/", 6) // no listener
+	is.True(err != nil && !errors.Is(err, discovery.ErrMirrorStale) && !errors.Is(err, store.ErrCompacted))
 }
