Seal usage windows as soon as all counts are final

Change: nodes mark the counts that they send to the holder as final once the window's end is 1.2 s ago, also where they are empty; an incarnation whose address another one uses has ended. A window is sealed from 0.3 of the delay on if every node's counts are final or published, and otherwise tried again each second. Counts of windows far from the current one are ignored: one update with a wrong window displaced all others.

Tests: TestCompleteWindowIsSealedEarly, TestCountsOfWrongWindowsAreIgnored.

--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -219,6 +219,9 @@
 func (s *SharedReads) advance(prefix string, at store.Revision, viaReader bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.viaReader[prefix] != viaReader {
+		s.log.Info("source of reads changed", "prefix", prefix, "via_reader", viaReader, "revision", uint64(at))
+	}
 	s.viaReader[prefix] = viaReader
 	s.read[prefix] = max(s.read[prefix], at)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,10 @@
 	reporter       *metering.Reporter
 	counter        *metering.Counter
 	receivedCounts *metering.ReceivedCounts
+	usageWindows   metering.Windows
+	// incarnations holds the incarnation of the last update from each address. Only the
+	// goroutine that receives updates uses it.
+	incarnations map[string]uint64
 	// incarnation identifies this run of the node among all nodes. It is not 0.
 	incarnation uint64
 	usageSentAt time.Time
@@ -136,6 +140,7 @@
 	g.dutyHolder = discovery.NewHolder(authority.DutyPrefix+dutyName, decodeHolder, log)
 	g.relay = discovery.NewRelay(g.config, g.servers, client, g.peerAddresses, log)
 	windows := metering.Windows{Length: s.UsageWindow()}
+	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts = counter, metering.NewReceivedCounts()
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -139,3 +141,24 @@
 	is.True(!update(longPromptTokens))     // one of two has been processed
 	is.True(update(longPromptTokens * 2))
 }
+
+// TestCountsOfWrongWindowsAreIgnored guards against one update with a window far from the
+// current one, from a node with a wrong clock, that displaces the counts of all nodes.
+func TestCountsOfWrongWindowsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s, err := platform.ParseSettings("test", []byte(testSettings))
+	is.NoErr(err)
+	logWriter := logging.NewAsyncWriter(io.Discard)
+	t.Cleanup(logWriter.Close)
+	g := New("", s, logWriter)
+	current := g.usageWindows.At(g.trueTime.At(time.Now()))
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}
+	send := func(incarnation uint64, window int64) {
+		g.handleLoadUpdate(from, &figweirv1.LoadUpdate{Incarnation: incarnation, Sequence: 1, Usage: []*figweirv1.WindowUsage{{Window: window, Counts: map[string]int64{"w": 1}}}})
+	}
+	send(1, current)
+	for i, wrong := range []int64{math.MaxInt64, math.MinInt64, current + 100, current - 100} {
+		send(uint64(2+i), wrong)
+	}
+	is.Equal(g.receivedCounts.Requests(current), int64(1))
+}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/figweir/figweir/platform"
+
 // gauges returns the values that the metrics endpoint prints besides the counters.
 func (g *Gateway) gauges() map[string]float64 {
 	pool := g.pool.Stats()
@@ -9,6 +11,7 @@
 		"config_version": float64(g.config.Version()), "config_following": boolGauge(g.config.Following()),
 		"registrations_following": boolGauge(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
 		"nodes": float64(g.nodes.Count()), "load_peers": float64(g.peerLoads.PeerCount()), "ready": boolGauge(g.ready.Load()),
+		"store_reader": boolGauge(g.nodes.IsReader()), "registrations_via_reader": boolGauge(g.reads.ViaReader(platform.ServersPrefix)),
 		"stopping": boolGauge(g.stopping.Load()), "requests_in_flight": float64(g.callerHandler.InFlight.Load()),
 		"duty_held": boolGauge(held), "duty_fencing_token": float64(token),
 		"connections_dialed_total": float64(pool.Dials), "connections_dial_failures_total": float64(pool.DialFailures),
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -9,6 +9,7 @@
 	"github.com/figweir/figweir/backends"
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/loadshare"
+	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/store"
 )
 
@@ -82,8 +83,10 @@
 	}
 	if now := time.Now(); now.Sub(g.usageSentAt) >= usageInterval {
 		g.usageSentAt = now
+		trueNow := g.trueTime.At(now)
 		for window, counts := range g.counter.Latest(usageWindowsPerUpdate) {
-			u.Usage = append(u.Usage, &figweirv1.WindowUsage{Window: window, Counts: counts})
+			final := trueNow.After(g.usageWindows.End(window).Add(metering.FinalDelay))
+			u.Usage = append(u.Usage, &figweirv1.WindowUsage{Window: window, Counts: counts, Final: final})
 		}
 	}
 	return u
@@ -200,6 +203,16 @@
 	usageWindowsPerUpdate = 2
 )
 
+// recordIncarnation records which incarnation runs at an address. An earlier one at the
+// same address has ended.
+func (g *Gateway) recordIncarnation(address string, incarnation uint64) {
+	old, known := g.incarnations[address]
+	g.incarnations[address] = incarnation
+	if known && old != incarnation {
+		g.receivedCounts.End(incarnationName(old))
+	}
+}
+
 // handleLoadUpdate stores the update of another node: its load, its usage counts, and
 // up to where it has read the store.
 func (g *Gateway) handleLoadUpdate(from net.Addr, u *figweirv1.LoadUpdate) {
@@ -219,7 +232,13 @@
 	if udp, ok := from.(*net.UDPAddr); ok && g.peersPort != "" {
 		g.relay.Hint(net.JoinHostPort(udp.IP.String(), g.peersPort), u.ConfigVersion, store.Revision(u.RegistrationsRevision))
 	}
+	g.recordIncarnation(from.String(), u.Incarnation)
+	current := g.usageWindows.At(g.trueTime.At(now))
 	for _, w := range u.Usage {
-		g.receivedCounts.Update(incarnationName(u.Incarnation), w.Window, w.Counts)
+		if w.Window < current-usageWindowsPerUpdate || w.Window > current+1 {
+			// Counts of a node with a wrong clock would displace those of the others.
+			continue
+		}
+		g.receivedCounts.Update(incarnationName(u.Incarnation), w.Window, w.Counts, w.Final)
 	}
 }
--- a/metering/counter.go
+++ b/metering/counter.go
@@ -60,15 +60,14 @@
 	counts[workspace]++
 }
 
-// Latest returns the counts of the last windows, by window. The current window is one of
-// them.
+// Latest returns the counts of the last windows, by window, also of windows without
+// requests. The current window is one of them.
 func (c *Counter) Latest(windows int64) map[int64]Counts {
 	current := c.windows.At(c.clock.At(time.Now()))
-	latest := c.snapshot(current)
-	for window := range latest {
-		if window <= current-windows {
-			delete(latest, window)
-		}
+	all := c.snapshot(current)
+	latest := make(map[int64]Counts, windows)
+	for window := current - windows + 1; window <= current; window++ {
+		latest[window] = all[window]
 	}
 	return latest
 }
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -73,7 +73,7 @@
 }
 
 func (n *testNode) tick() {
-	n.publish(context.Background(), n.now(), publishDelay)
+	n.publish(context.Background(), n.now(), FinalDelay)
 	n.reportDue(context.Background(), n.now())
 }
 
@@ -90,8 +90,8 @@
 	holder.Counter.RequestStarted("w", start)
 	other.Counter.RequestStarted("w", start)
 	other.Counter.RequestStarted("x", start)
-	holder.Heard.Update("dead", window, Counts{"w": 5})
-	holder.Heard.Update("b", window, Counts{"w": 1})
+	holder.Heard.Update("dead", window, Counts{"w": 5}, false)
+	holder.Heard.Update("b", window, Counts{"w": 1}, false)
 	for s := range 13 {
 		at := start.Add(time.Duration(s) * time.Second)
 		holder.clock.now, other.clock.now = at, at
@@ -102,6 +102,32 @@
 	is.Equal(b.calls, 1)
 }
 
+// TestCompleteWindowIsSealedEarly guards against a report that is missed in a store outage
+// although the counts of all nodes were known before, in a fleet where some node is always
+// idle, restarting or gone.
+func TestCompleteWindowIsSealedEarly(t *testing.T) {
+	is := is.New(t)
+	st, b := memstore.New(), &fakeBilling{reports: map[int64]map[string]int64{}}
+	holder := newTestNode("a", st, b, start)
+	holder.duty.held = true
+	window := holder.Windows.At(start)
+	end := holder.Windows.End(window)
+	sealAt := end.Add(holder.delayFraction(sealFraction))
+	holder.lastSealed = map[string]Counts{"idle": {"w": 1}, "killed": {"w": 1}, "late": {"w": 1}}
+	holder.Heard.Update("idle", window, nil, true)
+	holder.Heard.Update("late", window, Counts{"w": 2}, false)
+	holder.Heard.Update("killed", window, Counts{"w": 3}, false)
+	holder.Heard.End("killed")
+	holder.clock.now = sealAt
+	holder.tick()
+	is.Equal(b.calls, 0) // a node may still send more
+	holder.Heard.Update("late", window, Counts{"w": 4}, true)
+	holder.clock.now = sealAt.Add(sealRetryDelay)
+	holder.tick()
+	is.Equal(b.reports[window], map[string]int64{"w": 7})
+	is.True(holder.clock.now.Before(end.Add(holder.delayFraction(lateSealFraction))))
+}
+
 // TestReportWaitsForPartitionedNodes guards against figures without the requests of nodes
 // that can reach neither the store nor the holder until some seconds after the end of a
 // window.
@@ -137,7 +163,7 @@
 	n.Counter.RequestStarted("w", start)
 	st.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
 	const refusedFor = 9 * time.Second
-	ended := n.Windows.End(n.Windows.At(start)).Add(publishDelay)
+	ended := n.Windows.End(n.Windows.At(start)).Add(FinalDelay)
 	for at := ended; at.Before(ended.Add(refusedFor)); at = at.Add(tickInterval) {
 		n.clock.now = at
 		n.tick()
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -26,15 +26,19 @@
 )
 
 const (
-	// publishDelay is how long after the end of a window a node publishes its counts.
-	// By then all requests that began in the window have been counted.
-	publishDelay = 1200 * time.Millisecond
+	// FinalDelay is how long after the end of a window the counts of a node are final: by
+	// then all requests that began in the window have been counted. The node publishes
+	// them then.
+	FinalDelay = 1200 * time.Millisecond
 	// sealFraction is the fraction of Delay after which the figures of a window are
-	// sealed if all nodes have published their counts.
-	sealFraction = 0.45
+	// sealed if the counts of all nodes are known.
+	sealFraction = 0.3
 	// lateSealFraction is the same if counts of nodes that had requests are missing:
 	// these nodes may be unable to reach the store for a while.
 	lateSealFraction = 0.7
+	// sealRetryDelay is the time between two attempts to seal a window while counts are
+	// missing.
+	sealRetryDelay = time.Second
 	// publishRetryDelay is the time between two attempts to publish while the store
 	// refuses them. Refused calls cost as much as others, and the store may refuse many
 	// nodes at the same time.
@@ -121,7 +125,7 @@
 		case <-ticker.C:
 		}
 		now := r.now()
-		r.publish(ctx, now, publishDelay)
+		r.publish(ctx, now, FinalDelay)
 		r.reportDue(ctx, now)
 	}
 }
@@ -247,7 +251,7 @@
 		err := r.reportWindow(ctx, token, window, !now.Before(late))
 		if errors.Is(err, errNodesMissing) {
 			r.Log.Info("usage of nodes is missing, sealing later", "window", window, "fencing_token", token)
-			r.retryAt[window] = late
+			r.retryAt[window] = now.Add(sealRetryDelay)
 			continue
 		}
 		if err != nil {
@@ -310,7 +314,7 @@
 	if byIncarnation == nil {
 		byIncarnation = make(map[string]Counts)
 	}
-	if !late && (anyMissing(published, byIncarnation) || anyMissing(published, r.lastSealed)) {
+	if !late && (r.anyMissing(window, published, byIncarnation) || r.anyMissing(window, published, r.lastSealed)) {
 		return nil, errNodesMissing
 	}
 	for incarnation, counts := range published {
@@ -338,10 +342,11 @@
 	return sum, nil
 }
 
-// anyMissing reports whether an expected incarnation has published no counts.
-func anyMissing(published, expected map[string]Counts) bool {
+// anyMissing reports whether the counts of an expected incarnation in a window may be
+// incomplete: they are not published, and it may still send more.
+func (r *Reporter) anyMissing(window int64, published, expected map[string]Counts) bool {
 	for incarnation := range expected {
-		if _, ok := published[incarnation]; !ok {
+		if _, ok := published[incarnation]; !ok && !r.Heard.isFinal(incarnation, window) {
 			return true
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,23 +46,31 @@
 		seedList = append(seedList, *firstSeed+uint64(i))
 	}
 	for _, seed := range seedList {
-		runSeed(t, binary, seed)
+		runSeed(t, binary, seed, *nodeCount)
+	}
+	if *nodeCount < nodesWithReaders {
+		runSeed(t, binary, *firstSeed, nodesWithReaders)
 	}
 }
 
-// runSeed runs one seed and reports its findings, at most 10 of them in full.
-func runSeed(t *testing.T, binary string, seed uint64) {
+// nodesWithReaders is a number of nodes of one failure domain at which most of them read
+// the store through others.
+const nodesWithReaders = 8
+
+// runSeed runs one seed on a number of nodes and reports its findings, at most 10 of them
+// in full.
+func runSeed(t *testing.T, binary string, seed uint64, nodes int) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := New(Options{Binary: binary, Dir: dir, Seed: seed, Nodes: *nodeCount, Clients: *clientCount, Time: *faultDuration})
+	d, err := New(Options{Binary: binary, Dir: dir, Seed: seed, Nodes: nodes, Clients: *clientCount, Time: *faultDuration})
 	if err != nil {
 		t.Fatal(err)
 	}
 	result := d.Run()
 	d.Close()
-	t.Logf("seed %d: %d requests, %d complete, %d refused, %d other, %d windows", seed, result.Asked, result.Whole, result.Refused, result.Other, result.Windows)
+	t.Logf("seed %d on %d nodes: %d requests, %d complete, %d refused, %d other, %d windows", seed, nodes, result.Asked, result.Whole, result.Refused, result.Other, result.Windows)
 	for i, f := range result.Findings {
 		if i == 10 {
 			t.Logf("seed %d: %d more findings", seed, len(result.Findings)-i)
