Let a prompt wait for its preferred engine in proportion to its target

Cause: a prompt left the first of its three preferred engines for one with a queue 20 ms shorter than what it would have to process again.

Change: the slack is 0.12 of the target latency, at least 20 ms as before.

Test: TestPreferredServerIsWaitedForByTarget fails without the share.

--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -212,6 +212,27 @@
 	}
 }
 
+// TestPreferredServerIsWaitedForByTarget guards against shared parts that are processed
+// again on other engines in a burst, although the request has the time to wait for the
+// engine that has cached them; a request that is more urgent goes elsewhere.
+func TestPreferredServerIsWaitedForByTarget(t *testing.T) {
+	is := is.New(t)
+	registrations := engines(4, 1)
+	_, r := newBalancer(registrations, nil)
+	p := prompt("k", 200, 12_000)
+	preferred := preferredServers(p.AffinityKey(), r.View().Servers("s"), RolePrefill, "m")[0].ID
+	const queueMillis = 45
+	b, _ := newBalancer(registrations, peerLoads{preferred: {1, queueMillis * prefillTokensPerMilli}})
+	for target, wait := range map[time.Duration]bool{600 * time.Millisecond: true, 150 * time.Millisecond: false} {
+		criteria := engineCriteria(p)
+		criteria.TargetLatency = target
+		c, err := b.Choose(time.Now(), criteria)
+		is.NoErr(err)
+		is.Equal(c.Server.ID == preferred, wait)
+		c.Done()
+	}
+}
+
 // TestShortSharedPartsHaveNoAffinity guards against queueing at the preferred servers for
 // a shared part that any engine can process quickly.
 func TestShortSharedPartsHaveNoAffinity(t *testing.T) {
--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -184,10 +184,13 @@
 	// transferPenaltyPerGB is the additional latency that is accepted to avoid the
 	// transfer of 1 GB of KV cache.
 	transferPenaltyPerGB = 150 * time.Millisecond
-	// preferredServerSlack is how much longer the queue of the first preferred server
-	// may be than that of another engine, in addition to the time to process the
-	// shared parts again.
-	preferredServerSlack = 20 * time.Millisecond
+	// minPreferredSlack is how much longer the queue of the first preferred server may
+	// be at least than that of another engine, in addition to the time to process the
+	// shared parts again. preferredSlackShare is the same as a share of the target
+	// latency: other engines would process the shared parts once more, which delays
+	// all prompts there.
+	minPreferredSlack   = 20 * time.Millisecond
+	preferredSlackShare = 0.12
 	// typicalPrefillTokens is the assumed prompt length of requests of other nodes.
 	typicalPrefillTokens = 1500.0
 	// decodePrefillingShare is the assumed share of the requests on a decode engine
@@ -243,7 +246,8 @@
 	_, failureRate := s.stats.health(now)
 	c.totalMillis += fullPenaltyMillis * failureRate
 	if preferred {
-		c.totalMillis -= float64(preferredServerSlack / time.Millisecond)
+		slack := max(minPreferredSlack, time.Duration(preferredSlackShare*float64(criteria.TargetLatency)))
+		c.totalMillis -= float64(slack / time.Millisecond)
 	}
 	if criteria.Prefilled && s.FailureDomain != criteria.HandleDomain {
 		c.totalMillis += float64(transferSetupDelay / time.Millisecond)
