Bound a mirror's history in bytes; fewer lines while mirrors are stale

Cause: found on reading the change: a mirror kept the last 1,024 changes whatever their size. In an outage a node wrote up to seven lines a second about readers whose mirrors were not current.

Change: the history is bounded by one megabyte of values too; nodes further behind list again. Lines on stale mirrors are written with log.verbose only. The table of incarnations is bounded.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -13,8 +13,12 @@
 // copy is current.
 var ErrMirrorStale = errors.New("the mirror is not current")
 
-// maxMirrorHistory is the number of changes that a mirror keeps for watches.
-const maxMirrorHistory = 1024
+const (
+	// maxMirrorHistory and maxMirrorHistoryBytes limit the changes that a mirror keeps
+	// for watches. Nodes that are further behind list again.
+	maxMirrorHistory      = 1024
+	maxMirrorHistoryBytes = 1 << 20
+)
 
 // mirror is a copy of the entries under one prefix of the store. A node that reads the
 // prefix from the store keeps it up to date and answers the lists and watches of other
@@ -26,9 +30,11 @@
 	valid    bool
 	entries  map[string]store.Entry
 	revision store.Revision
-	// history holds the changes after historyStart, in order.
+	// history holds the changes after historyStart, in order, with values of
+	// historyBytes in total.
 	history      []store.Event
 	historyStart store.Revision
+	historyBytes int
 	// changed is closed at the next change of any field above.
 	changed chan struct{}
 }
@@ -50,12 +56,12 @@
 		m.entries[e.Key] = e
 	}
 	m.valid, m.revision = true, at
-	m.history, m.historyStart = nil, at
+	m.history, m.historyStart, m.historyBytes = nil, at, 0
 	m.notify()
 }
 
 // apply adds the changes after revision after, up to revision at. A mirror that doesn't
-// hold all earlier changes stays as it is.
+// hold all earlier changes becomes invalid.
 func (m *mirror) apply(events []store.Event, after, at store.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -70,16 +76,27 @@
 		} else {
 			m.entries[e.Entry.Key] = e.Entry
 		}
+		m.historyBytes += len(e.Entry.Value)
 	}
 	m.revision = at
 	m.history = append(m.history, events...)
-	if excess := len(m.history) - maxMirrorHistory; excess > 0 {
-		m.historyStart = m.history[excess-1].Entry.Revision
-		m.history = append([]store.Event(nil), m.history[excess:]...)
-	}
+	m.trimHistory()
 	m.notify()
 }
 
+// trimHistory discards the oldest changes beyond the limits. The caller holds mu.
+func (m *mirror) trimHistory() {
+	discarded := 0
+	for len(m.history)-discarded > maxMirrorHistory || m.historyBytes > maxMirrorHistoryBytes {
+		m.historyStart = m.history[discarded].Entry.Revision
+		m.historyBytes -= len(m.history[discarded].Entry.Value)
+		discarded++
+	}
+	if discarded > 0 {
+		m.history = append([]store.Event(nil), m.history[discarded:]...)
+	}
+}
+
 // isValid reports whether the copy can be used.
 func (m *mirror) isValid() bool {
 	m.mu.Lock()
--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -77,9 +77,9 @@
 	storeSuspendedUntil time.Duration
 }
 
-// NewSharedReads returns a wrapper of st. A change in the store reaches every node that
-// can reach the store within bound, even if its reader fails. storeAge must be short
-// against the bound on readers while the store answers.
+// NewSharedReads returns a wrapper of st. A change reaches every node that can reach the
+// store within bound, even if its reader fails. On readers, storeAge must stay far below
+// the bound while the store answers.
 func NewSharedReads(st store.Store, c MirrorClient, readers func() []string, storeAge func() (time.Duration, bool), bound time.Duration, log logr.Logger) *SharedReads {
 	return &SharedReads{
 		Store: st, client: c, readers: readers, storeAge: storeAge, bound: bound, log: log, now: boottime.Now,
@@ -270,12 +270,13 @@
 			delete(s.failedUntil, other)
 		}
 	}
-	interval := readerRetryInterval
+	interval, log := readerRetryInterval, s.log
 	if errors.Is(cause, ErrMirrorStale) {
-		interval = staleRetryInterval
+		// In an outage every node would write a few of these lines a second.
+		interval, log = staleRetryInterval, s.log.V(1)
 	}
 	s.failedUntil[address] = now + interval
-	s.log.Info("reader not usable", "address", address, "prefix", prefix, "cause", cause.Error())
+	log.Info("reader not usable", "address", address, "prefix", prefix, "cause", cause.Error())
 }
 
 // fractionOfBound returns the given fraction of the bound.
--- a/discovery/sharedreads_test.go
+++ b/discovery/sharedreads_test.go
@@ -210,6 +210,24 @@
 	is.Equal(len(events), maxMirrorHistory)
 }
 
+// TestMirrorHistoryIsBoundedInBytes guards against a reader that keeps every version of a
+// configuration of hundreds of kilobytes until its memory is exhausted.
+func TestMirrorHistoryIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	m.reset(nil, 0)
+	const versions, size = 50, 400 << 10
+	for i := range store.Revision(versions) {
+		m.apply([]store.Event{{Entry: store.Entry{Key: "config", Value: make([]byte, size), Revision: i + 1}}}, i, i+1)
+	}
+	is.True(len(m.history)*size <= maxMirrorHistoryBytes)
+	_, _, err := m.watch(t.Context(), 1, 0)
+	is.True(errors.Is(err, store.ErrCompacted))
+	events, _, err := m.watch(t.Context(), versions-1, 0)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+}
+
 // TestReadersAreAgreed guards against nodes of a failure domain that choose different
 // readers, or readers with little CPU, and against readers that use each other.
 func TestReadersAreAgreed(t *testing.T) {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -203,9 +203,15 @@
 	usageWindowsPerUpdate = 2
 )
 
+// maxIncarnations bounds the memory for addresses of nodes that are gone.
+const maxIncarnations = 4096
+
 // recordIncarnation records which incarnation runs at an address. An earlier one at the
 // same address has ended.
 func (g *Gateway) recordIncarnation(address string, incarnation uint64) {
+	if len(g.incarnations) > maxIncarnations {
+		clear(g.incarnations)
+	}
 	old, known := g.incarnations[address]
 	g.incarnations[address] = incarnation
 	if known && old != incarnation {
