--- a/node/backendpolls.go
+++ b/node/backendpolls.go
@@ -11,6 +11,24 @@
 	"github.com/figweir/figweir/route"
 )
 
+const (
+	// pollInterval is the time between two reads of an engine's load report.
+	pollInterval = 500 * time.Millisecond
+	// minRefreshInterval is the minimum time between two refreshes of all load
+	// reports that are caused by refusals.
+	minRefreshInterval = 20 * time.Millisecond
+	// cacheEventPolls is the number of reads of an engine's load report for each
+	// read of its cache events. Cache events only correct the cache state that this
+	// node derives from its own requests.
+	cacheEventPolls = 4
+	// pollsUntilUnusable is the number of consecutive load reports that must be
+	// missing before a server gets no new work.
+	pollsUntilUnusable = 3
+	// subsetPollGrace is how long a server is polled after it has left the node's
+	// subset. A role change takes seconds.
+	subsetPollGrace = 5 * time.Minute
+)
+
 // polledServer is the state of a server according to its load reports.
 type polledServer struct {
 	sequence            uint64 // sequence number of the last report; 0 if there was none
