Reading the change as a newcomer: one name and three comments

Cause: on the reading of the whole diff, 'read' for a table of revisions, the sentence on the slack of preferred engines, the one on the interval of heartbeats, and a skip without a reason made the reader stop.

Change: readUpTo in place of read; the comments say what happens and why. No behavior is changed.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -171,11 +171,10 @@
 	// transferPenaltyPerGB is the additional latency that is accepted to avoid the
 	// transfer of 1 GB of KV cache.
 	transferPenaltyPerGB = 150 * time.Millisecond
-	// minPreferredSlack is how much longer the queue of the first preferred server may
-	// be at least than that of another engine, in addition to the time to process the
-	// shared parts again. preferredSlackShare is the same as a share of the target
-	// latency: other engines would process the shared parts once more, which delays
-	// all prompts there.
+	// A prompt goes to its first preferred server unless the queue there is longer than
+	// that of another engine by more than a slack, in addition to the time to process
+	// the shared parts again: that time delays all other prompts on the engine too. The
+	// slack is preferredSlackShare of the target latency, at least minPreferredSlack.
 	minPreferredSlack   = 20 * time.Millisecond
 	preferredSlackShare = 0.12
 	// typicalPrefillTokens is the assumed prompt length of requests of other nodes.
--- a/discovery/heartbeatstore.go
+++ b/discovery/heartbeatstore.go
@@ -14,7 +14,7 @@
 const (
 	// heartbeatTimeoutFraction is the timeout of a heartbeat as a fraction of the
 	// bound. The rest of the bound is left for the list that follows a timeout. The
-	// interval must not be longer.
+	// interval between heartbeats must not be longer than the timeout.
 	heartbeatTimeoutFraction = 0.5
 	// latencyFactor times the latency of the last heartbeat is the timeout of the
 	// next one if that is longer: a slow store must not count as unresponsive.
--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -66,8 +66,8 @@
 
 	mu      sync.Mutex
 	mirrors map[string]*mirror
-	// read holds, by prefix, the greatest revision up to which this node has read.
-	read map[string]store.Revision
+	// readUpTo holds, by prefix, the greatest revision up to which this node has read.
+	readUpTo map[string]store.Revision
 	// viaReader holds, by prefix, whether the last successful call was to a reader.
 	viaReader map[string]bool
 	// failedUntil holds the readers that failed and until when they are not asked.
@@ -83,16 +83,16 @@
 func NewSharedReads(st store.Store, c MirrorClient, readers func() []string, storeAge func() (time.Duration, bool), bound time.Duration, log logr.Logger) *SharedReads {
 	return &SharedReads{
 		Store: st, client: c, readers: readers, storeAge: storeAge, bound: bound, log: log, now: boottime.Now,
-		mirrors: make(map[string]*mirror), read: make(map[string]store.Revision), viaReader: make(map[string]bool), failedUntil: make(map[string]time.Duration),
+		mirrors: make(map[string]*mirror), readUpTo: make(map[string]store.Revision), viaReader: make(map[string]bool), failedUntil: make(map[string]time.Duration),
 	}
 }
 
 // List implements store.Store.
 func (s *SharedReads) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	m, read := s.state(prefix)
+	m, readUpTo := s.state(prefix)
 	for _, address := range s.usableReaders() {
 		ctx, cancel := context.WithTimeout(ctx, s.fractionOfBound(mirrorWaitFraction))
-		entries, at, err := s.client.ListMirror(ctx, address, prefix, read)
+		entries, at, err := s.client.ListMirror(ctx, address, prefix, readUpTo)
 		cancel()
 		if err == nil {
 			m.invalidate()
@@ -204,7 +204,7 @@
 		m = newMirror()
 		s.mirrors[prefix] = m
 	}
-	return m, s.read[prefix]
+	return m, s.readUpTo[prefix]
 }
 
 // ViaReader reports whether this node last read a prefix from a reader, and not from the
@@ -223,7 +223,7 @@
 		s.log.Info("source of reads changed", "prefix", prefix, "via_reader", viaReader, "revision", uint64(at))
 	}
 	s.viaReader[prefix] = viaReader
-	s.read[prefix] = max(s.read[prefix], at)
+	s.readUpTo[prefix] = max(s.readUpTo[prefix], at)
 }
 
 // usableReaders returns the readers that have not failed recently.
--- a/gateway/rolechanges.go
+++ b/gateway/rolechanges.go
@@ -70,7 +70,8 @@
 	return u
 }
 
-// applyRoleChanges records announced role changes at the engines in v.
+// applyRoleChanges records announced role changes at the engines in v. Engines that are
+// not registered here yet are skipped: the announcement is repeated.
 func applyRoleChanges(v *backends.View, now time.Time, changes []*figweirv1.ChangingServer) {
 	for _, c := range changes {
 		server := v.ByHash(c.Server)
