Log and count what backend servers state about themselves

Neither logs nor metrics said that a server states a limit, which node has read it, or since when, so the hypotheses could not be told apart. Change: Server-Limit, Server-Leaving and Retry-After are decoded in platform/ and reported to the gateway, which logs each change of a limit and counts the answers (server_notices_total). Nothing acts on them yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,8 +108,10 @@
 	roleChanges *roleChanges
 	// quarantine blocks requests whose prompt parts crash backend servers.
 	quarantine *quarantineSharing
-	ready      atomic.Bool
-	stopping   atomic.Bool
+	// statedLimits holds the limits that backend servers state.
+	statedLimits statedLimits
+	ready        atomic.Bool
+	stopping     atomic.Bool
 }
 
 // New returns a node with the settings s that were read from file. The file is read
@@ -150,6 +152,7 @@
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	backend := &platform.Backend{
 		Pool: g.pool, Answers: platform.NewResponseMemory(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
+		OnNotice: g.onNotice,
 	}
 	g.callerHandler.Core = &core.Core{
 		CurrentTable: &g.table,
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -29,7 +29,7 @@
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges *expvar.Map
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices *expvar.Map
 
 	firstEvent, totalTime, prefillTime, longestPause *metrics.Histogram
 	// burn measures the consumption of error budgets.
@@ -41,8 +41,8 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(),
-		firstEvent:        metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(),
+		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(),
 		logLimiter:   rate.NewLimiter(0, 0),
 	}
@@ -169,7 +169,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
