Keep requests within the rate limit of a backend server, over all nodes

What callers saw: nothing yet. A server in need that stated a limit of 1.5 requests a second got 17 in 4 s, as much as before. Cause: nothing acted on the limit. A node took a server's load, which it reads, for all that the server says about itself. Change: package ratelimit. Three nodes per limited server, chosen by rendezvous hashing, grant permits from a token bucket; a node sends to a limited server only with a permit that is at most a second old. Granters tell each other what they granted. The choice of a server weighs a limit and never passes it by; what no server accepts is refused at once, as not run, with a Retry-After from the limits. Why it works: the sum over all nodes is made at one place, and nodes that disagree about the place subtract each other's grants.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	promptTokens atomic.Uint64
 	prefillRate  rateEstimator
 	decodeRate   rateEstimator
+	// limits are the rate limits of the servers.
+	limits RateLimits
 }
 
 // PromptTokens returns the number of prompt tokens that this node has sent to engines
@@ -48,7 +51,7 @@
 // the current cell of the node, and onLoadChange is called after each change of its
 // load.
 func NewBalancer(r *Registry, failureDomain string, peerLoad PeerLoad, cell func() Cell, onLoadChange func()) *Balancer {
-	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange}
+	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange, limits: noRateLimits{}}
 }
 
 // load estimates the requests in progress and the unprocessed prompt tokens on a
@@ -80,18 +83,9 @@
 	// failurePenalty weighs the share of failed attempts against the share of busy
 	// slots.
 	failurePenalty = 1.0
-	// retryAfterFull is the minimum retry delay when all servers are full. Up to the
-	// same time is added at random, so that callers don't retry simultaneously.
-	retryAfterFull = 250 * time.Millisecond
 )
 
-// RetryAfter returns how long the caller of a refused request should wait before it
-// retries.
-func (b *Balancer) RetryAfter(string) time.Duration {
-	return retryAfterFull + rand.N(retryAfterFull)
-}
-
-// Choose selects the server for an attempt. The error is ErrNoServer, ErrFull or
+// Choose selects the server for an attempt. The error is ErrNoServer, ErrFull, ErrRateLimited or
 // ErrDeadlineUnreachable. The caller must call Done on the choice.
 func (b *Balancer) Choose(now time.Time, criteria *Criteria) (*Choice, error) {
 	view := b.registry.View()
@@ -102,23 +96,27 @@
 	if criteria.Prompt != nil {
 		servers = view.serversInCell(criteria.Service, b.cell())
 	}
-	candidates := selectCandidates(servers, criteria, now)
-	if len(candidates) == 0 {
-		return nil, ErrFull
-	}
-	if criteria.Prompt != nil && candidates[0].Role != RoleNone {
-		return b.chooseEngine(now, criteria, candidates)
+	healthy, unhealthy := selectCandidates(servers, criteria, now)
+	err := error(ErrFull)
+	for _, candidates := range [][]*Server{healthy, unhealthy} {
+		if len(candidates) == 0 {
+			continue
+		}
+		var choice *Choice
+		choice, err = b.chooseWithPermit(now, criteria, candidates)
+		if !errors.Is(err, ErrRateLimited) {
+			return choice, err
+		}
 	}
-	return b.chooseLeastLoaded(now, criteria, candidates), nil
+	return nil, err
 }
 
-// selectCandidates returns the servers that are not excluded: the healthy ones, or if
-// there are none, all others.
-func selectCandidates(servers []*Server, criteria *Criteria, now time.Time) []*Server {
-	healthy := make([]*Server, 0, len(servers))
-	var unhealthy []*Server
+// selectCandidates returns the servers that may get a request. The unhealthy ones should get it
+// only if no other server can.
+func selectCandidates(servers []*Server, criteria *Criteria, now time.Time) (healthy, unhealthy []*Server) {
+	healthy = make([]*Server, 0, len(servers))
 	for _, s := range servers {
-		if criteria.excluded(s.ID) {
+		if criteria.excluded(s.ID) || s.declines(now) {
 			continue
 		}
 		suspended, failureRate := s.stats.health(now)
@@ -128,15 +126,29 @@
 			healthy = append(healthy, s)
 		}
 	}
-	if len(healthy) > 0 {
-		return healthy
+	return healthy, unhealthy
+}
+
+// pick is the best server for a request according to its cost.
+type pick struct {
+	server *Server
+	// prefill means that the server is to process the prompt only.
+	prefill        bool
+	uncachedTokens int
+	estimateMillis float64
+}
+
+// pick selects the best of the candidates, whether or not it has reached its rate limit.
+func (b *Balancer) pick(now time.Time, criteria *Criteria, candidates []*Server) (pick, error) {
+	if criteria.Prompt != nil && candidates[0].Role != RoleNone {
+		return b.pickEngine(now, criteria, candidates)
 	}
-	return unhealthy
+	return pick{server: b.leastLoaded(now, candidates)}, nil
 }
 
-// chooseLeastLoaded selects the server with the lowest score of busy slots and failures,
-// with a penalty for other failure domains. It is used for services without models.
-func (b *Balancer) chooseLeastLoaded(now time.Time, criteria *Criteria, servers []*Server) *Choice {
+// leastLoaded returns the server with the lowest score of busy slots and failures, with a
+// penalty for other failure domains and for rate limits. It is used for services without models.
+func (b *Balancer) leastLoaded(now time.Time, servers []*Server) *Server {
 	var best *Server
 	bestScore := 0.0
 	for _, s := range servers {
@@ -148,13 +160,16 @@
 		if s.FailureDomain != b.failureDomain {
 			score += crossDomainPenalty
 		}
+		if _, limited := b.limits.Limit(s.Incarnation); limited {
+			score += limitedPenalty
+		}
 		// Equal scores are decided at random.
 		score += 1e-6 * rand.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
-	return b.newChoice(best, false, criteria, 0, 0)
+	return best
 }
 
 const (
@@ -231,6 +246,9 @@
 	}
 	_, failureRate := s.stats.health(now)
 	c.totalMillis += fullPenaltyMillis * failureRate
+	if _, limited := b.limits.Limit(s.Incarnation); limited {
+		c.totalMillis += limitedPenaltyMillis
+	}
 	if preferred {
 		slack := max(minPreferredSlack, time.Duration(preferredSlackShare*float64(criteria.TargetLatency)))
 		c.totalMillis -= float64(slack / time.Millisecond)
@@ -241,40 +259,31 @@
 	return c
 }
 
-// chooseEngine selects the engine for the prompt, or the decode engine for a request
-// whose prompt has been processed. A prompt is processed on a separate prefill engine
-// if that is expected to be faster, including the transfer of the KV cache and the
-// penalty for pauses in other streams.
-func (b *Balancer) chooseEngine(now time.Time, criteria *Criteria, servers []*Server) (*Choice, error) {
+// pickEngine selects the engine for the prompt, or the decode engine for a request whose prompt
+// has been processed. A prompt is processed on a separate prefill engine if that is expected to
+// be faster, including the transfer of the KV cache and the penalty for pauses in other streams.
+func (b *Balancer) pickEngine(now time.Time, criteria *Criteria, servers []*Server) (pick, error) {
 	decode := b.cheapestEngine(now, criteria, servers, RoleDecode)
 	if decode == nil {
-		return nil, ErrFull
+		return pick{}, ErrFull
 	}
 	if criteria.Prefilled {
-		return b.newChoice(decode.server, false, criteria, 0, decode.totalMillis), nil
+		return pick{server: decode.server, estimateMillis: decode.totalMillis}, nil
 	}
 	// unsplit selects the decode engine for the whole request, prefill included.
-	unsplit := func() (*Choice, error) {
-		if criteria.exceedsCallerTimeout(decode.totalMillis) {
-			return nil, ErrDeadlineUnreachable
-		}
-		return b.newChoice(decode.server, false, criteria, decode.uncachedTokens, decode.totalMillis), nil
-	}
+	unsplit := pick{server: decode.server, uncachedTokens: decode.uncachedTokens, estimateMillis: decode.totalMillis}
 	if criteria.Resumed {
-		return b.newChoice(decode.server, false, criteria, decode.uncachedTokens, decode.totalMillis), nil
+		return unsplit, nil
 	}
 	prefill := b.cheapestEngine(now, criteria, servers, RolePrefill)
-	if prefill == nil {
-		return unsplit()
-	}
-	splitMillis := prefill.totalMillis + transferMillis(criteria, prefill.server, decode.server)
-	if splitMillis < decode.totalMillis+b.pausePenaltyMillis(decode, criteria) {
-		if criteria.exceedsCallerTimeout(prefill.totalMillis) {
-			return nil, ErrDeadlineUnreachable
+	if prefill != nil {
+		splitMillis := prefill.totalMillis + transferMillis(criteria, prefill.server, decode.server)
+		if splitMillis < decode.totalMillis+b.pausePenaltyMillis(decode, criteria) {
+			split := pick{server: prefill.server, prefill: true, uncachedTokens: prefill.uncachedTokens, estimateMillis: splitMillis}
+			return split, criteria.checkCallerTimeout(prefill.totalMillis)
 		}
-		return b.newChoice(prefill.server, true, criteria, prefill.uncachedTokens, splitMillis), nil
 	}
-	return unsplit()
+	return unsplit, criteria.checkCallerTimeout(decode.totalMillis)
 }
 
 // transferMillis returns the time to transfer the KV cache of a prompt between two
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -30,10 +30,11 @@
 }
 
 // newChoice returns a choice and adds the request to the load of the server.
-func (b *Balancer) newChoice(s *Server, prefill bool, criteria *Criteria, uncached int, estimateMillis float64) *Choice {
+func (b *Balancer) newChoice(p pick, criteria *Criteria) *Choice {
+	s, uncached := p.server, p.uncachedTokens
 	c := &Choice{
-		Server: s, Prefill: prefill, prompt: criteria.Prompt, balancer: b, chosenAt: time.Now(), UncachedTokens: uncached,
-		FirstEventEstimate: time.Duration(estimateMillis * float64(time.Millisecond)),
+		Server: s, Prefill: p.prefill, prompt: criteria.Prompt, balancer: b, chosenAt: time.Now(), UncachedTokens: uncached,
+		FirstEventEstimate: time.Duration(p.estimateMillis * float64(time.Millisecond)),
 		engineIdle:         s.stats.prefillTokens.Load() == 0,
 	}
 	s.stats.inflight.Add(1)
--- a/backends/notice.go
+++ b/backends/notice.go
@@ -1,6 +1,9 @@
 package backends
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Notice is what a backend server states about itself in an answer, apart from its load.
 type Notice struct {
@@ -33,3 +36,62 @@
 	// stays in force.
 	Unreadable
 )
+
+// notLeaving is the value of leavingSince of a server that has not stated that it leaves.
+const notLeaving = math.MinInt64
+
+const (
+	// firstHoldLimit bounds how long one refusal keeps requests away from a server. If the
+	// server refuses the next request too, the bound is holdLimitGrowth times as long, so a
+	// server that states a very long time gets few requests within it.
+	firstHoldLimit  = 10 * time.Minute
+	holdLimitGrowth = 6
+)
+
+// MarkLeaving records that the server stated that it is about to stop. It gets no further
+// requests of this node unless MarkStaying is called or it starts again.
+func (s *Server) MarkLeaving(now time.Time) {
+	s.stats.leavingSince.CompareAndSwap(notLeaving, sinceEpoch(now))
+}
+
+// MarkStaying records that the server does not stop after all.
+func (s *Server) MarkStaying() { s.stats.leavingSince.Store(notLeaving) }
+
+// IsLeaving reports whether the server stated that it is about to stop.
+func (s *Server) IsLeaving() bool { return s.stats.leavingSince.Load() != notLeaving }
+
+// LeavingFor returns the time since the server stated that it is about to stop.
+func (s *Server) LeavingFor(now time.Time) time.Duration {
+	return time.Duration(sinceEpoch(now) - s.stats.leavingSince.Load())
+}
+
+// Hold keeps requests of this node away from the server for a time that it stated. A hold does
+// not end earlier because a request that was sent before succeeds, or because a later refusal
+// states a shorter time.
+func (s *Server) Hold(now time.Time, d time.Duration) {
+	st := s.stats
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.holdLimit == 0 {
+		st.holdLimit = firstHoldLimit
+	}
+	if d > st.holdLimit {
+		d = st.holdLimit
+		if sinceEpoch(now) >= st.heldUntil.Load() {
+			st.holdLimit = min(st.holdLimit*holdLimitGrowth, math.MaxInt64/(2*holdLimitGrowth))
+		}
+	}
+	st.heldUntil.Store(max(st.heldUntil.Load(), sinceEpoch(now.Add(d))))
+}
+
+// heldFor returns the time until the hold of the server ends; 0 or less if there is none.
+func (s *Server) heldFor(now time.Time) time.Duration {
+	until := s.stats.heldUntil.Load()
+	if until == notSuspended {
+		return 0
+	}
+	return time.Duration(until - sinceEpoch(now))
+}
+
+// declines reports whether the server has stated that it wants no request of this node now.
+func (s *Server) declines(now time.Time) bool { return s.IsLeaving() || s.heldFor(now) > 0 }
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -53,6 +54,12 @@
 // View returns the current snapshot.
 func (r *Registry) View() *View { return r.view.Load() }
 
+// incarnationHash returns the hash by which nodes refer to one incarnation of a server. An
+// incarnation at another address is another one.
+func incarnationHash(r *Registration) uint64 {
+	return xxhash.Sum64String(r.ID + "\x00" + r.Address + "\x00" + strconv.FormatInt(r.StartUnixMillis, 10))
+}
+
 // Replace replaces all registrations. The statistics of a server are kept as long as its
 // id, address and start time stay the same.
 func (r *Registry) Replace(registrations []Registration) {
@@ -61,7 +68,7 @@
 	previous := r.view.Load()
 	next := &View{services: make(map[string][]*Server), byID: make(map[string]*Server, len(registrations)), prefillHashes: make(map[uint64]bool)}
 	for _, registration := range registrations {
-		s := &Server{Registration: registration, Hash: xxhash.Sum64String(registration.ID)}
+		s := &Server{Registration: registration, Hash: xxhash.Sum64String(registration.ID), Incarnation: incarnationHash(&registration)}
 		if known := previous.byID[registration.ID]; known != nil && known.StartUnixMillis == registration.StartUnixMillis && known.Address == registration.Address {
 			s.stats = known.stats
 		} else {
--- a/backends/server.go
+++ b/backends/server.go
@@ -53,8 +53,10 @@
 type Server struct {
 	Registration
 	// Hash is the hash of the id. Nodes use it to refer to the server in messages.
-	Hash  uint64
-	stats *stats
+	Hash uint64
+	// Incarnation is the hash of the id and the start time. Rate limits belong to it.
+	Incarnation uint64
+	stats       *stats
 }
 
 // OwnLoad returns the requests in progress and the unprocessed prompt tokens of this node
@@ -80,8 +82,14 @@
 	// without it, since every selection reads them for every server.
 	failureRate    atomic.Uint64
 	suspendedUntil atomic.Int64
+	// leavingSince is when the server stated that it is about to stop, and heldUntil when it
+	// accepts requests of this node again, see sinceEpoch.
+	leavingSince atomic.Int64
+	heldUntil    atomic.Int64
 
 	mu sync.Mutex
+	// holdLimit is the longest hold for the next refusal, see Server.Hold.
+	holdLimit time.Duration
 	// suspendedFor is the length of the suspension that ends at suspendedUntil.
 	suspendedFor time.Duration
 	// cached holds the time at which this node last had each shared part processed
@@ -131,6 +139,8 @@
 func newStats() *stats {
 	s := &stats{cached: make(map[string]time.Time)}
 	s.suspendedUntil.Store(notSuspended)
+	s.heldUntil.Store(notSuspended)
+	s.leavingSince.Store(notLeaving)
 	return s
 }
 
@@ -187,7 +197,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspendedFor = min(max(minDuration, 2*s.suspendedFor), maxDuration)
-	s.suspendedUntil.Store(sinceEpoch(now.Add(s.suspendedFor)))
+	// A suspension that is in force does not become shorter.
+	s.suspendedUntil.Store(max(s.suspendedUntil.Load(), sinceEpoch(now.Add(s.suspendedFor))))
 }
 
 // recordRefusal suspends a server that refused a request.
@@ -361,12 +372,15 @@
 	firstEventShare = 0.8
 )
 
-// exceedsCallerTimeout reports whether the caller is expected to cancel before the first
-// event, so that processing the request would be wasted.
-func (c *Criteria) exceedsCallerTimeout(millis float64) bool {
+// checkCallerTimeout returns ErrDeadlineUnreachable if the caller is expected to cancel before
+// the first event, so that processing the request would be wasted.
+func (c *Criteria) checkCallerTimeout(millis float64) error {
 	callerTimeout := max(minCallerTimeout, callerTimeoutTargets*c.TargetLatency, callerTimeoutPauses*c.TargetPause)
 	callerTimeout = min(callerTimeout, c.TimeLeft)
-	return millis > firstEventShare*float64(callerTimeout/time.Millisecond)
+	if millis > firstEventShare*float64(callerTimeout/time.Millisecond) {
+		return ErrDeadlineUnreachable
+	}
+	return nil
 }
 
 func (c *Criteria) excluded(id string) bool {
@@ -384,6 +398,9 @@
 	ErrNoServer = errors.New("backends: no backend server accepts requests")
 	// ErrFull means that all registered servers are full or excluded.
 	ErrFull = errors.New("backends: all backend servers are full or excluded")
+	// ErrRateLimited means that all servers that could accept the request have reached their
+	// rate limits.
+	ErrRateLimited = errors.New("backends: all backend servers have reached their rate limits")
 	// ErrDeadlineUnreachable means that no backend server is expected to answer in
 	// time.
 	ErrDeadlineUnreachable = errors.New("backends: no backend server can answer before the deadline")
--- a/core/core.go
+++ b/core/core.go
@@ -35,7 +35,7 @@
 // Chooser selects backend servers. *backends.Balancer implements it.
 type Chooser interface {
 	// Choose returns the backend server for an attempt, or an error that wraps
-	// backends.ErrNoServer, backends.ErrFull or
+	// backends.ErrNoServer, backends.ErrFull, backends.ErrRateLimited or
 	// backends.ErrDeadlineUnreachable. The caller must call Done on the choice.
 	Choose(now time.Time, criteria *backends.Criteria) (*backends.Choice, error)
 	// RetryAfter returns how long the caller should wait before it repeats a
@@ -260,6 +260,8 @@
 	switch {
 	case errors.Is(err, backends.ErrDeadlineUnreachable):
 		return ReasonDeadlineUnreachable
+	case errors.Is(err, backends.ErrRateLimited):
+		return ReasonRateLimited
 	case e.counts.refused > 0 || errors.Is(err, backends.ErrFull):
 		return ReasonServersFull
 	case e.counts.unsent > 0:
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -34,6 +34,9 @@
 	// ReasonServersFull means that the backend servers are full or refused the request,
 	// or that the retry budget allows no further attempt.
 	ReasonServersFull Reason = "servers_full"
+	// ReasonRateLimited means that the backend servers have reached the rate limits that they
+	// state.
+	ReasonRateLimited Reason = "servers_rate_limited"
 	// ReasonUnreachable means that the request could not be sent to the backend servers
 	// that were tried.
 	ReasonUnreachable Reason = "unreachable"
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -146,6 +146,23 @@
 	return list
 }
 
+// AllLoadAddresses returns the UDP addresses of all nodes, this one included; nil until the list
+// has been read.
+func (n *Nodes) AllLoadAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.loaded {
+		return nil
+	}
+	list := make([]string, 0, len(n.nodes))
+	for _, node := range n.nodes {
+		if node.LoadAddress != "" {
+			list = append(list, node.LoadAddress)
+		}
+	}
+	return list
+}
+
 // LoadAddresses returns the UDP addresses of all other nodes.
 func (n *Nodes) LoadAddresses() []string { return n.CellPeers(1) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,10 +108,10 @@
 	roleChanges *roleChanges
 	// quarantine blocks requests whose prompt parts crash backend servers.
 	quarantine *quarantineSharing
-	// statedLimits holds the limits that backend servers state.
-	statedLimits statedLimits
-	ready        atomic.Bool
-	stopping     atomic.Bool
+	// limits keeps requests within the rate limits of backend servers.
+	limits   *rateLimits
+	ready    atomic.Bool
+	stopping atomic.Bool
 }
 
 // New returns a node with the settings s that were read from file. The file is read
@@ -136,6 +136,7 @@
 	g.observer = newObserver(log, failureLog, s.Log.LinesPerSecond)
 	g.observer.gauges = g.gauges
 	g.setUpQuarantine()
+	g.setUpRateLimits(rand.Uint64() | 1)
 	g.observer.burn = &burnMonitor{
 		recorder: burn.NewRecorder(maxBurnSeries), targetRatio: s.Objectives.TargetRatio,
 		peerAddresses: g.nodes.PeerAddresses, client: peer.NewHTTPClient(), log: log,
@@ -150,6 +151,7 @@
 	g.counter, g.receivedCounts = counter, metering.NewReceivedCounts()
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
+	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
 		Pool: g.pool, Answers: platform.NewResponseMemory(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
 		OnNotice: g.onNotice,
@@ -259,6 +261,7 @@
 	backgroundGroup.Go(func() { g.sharer.Run(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.sendTotals(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
+	backgroundGroup.Go(func() { g.runRateLimits(backgroundCtx, loadConn) })
 	go g.sharer.Receive(loadConn)
 	backgroundGroup.Go(func() { g.reloadOnSignal(backgroundCtx, sighup) })
 
@@ -336,6 +339,7 @@
 			return
 		case <-ticker.C:
 			g.updateReady()
+			g.forgetLimits()
 			g.peerLoads.nodes.Expire(time.Now())
 			g.pool.Sweep()
 			g.store.Sweep()
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -49,12 +49,13 @@
 	return r
 }
 
-// adminRoutes serves metrics, the burn report, and the suspected prompt parts.
+// adminRoutes serves metrics, the burn report, the suspected prompt parts, and the rate limits.
 func (g *Gateway) adminRoutes() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", g.observer.serveMetrics)
 	r.Get("/burn", g.observer.burn.serve)
 	r.Get("/quarantine", g.listSuspicions)
+	r.Get("/limits", g.listLimits)
 	r.Delete("/quarantine/{part}", g.liftSuspicion)
 	return r
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -233,6 +233,9 @@
 	case figweirv1.Scope_SCOPE_ROLE_CHANGES:
 		applyRoleChanges(g.registry.View(), now, u.ChangingServers)
 		return
+	case figweirv1.Scope_SCOPE_RATE_LIMITS:
+		g.receiveRateLimit(now, from, u)
+		return
 	case figweirv1.Scope_SCOPE_QUARANTINE:
 		g.quarantine.receive(now, u)
 		return
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -1,54 +1,32 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/figweir/figweir/backends"
 )
 
-// statedLimits holds the last rate limit that each backend server has stated to this node.
-type statedLimits struct {
-	mu       sync.Mutex
-	byServer map[string]statedLimit
-}
-
-type statedLimit struct {
-	perSecond float64
-	since     time.Time
-}
-
-// onNotice logs what a backend server states about itself when it changes.
-func (g *Gateway) onNotice(s *backends.Server, _ time.Time, n backends.Notice) {
-	l := &g.statedLimits
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	old, known := l.byServer[s.ID]
+// onNotice records what a backend server states about itself in an answer to a request that this
+// node sent at sentAt.
+func (g *Gateway) onNotice(s *backends.Server, sentAt time.Time, n backends.Notice) {
+	now := time.Now()
 	switch n.Limit.Kind {
-	case backends.Unreadable:
-		g.observer.notices.Add("unreadable_limit", 1)
 	case backends.Limited:
-		g.observer.notices.Add("answer_with_limit", 1)
-		if known && old.perSecond == n.Limit.PerSecond {
-			return
-		}
-		if l.byServer == nil {
-			l.byServer = make(map[string]statedLimit)
-		}
-		l.byServer[s.ID] = statedLimit{n.Limit.PerSecond, time.Now()}
-		g.log.Info("backend server states a limit", "backend_server", s.ID, "per_s", n.Limit.PerSecond, "role", s.Role)
+		g.observer.notices.Add("limit", 1)
+		g.limits.limiter.Stated(now, sentAt, s.Incarnation, n.Limit.PerSecond)
 	case backends.Unlimited:
-		if known {
-			delete(l.byServer, s.ID)
-			g.log.Info("backend server states no limit any more", "backend_server", s.ID, "after_ms", time.Since(old.since).Milliseconds())
-		}
+		g.limits.limiter.NotStated(now, sentAt, s.Incarnation)
+	case backends.Unreadable:
+		g.observer.notices.Add("unreadable_limit", 1)
+	}
+	if n.Leaving && !s.IsLeaving() {
+		s.MarkLeaving(now)
+		g.observer.notices.Add("leaving", 1)
+		g.log.Info("backend server leaves, as it states", "backend_server", s.ID, "registered_state", s.State)
+	}
+	if n.RetryAfter > 0 {
+		s.Hold(now, n.RetryAfter)
+		g.observer.notices.Add("retry_after", 1)
+		g.log.Info("backend server wants no requests for a time", "backend_server", s.ID, "for_ms", n.RetryAfter.Milliseconds())
 	}
-}
-
-// isUnlimited reports whether this node knows of no limit of a backend server.
-func (g *Gateway) isUnlimited(id string) bool {
-	g.statedLimits.mu.Lock()
-	defer g.statedLimits.mu.Unlock()
-	_, known := g.statedLimits.byServer[id]
-	return !known
 }
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -29,7 +29,7 @@
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges, notices *expvar.Map
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges *expvar.Map
 
 	firstEvent, totalTime, prefillTime, longestPause *metrics.Histogram
 	// burn measures the consumption of error budgets.
@@ -41,7 +41,7 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(), notices: newCounterMap(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(),
 		logLimiter:   rate.NewLimiter(0, 0),
@@ -169,7 +169,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -46,7 +46,8 @@
 		d.send(i%nodes, fmt.Sprint("any", i))
 	}
 	for _, g := range d.gateways {
-		is.True(!g.isUnlimited("d0")) // every node has been told
+		_, limited := g.limits.limiter.Limit(g.registry.View().All()["d0"].Incarnation)
+		is.True(limited) // every node has been told
 	}
 	told := len(limited.Arrivals())
 	for i := range requests {
