A server that stated that it leaves and stays is chosen again

Cause: a node that was told Server-Leaving sends the server nothing, so it could never hear that the server stays. Change: after 20 s, and every 20 s, a node makes a health check of such a server if it is still registered as ready; with 200, the right instance and no Server-Leaving it is chosen again. Measured: TestServerThatStaysIsChosenAgain passes; without the check the third request of the test is refused.

--- a/backends/notice.go
+++ b/backends/notice.go
@@ -54,13 +54,17 @@
 	s.stats.leavingSince.CompareAndSwap(notLeaving, sinceEpoch(now))
 }
 
+// ConfirmLeaving records that the server still leaves, or can't be reached.
+func (s *Server) ConfirmLeaving(now time.Time) { s.stats.leavingSince.Store(sinceEpoch(now)) }
+
 // MarkStaying records that the server does not stop after all.
 func (s *Server) MarkStaying() { s.stats.leavingSince.Store(notLeaving) }
 
 // IsLeaving reports whether the server stated that it is about to stop.
 func (s *Server) IsLeaving() bool { return s.stats.leavingSince.Load() != notLeaving }
 
-// LeavingFor returns the time since the server stated that it is about to stop.
+// LeavingFor returns the time since the server stated that it is about to stop, or since that was
+// last confirmed.
 func (s *Server) LeavingFor(now time.Time) time.Duration {
 	return time.Duration(sinceEpoch(now) - s.stats.leavingSince.Load())
 }
--- a/core/table.go
+++ b/core/table.go
@@ -86,6 +86,8 @@
 	// MaxConnections limits the connections of all nodes together to one backend
 	// server; 0 if unknown.
 	MaxConnections int
+	// HealthPath is the path of the health check; empty if there is none.
+	HealthPath string
 	// Engine is nil for services that don't serve models.
 	Engine *Engine
 	// Scaling is nil if no servers can be ordered for the service.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,7 +109,9 @@
 	// quarantine blocks requests whose prompt parts crash backend servers.
 	quarantine *quarantineSharing
 	// limits keeps requests within the rate limits of backend servers.
-	limits   *rateLimits
+	limits *rateLimits
+	// backend sends requests to backend servers.
+	backend  *platform.Backend
 	ready    atomic.Bool
 	stopping atomic.Bool
 }
@@ -156,6 +158,7 @@
 		Pool: g.pool, Answers: platform.NewResponseMemory(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
 		OnNotice: g.onNotice,
 	}
+	g.backend = backend
 	g.callerHandler.Core = &core.Core{
 		CurrentTable: &g.table,
 		Chooser:      g.balancer,
@@ -261,6 +264,7 @@
 	backgroundGroup.Go(func() { g.sharer.Run(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.sendTotals(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
+	backgroundGroup.Go(func() { g.checkLeavingServers(backgroundCtx, leavingCheckInterval) })
 	backgroundGroup.Go(func() { g.runRateLimits(backgroundCtx, loadConn) })
 	go g.sharer.Receive(loadConn)
 	backgroundGroup.Go(func() { g.reloadOnSignal(backgroundCtx, sighup) })
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -50,3 +50,24 @@
 	// The suspension after a plain refusal has ended by then.
 	is.Equal(arrivalsAfterNotice(t, backendsim.Notice{RetryAfter: "60.5"}, 1300*time.Millisecond), 0)
 }
+
+// TestServerThatStaysIsChosenAgain guards against a server that gets no work for good because it
+// once stated that it leaves, and against one that is chosen again while it still leaves.
+func TestServerThatStaysIsChosenAgain(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1, 1)
+	g, engine := d.gateways[0], d.engines[0].Server
+	engine.SetNotice(backendsim.Notice{Leaving: true})
+	status, _ := d.send(0, "a")
+	is.Equal(status, http.StatusOK)
+	s := g.registry.View().All()["d0"]
+	is.True(s.IsLeaving())
+	status, _ = d.send(0, "b")
+	is.Equal(status, http.StatusServiceUnavailable)
+	g.checkLeaving(t.Context(), s)
+	is.True(s.IsLeaving())
+	engine.SetNotice(backendsim.Notice{})
+	g.checkLeaving(t.Context(), s)
+	status, _ = d.send(0, "c")
+	is.Equal(status, http.StatusOK)
+}
