An answer without an id on a kept connection is nobody's answer

Cause: an answer without an attempt id counted as the answer to the request that waited, on any connection. Change: on a connection that has carried an exchange before, such an answer is taken for lost: the request may have run. On a new connection nothing can be repeated, and it counts as before.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -78,6 +78,9 @@
 	Body   io.Reader
 	// Delimited is false if the response ends where the connection ends.
 	Delimited bool
+	// Reused is true if the connection had carried an earlier exchange, whose response the
+	// backend server may have sent again.
+	Reused bool
 	// ContentLength is the length of the body, or -1 if the header does not state it.
 	ContentLength int64
 
@@ -103,7 +106,7 @@
 	if err != nil {
 		return nil, &NotSentError{r.Address, err}
 	}
-	resp := &Response{pool: p, conn: c}
+	resp := &Response{pool: p, conn: c, Reused: c.reused}
 	resp.stopWatchingCtx = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	sent, err := resp.writeRequest(r)
 	if err != nil {
