Soak: backend servers state limits, that they leave, and for how long they want nothing

Change: a fault 'notice' that makes a random server state one of the three, with a check of its arrivals.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -85,6 +85,8 @@
 	proxy             *tcpproxy.Proxy
 	removed           chan struct{}
 	draining          atomic.Bool
+	// noticed is set while the server states something about itself.
+	noticed atomic.Bool
 }
 
 // Ports that every node uses on its own loopback address.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,6 +34,7 @@
 	{"server connection", false, disturbServerConnection},
 	{"server faults", false, injectServerFaults},
 	{"release", false, replaceServer},
+	{"notice", false, stateNotice},
 	{"crashing part", false, crashOnPart},
 	{"configuration", false, func(d *Deployment, _ *rand.Rand) func() { d.writeConfig(); d.writeConfig(); return d.writeConfig }},
 	{"key withdrawn", false, withdrawKey},
