Retry-After of a limited service: prefill engines don't count

Cause: found on reading the change. If all decode engines are at their limits, free prefill engines made Retry-After a quarter of a second, and callers came back too early, for nothing. Change: the time follows from the servers that can answer. Measured: TestRequestIsRefusedAtOnceIfAllServersAreLimited failed without it and passes.

--- a/backends/ratelimits.go
+++ b/backends/ratelimits.go
@@ -93,7 +93,8 @@
 	}
 	best := b.cheapestEngine(now, criteria, withheld, RoleDecode)
 	if b.limits.Acquire(now, best.server.Incarnation) {
-		return nil // it was granted meanwhile
+		// A permit became free since the check; it is lost, and others follow.
+		return nil
 	}
 	return ErrRateLimited
 }
@@ -106,20 +107,21 @@
 }
 
 // nextAcceptance returns the time until some server of a service accepts another request of this
-// node, as far as holds and rate limits tell.
+// node, as far as holds and rate limits tell. Prefill engines don't count: a request is refused
+// only if no other server accepts it.
 func (b *Balancer) nextAcceptance(now time.Time, service string) time.Duration {
 	perSecond := 0.0
 	earliest := time.Duration(-1)
 	for _, s := range b.registry.View().Servers(service) {
+		if s.IsLeaving() || s.Role == RolePrefill {
+			continue
+		}
 		if held := s.heldFor(now); held > 0 {
 			if earliest < 0 || held < earliest {
 				earliest = held
 			}
 			continue
 		}
-		if s.IsLeaving() {
-			continue
-		}
 		limit, limited := b.limits.Limit(s.Incarnation)
 		if !limited {
 			return 0
--- a/backends/ratelimits_test.go
+++ b/backends/ratelimits_test.go
@@ -9,6 +9,9 @@
 	"github.com/matryer/is"
 )
 
+// fakePerSecond is the limit of each limited server.
+const fakePerSecond = 0.5
+
 // fakeLimits are rate limits with a stock of permits by server.
 type fakeLimits struct {
 	permits map[uint64]int
@@ -25,7 +28,7 @@
 
 func (f *fakeLimits) Limit(server uint64) (float64, bool) {
 	_, limited := f.permits[server]
-	return 2, limited
+	return fakePerSecond, limited
 }
 
 func (f *fakeLimits) Allows(_ time.Time, server uint64) bool {
@@ -91,6 +94,8 @@
 	_, err := b.Choose(time.Now(), engineCriteria(prompt("k", 2000, 3000)))
 	is.True(errors.Is(err, ErrRateLimited)) // the prefill engines are free, but in vain
 	is.Equal(len(limits.wanted), 1)         // a permit is requested for a later one
+	wait := b.RetryAfter("s")
+	is.True(wait >= time.Second && wait < 2*time.Second) // two engines accept one request a second
 
 	b, r = newBalancer(serviceServers(3), nil)
 	limits = limitServers(r, 0, "s0", "s1", "s2")
@@ -98,8 +103,8 @@
 	_, err = b.Choose(time.Now(), &Criteria{Service: "s"})
 	is.True(errors.Is(err, ErrRateLimited))
 	is.Equal(len(limits.wanted), 3)
-	wait := b.RetryAfter("s")
-	is.True(wait >= retryAfterFull && wait < 2*retryAfterFull) // three servers with 2 a second each
+	wait = b.RetryAfter("s")
+	is.True(wait > time.Second/2 && wait < 2*time.Second) // three servers accept 1.5 a second
 	delete(limits.permits, r.View().All()["s1"].Incarnation)
 	c, err := b.Choose(time.Now(), &Criteria{Service: "s"})
 	is.NoErr(err)
