--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -199,3 +199,34 @@
 	is.True(!l.Acquire(now.Add(time.Second), 1))
 	is.True(l.Acquire(now, 2)) // other servers are not affected
 }
+
+// TestNodeThatIsNoGranterGrantsNothing guards against permits from a node whom the other granters
+// don't tell what they grant, and against a requester that keeps asking it.
+func TestNodeThatIsNoGranterGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	other := New("x", 1, func(uint64) []string { return []string{"a", "b", "c"} })
+	requester := New("r", 2, func(uint64) []string { return []string{"x", "a"} })
+	requester.Stated(now, now, 1, 5)
+	askedNode := func() string {
+		is.True(!requester.Acquire(now, 1))
+		for _, m := range requester.Messages() {
+			if m.Request == nil {
+				continue
+			}
+			if m.To == "x" {
+				other.Receive(now, "r", m)
+			}
+			return m.To
+		}
+		return ""
+	}
+	is.Equal(askedNode(), "x")
+	now = now.Add(time.Second)
+	answers := other.Messages()
+	is.Equal(len(answers), 1)
+	is.True(answers[0].Grant.NotGranter)
+	is.Equal(answers[0].Grant.Permits, 0)
+	requester.Receive(now, "x", answers[0])
+	is.Equal(askedNode(), "a")
+}
