--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -52,15 +52,19 @@
 // Store implements store.Store in memory. It is safe for concurrent use. Use New to
 // create one.
 type Store struct {
-	mu          sync.Mutex
-	revision    store.Revision
-	entries     map[string]store.Entry
-	history     []store.Event
-	leases      map[store.LeaseID]*lease
-	lastLeaseID store.LeaseID
-	changed     chan struct{}
-	fault       FaultFunc
-	calls       map[Op]int
+	mu sync.Mutex
+	// era counts the calls of Restore.
+	era      uint64
+	revision store.Revision
+	entries  map[string]store.Entry
+	// history holds the changes after revision historyStart, as far as they are kept.
+	history      []store.Event
+	historyStart store.Revision
+	leases       map[store.LeaseID]*lease
+	lastLeaseID  store.LeaseID
+	changed      chan struct{}
+	fault        FaultFunc
+	calls        map[Op]int
 }
 
 type lease struct {
@@ -258,12 +262,12 @@
 
 // eventsSince returns the changes of keys with the prefix after a revision, the
 // current revision, and a channel that is closed at the next change. It returns
-// store.ErrCompacted if the history no longer reaches back to that revision.
+// store.ErrCompacted if the store doesn't have the changes after that revision.
 func (s *Store) eventsSince(prefix string, after store.Revision) ([]store.Event, store.Revision, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeasesLocked()
-	if len(s.history) > 0 && s.history[0].Entry.Revision > after+1 {
+	if after < s.historyStart || after > s.revision {
 		return nil, 0, nil, store.ErrCompacted
 	}
 	var events []store.Event
@@ -371,7 +375,9 @@
 func (s *Store) recordLocked(event store.Event) {
 	s.history = append(s.history, event)
 	if len(s.history) > maxHistory {
-		s.history = append([]store.Event(nil), s.history[len(s.history)-maxHistory/2:]...)
+		discarded := len(s.history) - maxHistory/2
+		s.historyStart = s.history[discarded-1].Entry.Revision
+		s.history = append([]store.Event(nil), s.history[discarded:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
