Revisions and leases carry the era of the store

What was seen: after a restore a holder went on under its old lease and fencing token since a renewal was answered with 200, the next holder got a lower token, and a change under a revision that was given out again was never read. Cause: the store's revisions and lease numbers were taken to be unique for ever. Change: store.Revision and store.LeaseID hold the era above the number. All comparisons, conditions, positions, mirrors, hints and fencing tokens order over eras without a change of their own. store.EraTracker holds the newest era that a response (errors too) has shown; a condition of an earlier era conflicts, a lease of one is gone, a watch of one ends at once, a late response of one is no news, a write under an older condition that succeeds is ambiguous. A store that states no era keeps its numbers.

--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -5,380 +5,148 @@
 
 import (
 	"context"
-	"sort"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/figweir/figweir/store"
 )
 
-// maxHistory limits the number of past changes that are kept for watches.
-const maxHistory = 4096
-
-// Op identifies an operation of the store.
-type Op string
-
-// Operations, as passed to a FaultFunc and counted by Calls.
-const (
-	OpGet    Op = "get"
-	OpList   Op = "list"
-	OpPut    Op = "put"
-	OpDelete Op = "delete"
-	OpWatch  Op = "watch"
-	OpGrant  Op = "grant"
-	OpRenew  Op = "renew"
-	OpRevoke Op = "revoke"
-)
-
-// Fault selects the faults of one call. The zero value means none.
-type Fault struct {
-	// Before, if not nil, is called before the operation. A test can block the
-	// caller in it.
-	Before func()
-	// After, if not nil, is called after the operation and before it returns.
-	After func()
-	// Refuse makes the call return store.ErrUnavailable without an effect.
-	Refuse bool
-	// LoseAnswer makes the call take effect and return an error nevertheless:
-	// store.ErrAmbiguous for writes and store.ErrUnavailable for reads.
-	LoseAnswer bool
-}
-
-// FaultFunc returns the faults of a call of op. key is the key or prefix, and empty
-// for operations on leases.
-type FaultFunc func(op Op, key string) Fault
-
-// Store implements store.Store in memory. It is safe for concurrent use. Use New to
-// create one.
+// Store is a client of a Server and implements store.Store. Use New to create both.
 type Store struct {
-	mu sync.Mutex
-	// era counts the calls of Restore.
-	era      uint64
-	revision store.Revision
-	entries  map[string]store.Entry
-	// history holds the changes after revision historyStart, as far as they are kept.
-	history      []store.Event
-	historyStart store.Revision
-	leases       map[store.LeaseID]*lease
-	lastLeaseID  store.LeaseID
-	changed      chan struct{}
-	fault        FaultFunc
-	calls        map[Op]int
-}
-
-type lease struct {
-	ttl       time.Duration
-	expiresAt time.Time
+	*Server
+	// Eras holds the newest era that a response has shown to this client.
+	Eras *store.EraTracker
 }
 
 var _ store.Store = (*Store)(nil)
 
-// New returns an empty store.
-func New() *Store {
-	return &Store{
-		entries: make(map[string]store.Entry),
-		leases:  make(map[store.LeaseID]*lease),
-		changed: make(chan struct{}),
-		calls:   make(map[Op]int),
-	}
-}
+// New returns a client of a new, empty store.
+func New() *Store { return (&Store{Server: newServer()}).NewClient() }
 
-// SetFault installs a function that is called for the faults of each call. nil
-// removes it.
-func (s *Store) SetFault(f FaultFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
+// NewClient returns another client of the same store. It has seen no response yet.
+func (s *Store) NewClient() *Store { return &Store{Server: s.Server, Eras: store.NewEraTracker()} }
 
-// Calls returns the number of calls of each operation, including those with faults.
-func (s *Store) Calls() map[Op]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[Op]int, len(s.calls))
-	for op, n := range s.calls {
-		out[op] = n
+// observe records the era of a response. It returns the error of the call, or that of check.
+func (s *Store) observe(era store.Era, err error, check func() error) error {
+	s.Eras.Observe(era)
+	if err != nil {
+		return err
 	}
-	return out
+	return check()
 }
 
-// beginCall counts a call and returns its faults after running Before.
-func (s *Store) beginCall(op Op, key string) Fault {
-	s.mu.Lock()
-	s.calls[op]++
-	f := s.fault
-	s.mu.Unlock()
-	if f == nil {
-		return Fault{}
-	}
-	fault := f(op, key)
-	if fault.Before != nil {
-		fault.Before()
-	}
-	return fault
+// inEra returns an entry as read in an era.
+func inEra(era store.Era, e store.Entry) store.Entry {
+	e.Revision, e.Lease = revisionIn(era, e.Revision), leaseIn(era, e.Lease)
+	return e
 }
 
-// endCall runs After and returns the error of a lost answer, if that is one of the
-// faults.
-func endCall(fault Fault, write bool) error {
-	if fault.After != nil {
-		fault.After()
-	}
-	if fault.LoseAnswer {
-		if write {
-			return store.ErrAmbiguous
-		}
-		return store.ErrUnavailable
-	}
-	return nil
+// revisionIn and leaseIn add the era to a number. The numbers of a test are never too large.
+func revisionIn(era store.Era, number store.Revision) store.Revision {
+	r, _ := store.NewRevision(era, uint64(number))
+	return r
+}
+
+func leaseIn(era store.Era, number store.LeaseID) store.LeaseID {
+	l, _ := store.NewLeaseID(era, uint64(number))
+	return l
 }
 
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
-	fault := s.beginCall(OpGet, key)
-	if fault.Refuse || ctx.Err() != nil {
-		return store.Entry{}, store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.expireLeasesLocked()
-	entry, ok := s.entries[key]
-	s.mu.Unlock()
-	if err := endCall(fault, false); err != nil {
+	entry, era, err := s.Server.Get(ctx, key)
+	if err := s.observe(era, err, func() error { return s.Eras.CheckRead(era) }); err != nil {
 		return store.Entry{}, err
 	}
-	if !ok {
-		return store.Entry{}, store.ErrNotFound
-	}
-	return entry, nil
+	return inEra(era, entry), nil
 }
 
 // List implements store.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	fault := s.beginCall(OpList, prefix)
-	if fault.Refuse || ctx.Err() != nil {
-		return nil, 0, store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.expireLeasesLocked()
-	var out []store.Entry
-	for key, entry := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			out = append(out, entry)
-		}
-	}
-	revision := s.revision
-	s.mu.Unlock()
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	if err := endCall(fault, false); err != nil {
+	entries, at, era, err := s.Server.List(ctx, prefix)
+	if err := s.observe(era, err, func() error { return s.Eras.CheckRead(era) }); err != nil {
 		return nil, 0, err
 	}
-	return out, revision, nil
+	for i := range entries {
+		entries[i] = inEra(era, entries[i])
+	}
+	return entries, revisionIn(era, at), nil
 }
 
 // Put implements store.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Revision, id store.LeaseID) (store.Revision, error) {
-	fault := s.beginCall(OpPut, key)
-	if fault.Refuse || ctx.Err() != nil {
-		return 0, store.ErrUnavailable
-	}
-	if len(value) > store.MaxValueBytes {
-		return 0, store.ErrTooLarge
-	}
-	revision, err := s.put(key, value, expected, id)
-	if faultErr := endCall(fault, true); faultErr != nil {
-		return 0, faultErr
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if err := s.Eras.CheckExpected(expected); err != nil {
+		return 0, err
 	}
-	return revision, err
-}
-
-func (s *Store) put(key string, value []byte, expected store.Revision, id store.LeaseID) (store.Revision, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLeasesLocked()
-	if id != 0 && s.leases[id] == nil {
-		return 0, store.ErrNotFound
+	if err := s.Eras.CheckLease(lease); err != nil {
+		return 0, err
 	}
-	if s.entries[key].Revision != expected {
-		return 0, store.ErrConflict
+	revision, era, err := s.Server.Put(ctx, key, value, store.Revision(expected.Number()), store.LeaseID(lease.Number()))
+	if err := s.observe(era, err, func() error { return s.Eras.CheckWritten(era, expected, lease) }); err != nil {
+		return 0, err
 	}
-	s.revision++
-	entry := store.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision, Lease: id}
-	s.entries[key] = entry
-	s.recordLocked(store.Event{Entry: entry})
-	return s.revision, nil
+	return revisionIn(era, revision), nil
 }
 
 // Delete implements store.Store.
 func (s *Store) Delete(ctx context.Context, key string, expected store.Revision) error {
-	fault := s.beginCall(OpDelete, key)
-	if fault.Refuse || ctx.Err() != nil {
-		return store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.expireLeasesLocked()
-	entry, ok := s.entries[key]
-	var err error
-	switch {
-	case !ok:
-		err = store.ErrNotFound
-	case entry.Revision != expected:
-		err = store.ErrConflict
-	default:
-		s.deleteLocked(key)
-	}
-	s.mu.Unlock()
-	if faultErr := endCall(fault, true); faultErr != nil {
-		return faultErr
+	if err := s.Eras.CheckExpected(expected); err != nil {
+		return err
 	}
-	return err
+	era, err := s.Server.Delete(ctx, key, store.Revision(expected.Number()))
+	return s.observe(era, err, func() error { return s.Eras.CheckWritten(era, expected, 0) })
 }
 
-// Watch implements store.Store.
+// Watch implements store.Store. It ends with store.ErrCompacted when a later era is seen.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-	fault := s.beginCall(OpWatch, prefix)
-	if fault.Refuse {
-		return nil, 0, store.ErrUnavailable
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		events, revision, changed, err := s.eventsSince(prefix, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if len(events) > 0 {
-			return events, revision, endCall(fault, false)
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, revision, endCall(fault, false)
-		case <-ctx.Done():
-			return nil, 0, store.ErrUnavailable
-		}
-	}
-}
-
-// eventsSince returns the changes of keys with the prefix after a revision, the
-// current revision, and a channel that is closed at the next change. It returns
-// store.ErrCompacted if the store doesn't have the changes after that revision.
-func (s *Store) eventsSince(prefix string, after store.Revision) ([]store.Event, store.Revision, <-chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLeasesLocked()
-	if after < s.historyStart || after > s.revision {
-		return nil, 0, nil, store.ErrCompacted
+	s.Eras.Observe(after.Era())
+	within, era, cancel := s.Eras.WithinEra(ctx)
+	defer cancel()
+	if after.Era() < era {
+		return nil, 0, store.ErrCompacted
+	}
+	events, at, answered, err := s.Server.Watch(within, prefix, store.Revision(after.Number()), wait)
+	s.Eras.Observe(answered)
+	if s.Eras.Current() != era {
+		return nil, 0, store.ErrCompacted
+	}
+	if err != nil {
+		return nil, 0, err
 	}
-	var events []store.Event
-	for _, event := range s.history {
-		if event.Entry.Revision > after && strings.HasPrefix(event.Entry.Key, prefix) {
-			events = append(events, event)
-		}
+	for i := range events {
+		events[i].Entry = inEra(answered, events[i].Entry)
 	}
-	return events, s.revision, s.changed, nil
+	return events, revisionIn(answered, at), nil
 }
 
 // Grant implements store.Store.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	fault := s.beginCall(OpGrant, "")
-	if fault.Refuse || ctx.Err() != nil {
-		return 0, store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.lastLeaseID++
-	id := s.lastLeaseID
-	s.leases[id] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
-	s.mu.Unlock()
-	time.AfterFunc(ttl, s.expireLeases)
-	if err := endCall(fault, true); err != nil {
+	lease, era, err := s.Server.Grant(ctx, ttl)
+	if err := s.observe(era, err, func() error { return s.Eras.CheckWritten(era, 0, 0) }); err != nil {
 		return 0, err
 	}
-	return id, nil
+	return leaseIn(era, lease), nil
 }
 
 // Renew implements store.Store.
-func (s *Store) Renew(ctx context.Context, id store.LeaseID) error {
-	fault := s.beginCall(OpRenew, "")
-	if fault.Refuse || ctx.Err() != nil {
-		return store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.expireLeasesLocked()
-	l := s.leases[id]
-	if l != nil {
-		l.expiresAt = time.Now().Add(l.ttl)
-		time.AfterFunc(l.ttl, s.expireLeases)
-	}
-	s.mu.Unlock()
-	if err := endCall(fault, true); err != nil {
-		return err
-	}
-	if l == nil {
-		return store.ErrNotFound
-	}
-	return nil
-}
-
-// Revoke implements store.Store.
-func (s *Store) Revoke(ctx context.Context, id store.LeaseID) error {
-	fault := s.beginCall(OpRevoke, "")
-	if fault.Refuse || ctx.Err() != nil {
-		return store.ErrUnavailable
-	}
-	s.mu.Lock()
-	s.endLeaseLocked(id)
-	s.mu.Unlock()
-	return endCall(fault, true)
-}
-
-func (s *Store) expireLeases() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expireLeasesLocked()
-}
-
-func (s *Store) expireLeasesLocked() {
-	now := time.Now()
-	for id, l := range s.leases {
-		if !now.Before(l.expiresAt) {
-			s.endLeaseLocked(id)
+func (s *Store) Renew(ctx context.Context, lease store.LeaseID) error {
+	number := lease.Number()
+	if s.Eras.CheckLease(lease) != nil {
+		number = 0
+	}
+	era, err := s.Server.Renew(ctx, store.LeaseID(number))
+	return s.observe(era, err, func() error {
+		if err := s.Eras.CheckLease(lease); err != nil {
+			return err
 		}
-	}
+		return s.Eras.CheckWritten(era, 0, 0)
+	})
 }
 
-// endLeaseLocked removes a lease and deletes its keys.
-func (s *Store) endLeaseLocked(id store.LeaseID) {
-	if s.leases[id] == nil {
-		return
-	}
-	delete(s.leases, id)
-	var keys []string
-	for key, entry := range s.entries {
-		if entry.Lease == id {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	for _, key := range keys {
-		s.deleteLocked(key)
-	}
-}
-
-func (s *Store) deleteLocked(key string) {
-	delete(s.entries, key)
-	s.revision++
-	s.recordLocked(store.Event{Entry: store.Entry{Key: key, Revision: s.revision}, Deleted: true})
-}
-
-// recordLocked appends a change to the history and wakes the watches.
-func (s *Store) recordLocked(event store.Event) {
-	s.history = append(s.history, event)
-	if len(s.history) > maxHistory {
-		discarded := len(s.history) - maxHistory/2
-		s.historyStart = s.history[discarded-1].Entry.Revision
-		s.history = append([]store.Event(nil), s.history[discarded:]...)
+// Revoke implements store.Store.
+func (s *Store) Revoke(ctx context.Context, lease store.LeaseID) error {
+	if err := s.Eras.CheckLease(lease); err != nil {
+		return err
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	era, err := s.Server.Revoke(ctx, store.LeaseID(lease.Number()))
+	return s.observe(era, err, func() error { return s.Eras.CheckWritten(era, 0, lease) })
 }
--- a/standin/memstore/restore.go
+++ b/standin/memstore/restore.go
@@ -16,7 +16,7 @@
 }
 
 // Copy returns a copy of the present contents.
-func (s *Store) Copy() *Copy {
+func (s *Server) Copy() *Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeasesLocked()
@@ -33,9 +33,9 @@
 // Restore replaces the contents by a copy; nil restores an empty store. It begins a new era:
 // what was written since the copy is gone, and its revisions and lease numbers are given out
 // again. Leases of the copy run for their whole time to live from now on. Waiting watches end.
-func (s *Store) Restore(c *Copy) {
+func (s *Server) Restore(c *Copy) {
 	if c == nil {
-		c = New().Copy()
+		c = newServer().Copy()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -53,7 +53,7 @@
 }
 
 // Era returns the number of the store's history; 0 until the first call of Restore.
-func (s *Store) Era() uint64 {
+func (s *Server) Era() store.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.era
--- a/store/store.go
+++ b/store/store.go
@@ -8,11 +8,13 @@
 	"time"
 )
 
-// Revision is the number of a change. All keys share one increasing sequence. For a key,
-// revision 0 means that the key does not exist.
+// Revision identifies a change: the era of the store in its upper bits, and the number of the
+// change in that era in the lower ones. All keys share one increasing sequence, which no restore
+// of the store sets back. For a key, revision 0 means that the key does not exist.
 type Revision uint64
 
-// LeaseID identifies a lease. 0 means "no lease".
+// LeaseID identifies a lease by the era in which it was granted and its number, as Revision does
+// for a change. 0 means "no lease".
 type LeaseID uint64
 
 // MaxValueBytes is the maximum size of a value.
@@ -31,7 +33,7 @@
 	// taken effect.
 	ErrAmbiguous = errors.New("store: outcome unknown")
 	// ErrCompacted means that the store no longer has all changes that a watch
-	// requested; the caller must list again.
+	// requested, or that they belong to an earlier era; the caller must list again.
 	ErrCompacted = errors.New("store: history compacted")
 	// ErrTooLarge means that the value exceeds MaxValueBytes; the write had no
 	// effect.
@@ -54,7 +56,8 @@
 }
 
 // Store is a client of the platform's key-value store. Reads return the current value.
-// All methods are safe for concurrent use.
+// All methods are safe for concurrent use. A revision or lease of an earlier era fits nothing: it
+// conflicts, doesn't exist, or is compacted.
 type Store interface {
 	// Get returns one entry, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
