Lease IDs are a pair of era and number

LeaseID is now a struct of the era and the store's number as it is; revisions keep 40 bits for the number, which is ten years of 3,200 writes a second within one era.

--- a/authority/bench_test.go
+++ b/authority/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // BenchmarkDo measures an order whose send is a no-op, using the in-memory
@@ -27,7 +28,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := s.Put(ctx, journalPrefix+testDuty, raw, 0, 0); err != nil {
+		if _, err := s.Put(ctx, journalPrefix+testDuty, raw, 0, store.NoLease); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -126,7 +126,7 @@
 	sentAt := l.clock.Now()
 	id, err := l.store.Grant(ctx, l.options.LeaseTime)
 	if err != nil {
-		return 0, err
+		return store.NoLease, err
 	}
 	l.mu.Lock()
 	l.id = id
@@ -151,7 +151,7 @@
 	if l.id != id {
 		return
 	}
-	l.id, l.validUntil = 0, time.Time{}
+	l.id, l.validUntil = store.NoLease, time.Time{}
 	for _, d := range l.duties {
 		d.held = false
 	}
@@ -162,7 +162,7 @@
 	l.mu.Lock()
 	id := l.id
 	l.mu.Unlock()
-	if id == 0 {
+	if id == store.NoLease {
 		return
 	}
 	l.loseDuties(id)
--- a/authority/restored_test.go
+++ b/authority/restored_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // restoredStore is a store whose duty is wanted by the processes that a test starts.
@@ -49,7 +50,7 @@
 	runRestored(t, func(is *is.I, s *restoredStore) {
 		var last uint64
 		for _, address := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
-			_, err := s.Put(s.ctx, "other/"+address, nil, 0, 0)
+			_, err := s.Put(s.ctx, "other/"+address, nil, 0, store.NoLease)
 			is.NoErr(err)
 			duty, kill := s.start(address)
 			time.Sleep(time.Minute)
--- a/authority/writer.go
+++ b/authority/writer.go
@@ -201,7 +201,7 @@
 	putCtx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
 	w.stats.journalWrites.Add(1)
-	revision, err := w.store.Put(putCtx, w.key, raw, w.revision, 0)
+	revision, err := w.store.Put(putCtx, w.key, raw, w.revision, store.NoLease)
 	switch {
 	case err == nil:
 		w.setCached(next, revision)
--- a/config/repository.go
+++ b/config/repository.go
@@ -254,7 +254,7 @@
 // putPart writes an immutable part. A conflict means that the part is already
 // stored with the same content, because its key contains the digest.
 func (r *Repository) putPart(ctx context.Context, name, digest string, value []byte) error {
-	_, err := r.store.Put(ctx, partKey(name, digest), value, 0, 0)
+	_, err := r.store.Put(ctx, partKey(name, digest), value, 0, store.NoLease)
 	if err == nil || errors.Is(err, store.ErrConflict) {
 		return nil
 	}
@@ -274,7 +274,7 @@
 	if err != nil {
 		return Version{}, err
 	}
-	revision, err := r.store.Put(ctx, HeadKey, raw, baseRevision, 0)
+	revision, err := r.store.Put(ctx, HeadKey, raw, baseRevision, store.NoLease)
 	if err == nil {
 		return Version{Revision: revision, Head: head}, nil
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -80,11 +80,11 @@
 func TestDrainingAndRemovedServersAreNotSelected(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"1", "ready", 0)
-		revision := put(t, st, testPrefix+"2", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
+		revision := put(t, st, testPrefix+"2", "ready", store.NoLease)
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1,2")
-		put(t, st, testPrefix+"1", "draining", 0)
+		put(t, st, testPrefix+"1", "draining", store.NoLease)
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "2")
 		is.NoErr(st.Delete(context.Background(), testPrefix+"2", revision))
@@ -98,8 +98,8 @@
 func TestInvalidRegistrationDoesNotHideOthers(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"0", "junk", 0)
-		put(t, st, testPrefix+"1", "ready", 0)
+		put(t, st, testPrefix+"0", "junk", store.NoLease)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1")
 	})
@@ -111,8 +111,8 @@
 func TestRegistrationsAfterStoreOutage(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		first := put(t, st, testPrefix+"1", "ready", 0)
-		second := put(t, st, testPrefix+"2", "ready", 0)
+		first := put(t, st, testPrefix+"1", "ready", store.NoLease)
+		second := put(t, st, testPrefix+"2", "ready", store.NoLease)
 		time.Sleep(time.Second)
 		is.NoErr(st.Delete(context.Background(), testPrefix+"1", first))
 		is.NoErr(st.Delete(context.Background(), testPrefix+"2", second))
@@ -121,7 +121,7 @@
 		time.Sleep(40 * time.Second)
 		st.SetFault(nil)
 		time.Sleep(time.Second)
-		put(t, st, testPrefix+"1", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
 		time.Sleep(500 * time.Millisecond)
 		time.Sleep(3 * time.Second)
 		is.Equal(serverIDs(r), "1")
@@ -156,13 +156,13 @@
 		st := &compactedStore{Store: memstore.New()}
 		r := backends.NewRegistry()
 		s := NewServers(r, testPrefix, decodeTest, constantDelay(100*time.Millisecond), applyBound, logr.Discard())
-		put(t, st.Store, testPrefix+"1", "ready", 0)
+		put(t, st.Store, testPrefix+"1", "ready", store.NoLease)
 		ctx, cancel := context.WithCancel(context.Background())
 		go s.Run(ctx, st, func() {})
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1")
 		st.compact.Store(true)
-		put(t, st.Store, testPrefix+"1", "draining", 0)
+		put(t, st.Store, testPrefix+"1", "draining", store.NoLease)
 		time.Sleep(30 * time.Second)
 		is.Equal(serverIDs(r), "")
 		cancel()
--- a/discovery/heartbeatstore_test.go
+++ b/discovery/heartbeatstore_test.go
@@ -129,13 +129,13 @@
 		// Shifts the periodic heartbeats so that none falls into the short outages.
 		time.Sleep(370 * time.Millisecond)
 		for version := 1; version <= 3; version++ {
-			put(t, st.Store, "config", strconv.Itoa(version), 0)
+			put(t, st.Store, "config", strconv.Itoa(version), store.NoLease)
 			time.Sleep(300 * time.Millisecond)
 		}
-		put(t, st.Store, "config", "4", 0)
+		put(t, st.Store, "config", "4", store.NoLease)
 		time.Sleep(after)
 		st.stopResponding(length)
-		put(t, st.Store, "config", "5", 0)
+		put(t, st.Store, "config", "5", store.NoLease)
 		time.Sleep(applyBound)
 		if version := config.Version(); version != 5 {
 			t.Errorf("version %d is in force %v after version 5 was acknowledged", version, applyBound)
@@ -152,7 +152,7 @@
 		const bound = 4 * time.Second
 		st := &unresponsiveStore{Store: memstore.New(), callTimeout: 1500 * time.Millisecond}
 		st.unresponsive.Store(true)
-		h := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, bound, func() time.Duration { return bound / 8 })
+		h := NewHeartbeatStore(st, func() store.LeaseID { return store.NoLease }, bound, func() time.Duration { return bound / 8 })
 		start := time.Now()
 		h.now = func() time.Duration { return time.Since(start) }
 		ctx, cancel := context.WithTimeout(t.Context(), 25*time.Second)
@@ -170,11 +170,11 @@
 func TestSlowStoreIsNotRelisted(t *testing.T) {
 	runConfigFollower(t, func(t *testing.T, st *unresponsiveStore, config *Config) {
 		is := is.New(t)
-		put(t, st.Store, "config", "1", 0)
+		put(t, st.Store, "config", "1", store.NoLease)
 		time.Sleep(time.Second)
 		st.latency.Store(int64(1200 * time.Millisecond))
 		for version := 2; version <= 8; version++ {
-			put(t, st.Store, "config", strconv.Itoa(version), 0)
+			put(t, st.Store, "config", strconv.Itoa(version), store.NoLease)
 			time.Sleep(8 * time.Second)
 			is.Equal(config.Version(), int64(version))
 		}
@@ -182,7 +182,7 @@
 		st.latency.Store(0)
 		time.Sleep(5 * time.Second)
 		st.stopResponding(6 * time.Second)
-		put(t, st.Store, "config", "9", 0)
+		put(t, st.Store, "config", "9", store.NoLease)
 		time.Sleep(applyBound)
 		is.Equal(config.Version(), int64(9)) // the outage is detected as early as before the slow phase
 	})
@@ -195,7 +195,7 @@
 		var table atomic.Pointer[core.Table]
 		config := NewConfig(&table, "config", decodeVersion, applyBound, logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
-		heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound, func() time.Duration { return applyBound / 2 })
+		heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return store.NoLease }, applyBound, func() time.Duration { return applyBound / 2 })
 		// The boot clock is not virtual.
 		start := time.Now()
 		heartbeatStore.now = func() time.Duration { return time.Since(start) }
@@ -246,13 +246,13 @@
 					defer cancel()
 					wg.Go(func() { heartbeatStore.Run(ctx) })
 					wg.Go(func() { s.Run(ctx, heartbeatStore, func() {}) })
-					put(t, st.Store, testPrefix+"1", "ready", 0)
-					put(t, st.Store, testPrefix+"2", "ready", 0)
+					put(t, st.Store, testPrefix+"1", "ready", store.NoLease)
+					put(t, st.Store, testPrefix+"2", "ready", store.NoLease)
 					time.Sleep(1370 * time.Millisecond)
-					put(t, st.Store, testPrefix+"3", "ready", 0)
+					put(t, st.Store, testPrefix+"3", "ready", store.NoLease)
 					time.Sleep(after)
 					st.stopResponding(length)
-					put(t, st.Store, testPrefix+"1", "draining", 0)
+					put(t, st.Store, testPrefix+"1", "draining", store.NoLease)
 					time.Sleep(applyBound)
 					if got := serverIDs(r); got != "2,3" {
 						t.Errorf("servers %s are selected %v after the first started to drain", got, applyBound)
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -66,12 +66,17 @@
 	// ordered holds the nodes sorted by failure domain and name.
 	ordered  []Node
 	position atomic.Pointer[position]
-	// lease is the lease of this node's entry; 0 while there is none.
-	lease atomic.Uint64
+	// lease is the lease of this node's entry; nil while there is none.
+	lease atomic.Pointer[store.LeaseID]
 }
 
-// Lease returns the lease of this node's entry; 0 while there is none.
-func (n *Nodes) Lease() store.LeaseID { return store.LeaseID(n.lease.Load()) }
+// Lease returns the lease of this node's entry; store.NoLease while there is none.
+func (n *Nodes) Lease() store.LeaseID {
+	if lease := n.lease.Load(); lease != nil {
+		return *lease
+	}
+	return store.NoLease
+}
 
 // NewNodes returns a list that holds only this node until Follow reads the store.
 func NewNodes(self Node, log logr.Logger) *Nodes {
@@ -249,10 +254,10 @@
 	var lease store.LeaseID
 	for ctx.Err() == nil {
 		lease = n.renewOrRegister(ctx, st, raw, lease)
-		n.lease.Store(uint64(lease))
+		n.lease.Store(&lease)
 		sleep(ctx, nodeRenewInterval)
 	}
-	if lease == 0 {
+	if lease == store.NoLease {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), nodeRenewInterval/2)
@@ -263,9 +268,10 @@
 }
 
 // renewOrRegister renews the lease of the entry, or writes the entry again if the lease
-// has lapsed. It returns the lease; 0 after a failure.
+// has lapsed. It returns the lease; store.NoLease after a
+// failure.
 func (n *Nodes) renewOrRegister(ctx context.Context, st store.Store, raw []byte, lease store.LeaseID) store.LeaseID {
-	if lease != 0 {
+	if lease != store.NoLease {
 		err := st.Renew(ctx, lease)
 		if !errors.Is(err, store.ErrNotFound) {
 			return lease
@@ -274,7 +280,7 @@
 	}
 	lease, err := st.Grant(ctx, nodeLease)
 	if err != nil {
-		return 0
+		return store.NoLease
 	}
 	key := nodesPrefix + n.self.Name
 	_, err = st.Put(ctx, key, raw, 0, lease)
@@ -288,7 +294,7 @@
 	}
 	if err != nil {
 		n.log.Info("cannot write node entry", "cause", err.Error())
-		return 0
+		return store.NoLease
 	}
 	return lease
 }
--- a/discovery/restored_test.go
+++ b/discovery/restored_test.go
@@ -17,17 +17,17 @@
 func TestDrainingServerStaysDrainingAfterRestore(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"1", "ready", 0)
-		put(t, st, testPrefix+"2", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
+		put(t, st, testPrefix+"2", "ready", store.NoLease)
 		earlier := st.Copy()
-		put(t, st, testPrefix+"2", "draining", 0)
+		put(t, st, testPrefix+"2", "draining", store.NoLease)
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1")
 		st.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
 		st.Restore(earlier)
 		time.Sleep(2 * time.Second)
 		st.SetFault(nil)
-		put(t, st, testPrefix+"1", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
 		for range 30 {
 			time.Sleep(100 * time.Millisecond)
 			is.Equal(serverIDs(r), "1")
@@ -41,13 +41,13 @@
 func TestChangeUnderReusedRevisionIsRead(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"1", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
 		earlier := st.Copy()
-		put(t, st, testPrefix+"2", "ready", 0)
+		put(t, st, testPrefix+"2", "ready", store.NoLease)
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1,2")
 		st.Restore(earlier)
-		put(t, st, testPrefix+"2", "draining", 0) // the revision that the old registration had
+		put(t, st, testPrefix+"2", "draining", store.NoLease) // the revision that the old registration had
 		time.Sleep(5 * time.Second)
 		is.Equal(serverIDs(r), "1")
 	})
@@ -59,8 +59,8 @@
 func TestServerGoneBeforeRestoreIsNotSelected(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"1", "ready", 0)
-		left := put(t, st, testPrefix+"2", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
+		left := put(t, st, testPrefix+"2", "ready", store.NoLease)
 		earlier := st.Copy()
 		is.NoErr(st.Delete(context.Background(), testPrefix+"2", left))
 		time.Sleep(time.Second)
@@ -70,7 +70,7 @@
 			time.Sleep(100 * time.Millisecond)
 			is.Equal(serverIDs(r), "1")
 		}
-		put(t, st, testPrefix+"2", "ready", 0) // it runs after all, or again
+		put(t, st, testPrefix+"2", "ready", store.NoLease) // it runs after all, or again
 		time.Sleep(time.Second)
 		is.Equal(serverIDs(r), "1,2")
 	})
@@ -82,9 +82,9 @@
 func TestServerNewerThanCopyIsRetained(t *testing.T) {
 	runServers(t, func(t *testing.T, st *memstore.Store, _ *Servers, r *backends.Registry) {
 		is := is.New(t)
-		put(t, st, testPrefix+"1", "ready", 0)
+		put(t, st, testPrefix+"1", "ready", store.NoLease)
 		earlier := st.Copy()
-		put(t, st, testPrefix+"2", "ready", 0)
+		put(t, st, testPrefix+"2", "ready", store.NoLease)
 		time.Sleep(time.Second)
 		st.Restore(earlier)
 		time.Sleep(registrationGracePeriod - 500*time.Millisecond)
--- a/discovery/sharedreads_test.go
+++ b/discovery/sharedreads_test.go
@@ -112,7 +112,7 @@
 				return readers
 			})
 		}
-		put(t, st, testPrefix+"0", "ready", 0)
+		put(t, st, testPrefix+"0", "ready", store.NoLease)
 		time.Sleep(30 * time.Second)
 		run(t, st, network)
 		cancel()
@@ -129,7 +129,7 @@
 		before := st.Calls()
 		const changes = 20
 		for i := range changes {
-			put(t, st, testPrefix+"1", map[bool]string{true: "ready", false: "draining"}[i%2 == 1], 0)
+			put(t, st, testPrefix+"1", map[bool]string{true: "ready", false: "draining"}[i%2 == 1], store.NoLease)
 			time.Sleep(time.Second)
 		}
 		after := st.Calls()
@@ -165,7 +165,7 @@
 					time.Sleep(offset)
 					fail(network)
 					time.Sleep(50 * time.Millisecond)
-					put(t, st, testPrefix+"0", "draining", 0)
+					put(t, st, testPrefix+"0", "draining", store.NoLease)
 					time.Sleep(readBound)
 					is.Equal(serverIDs(network.nodes["n0"].registry), "")
 					is.Equal(serverIDs(network.nodes["n1"].registry), "")
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -174,7 +174,7 @@
 	a.minEngines[service] = n
 	raw, err := json.Marshal(a.minEngines)
 	if err == nil {
-		a.minEnginesRevision, err = a.store.Put(ctx, minEnginesKey, raw, a.minEnginesRevision, 0)
+		a.minEnginesRevision, err = a.store.Put(ctx, minEnginesKey, raw, a.minEnginesRevision, store.NoLease)
 	}
 	if err != nil {
 		a.log.Info("cannot store minimum engine counts", "cause", err.Error())
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/figweir/figweir/platform/backendsim"
 	"github.com/figweir/figweir/platform/kvserver"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // deployment is a set of nodes in front of engines, in one process over loopback.
@@ -51,7 +52,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	put := func(key string, raw []byte, err error) {
 		is.NoErr(err)
-		_, err = st.Put(context.Background(), key, raw, 0, 0)
+		_, err = st.Put(context.Background(), key, raw, 0, store.NoLease)
 		is.NoErr(err)
 	}
 	raw, err := backendsim.Config(1, map[string]string{"a": "key-a"})
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -253,7 +253,7 @@
 	n.duty.held = true
 	window := n.Windows.At(start)
 	for i, raw := range []string{`{"w":-4}`, `[]`, `{"":3}`} {
-		_, err := st.Put(context.Background(), fmt.Sprintf("%sx%d", countsKey(window), i), []byte(raw), 0, 0)
+		_, err := st.Put(context.Background(), fmt.Sprintf("%sx%d", countsKey(window), i), []byte(raw), 0, store.NoLease)
 		is.NoErr(err)
 	}
 	n.Counter.RequestStarted("w", start)
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -201,7 +201,7 @@
 		return err
 	}
 	if errors.Is(err, store.ErrNotFound) {
-		r.lease = 0
+		r.lease = store.NoLease
 	}
 	if err != nil {
 		return err
@@ -213,12 +213,12 @@
 // dataLease returns a lease that removes the written keys after dataTTL. It is never
 // renewed: the keys must outlive the node that wrote them, but not forever.
 func (r *Reporter) dataLease(ctx context.Context) (store.LeaseID, error) {
-	if r.lease != 0 && time.Since(r.leaseGranted) < dataTTL/2 {
+	if r.lease != store.NoLease && time.Since(r.leaseGranted) < dataTTL/2 {
 		return r.lease, nil
 	}
 	lease, err := r.Store.Grant(ctx, dataTTL)
 	if err != nil {
-		return 0, err
+		return store.NoLease, err
 	}
 	r.lease, r.leaseGranted = lease, time.Now()
 	return lease, nil
--- a/once/commit.go
+++ b/once/commit.go
@@ -210,7 +210,7 @@
 	w.lastAccess = time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, w.config.StoreTimeout)
 	defer cancel()
-	revision, err := w.store.Put(callCtx, headKey(w.rangeID), value, w.revision, 0)
+	revision, err := w.store.Put(callCtx, headKey(w.rangeID), value, w.revision, store.NoLease)
 	if err != nil {
 		return err
 	}
@@ -261,7 +261,7 @@
 	w.hasWritePermit = false
 	callCtx, cancel := context.WithTimeout(ctx, w.config.StoreTimeout)
 	defer cancel()
-	_, err = w.store.Put(callCtx, segmentKey(w.rangeID, w.head.Sequence), value, 0, 0)
+	_, err = w.store.Put(callCtx, segmentKey(w.rangeID, w.head.Sequence), value, 0, store.NoLease)
 	switch {
 	case err == nil:
 		w.stats.sealed.Add(1)
--- a/once/commit_test.go
+++ b/once/commit_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // storeWithPutFaults returns a store that applies the given faults to the
@@ -92,7 +93,7 @@
 			head.Sequence++
 			value, err := proto.Marshal(head)
 			is.NoErr(err)
-			_, err = mem.Put(context.Background(), headKey(0), value, entry.Revision, 0)
+			_, err = mem.Put(context.Background(), headKey(0), value, entry.Revision, store.NoLease)
 			is.NoErr(err)
 		}
 		mem = storeWithPutFaults(
--- a/once/load.go
+++ b/once/load.go
@@ -125,7 +125,7 @@
 		if encodeErr != nil {
 			return encodeErr
 		}
-		if _, err = w.store.Put(callCtx, layoutKey, value, 0, 0); err != nil && !errors.Is(err, store.ErrConflict) {
+		if _, err = w.store.Put(callCtx, layoutKey, value, 0, store.NoLease); err != nil && !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		entry, err = w.store.Get(callCtx, layoutKey)
--- a/once/writer_test.go
+++ b/once/writer_test.go
@@ -215,11 +215,11 @@
 func TestDamagedRecords(t *testing.T) {
 	corruptions := map[string]func(context.Context, store.Store, store.Entry) error{
 		"truncated": func(ctx context.Context, s store.Store, e store.Entry) error {
-			_, err := s.Put(ctx, e.Key, e.Value[:len(e.Value)-3], e.Revision, 0)
+			_, err := s.Put(ctx, e.Key, e.Value[:len(e.Value)-3], e.Revision, store.NoLease)
 			return err
 		},
 		"empty": func(ctx context.Context, s store.Store, e store.Entry) error {
-			_, err := s.Put(ctx, e.Key, nil, e.Revision, 0)
+			_, err := s.Put(ctx, e.Key, nil, e.Revision, store.NoLease)
 			return err
 		},
 		"deleted": func(ctx context.Context, s store.Store, e store.Entry) error { return s.Delete(ctx, e.Key, e.Revision) },
--- a/orders/process_test.go
+++ b/orders/process_test.go
@@ -328,7 +328,7 @@
 
 func (p *proc) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if err := p.beforeStoreCall(); err != nil {
-		return 0, err
+		return store.NoLease, err
 	}
 	return p.sim.store.Grant(ctx, ttl)
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -150,7 +150,7 @@
 		keys["b"] = "key-b"
 	}
 	if raw, err := backendsim.Config(d.configVersion.Add(1), keys); err == nil {
-		d.putWithRetry(backendsim.ConfigKey, raw, 0)
+		d.putWithRetry(backendsim.ConfigKey, raw, store.NoLease)
 	}
 }
 
--- a/standin/memnet/store.go
+++ b/standin/memnet/store.go
@@ -74,7 +74,7 @@
 // Grant implements store.Store.
 func (s PartitionedStore) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if err := s.failIfPartitioned(ctx); err != nil {
-		return 0, err
+		return store.NoLease, err
 	}
 	return s.Store.Grant(ctx, ttl)
 }
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -36,20 +36,21 @@
 
 // inEra returns an entry as read in an era.
 func inEra(era store.Era, e store.Entry) store.Entry {
-	e.Revision, e.Lease = revisionIn(era, e.Revision), leaseIn(era, e.Lease)
+	e.Revision = revisionIn(era, e.Revision)
+	if e.Lease != store.NoLease {
+		e.Lease.Era = era
+	}
 	return e
 }
 
-// revisionIn and leaseIn add the era to a number. The numbers of a test are never too large.
+// revisionIn adds the era to a number. The numbers of a test are never too large.
 func revisionIn(era store.Era, number store.Revision) store.Revision {
 	r, _ := store.NewRevision(era, uint64(number))
 	return r
 }
 
-func leaseIn(era store.Era, number store.LeaseID) store.LeaseID {
-	l, _ := store.NewLeaseID(era, uint64(number))
-	return l
-}
+// numberOf returns a lease as the server knows it.
+func numberOf(lease store.LeaseID) store.LeaseID { return store.LeaseID{Number: lease.Number} }
 
 // Get implements store.Store.
 func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
@@ -80,7 +81,7 @@
 	if err := s.Eras.CheckLease(lease); err != nil {
 		return 0, err
 	}
-	revision, era, err := s.Server.Put(ctx, key, value, store.Revision(expected.Number()), store.LeaseID(lease.Number()))
+	revision, era, err := s.Server.Put(ctx, key, value, store.Revision(expected.Number()), numberOf(lease))
 	if err := s.observe(era, err, func() error { return s.Eras.CheckWritten(era, expected, lease) }); err != nil {
 		return 0, err
 	}
@@ -93,7 +94,7 @@
 		return err
 	}
 	era, err := s.Server.Delete(ctx, key, store.Revision(expected.Number()))
-	return s.observe(era, err, func() error { return s.Eras.CheckWritten(era, expected, 0) })
+	return s.observe(era, err, func() error { return s.Eras.CheckWritten(era, expected, store.NoLease) })
 }
 
 // Watch implements store.Store. It ends with store.ErrCompacted when a later era is seen.
@@ -121,24 +122,24 @@
 // Grant implements store.Store.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	lease, era, err := s.Server.Grant(ctx, ttl)
-	if err := s.observe(era, err, func() error { return s.Eras.CheckWritten(era, 0, 0) }); err != nil {
-		return 0, err
+	if err := s.observe(era, err, func() error { return s.Eras.CheckWritten(era, 0, store.NoLease) }); err != nil {
+		return store.NoLease, err
 	}
-	return leaseIn(era, lease), nil
+	return store.LeaseID{Era: era, Number: lease.Number}, nil
 }
 
 // Renew implements store.Store.
 func (s *Store) Renew(ctx context.Context, lease store.LeaseID) error {
-	number := lease.Number()
+	number := numberOf(lease)
 	if s.Eras.CheckLease(lease) != nil {
-		number = 0
+		number = store.NoLease
 	}
-	era, err := s.Server.Renew(ctx, store.LeaseID(number))
+	era, err := s.Server.Renew(ctx, number)
 	return s.observe(era, err, func() error {
 		if err := s.Eras.CheckLease(lease); err != nil {
 			return err
 		}
-		return s.Eras.CheckWritten(era, 0, 0)
+		return s.Eras.CheckWritten(era, 0, store.NoLease)
 	})
 }
 
@@ -147,6 +148,6 @@
 	if err := s.Eras.CheckLease(lease); err != nil {
 		return err
 	}
-	era, err := s.Server.Revoke(ctx, store.LeaseID(lease.Number()))
+	era, err := s.Server.Revoke(ctx, numberOf(lease))
 	return s.observe(era, err, func() error { return s.Eras.CheckWritten(era, 0, lease) })
 }
--- a/standin/memstore/restore.go
+++ b/standin/memstore/restore.go
@@ -12,7 +12,7 @@
 	revision    store.Revision
 	entries     map[string]store.Entry
 	leaseTTLs   map[store.LeaseID]time.Duration
-	lastLeaseID store.LeaseID
+	lastLeaseID uint64
 }
 
 // Copy returns a copy of the present contents.
--- a/standin/memstore/server.go
+++ b/standin/memstore/server.go
@@ -58,7 +58,7 @@
 	history      []store.Event
 	historyStart store.Revision
 	leases       map[store.LeaseID]*lease
-	lastLeaseID  store.LeaseID
+	lastLeaseID  uint64
 	changed      chan struct{}
 	fault        FaultFunc
 	calls        map[Op]int
@@ -191,7 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeasesLocked()
-	if id != 0 && s.leases[id] == nil {
+	if id != store.NoLease && s.leases[id] == nil {
 		return 0, s.era, store.ErrNotFound
 	}
 	if s.entries[key].Revision != expected {
@@ -287,17 +287,17 @@
 func (s *Server) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, store.Era, error) {
 	fault := s.beginCall(OpGrant, "")
 	if fault.Refuse || ctx.Err() != nil {
-		return 0, 0, store.ErrUnavailable
+		return store.NoLease, 0, store.ErrUnavailable
 	}
 	s.mu.Lock()
 	s.lastLeaseID++
-	id := s.lastLeaseID
+	id := store.LeaseID{Number: s.lastLeaseID}
 	s.leases[id] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
 	era := s.era
 	s.mu.Unlock()
 	time.AfterFunc(ttl, s.expireLeases)
 	if err := endCall(fault, true); err != nil {
-		return 0, 0, err
+		return store.NoLease, 0, err
 	}
 	return id, era, nil
 }
--- a/store/era.go
+++ b/store/era.go
@@ -14,39 +14,24 @@
 type Era uint64
 
 const (
-	// eraShift is the number of bits of a Revision or LeaseID below the era.
+	// eraShift is the number of bits of a Revision below the era.
 	eraShift = 40
-	// maxNumber is the greatest number of a revision or lease within an era.
+	// maxNumber is the greatest number of a revision within an era.
 	maxNumber = 1<<eraShift - 1
 	// maxEra keeps revisions below 1<<63, since some are stored as signed integers.
 	maxEra = 1<<(63-eraShift) - 1
 )
 
-// errOutOfRange means that a store stated an era, a revision or a lease that is too large.
+// errOutOfRange means that a store stated an era or a revision that is too large.
 var errOutOfRange = errors.New("store: number out of range")
 
 // NewRevision returns the revision of the change with the given number in an era; number 0 is the
 // position before the first change. It returns an error if either is too large.
 func NewRevision(era Era, number uint64) (Revision, error) {
-	joined, err := join(era, number)
-	return Revision(joined), err
-}
-
-// NewLeaseID returns the ID of the lease with the given number in an era. It returns an error if
-// either is too large. Number 0 is "no lease" in each era.
-func NewLeaseID(era Era, number uint64) (LeaseID, error) {
-	if number == 0 {
-		return 0, nil
-	}
-	joined, err := join(era, number)
-	return LeaseID(joined), err
-}
-
-func join(era Era, number uint64) (uint64, error) {
 	if era > maxEra || number > maxNumber {
 		return 0, fmt.Errorf("%w: era %d, number %d", errOutOfRange, era, number)
 	}
-	return uint64(era)<<eraShift | number, nil
+	return Revision(uint64(era)<<eraShift | number), nil
 }
 
 // Era returns the era of the revision.
@@ -55,12 +40,6 @@
 // Number returns the number of the revision within its era, as the store states it.
 func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
 
-// Era returns the era in which the lease was granted; 0 for "no lease".
-func (l LeaseID) Era() Era { return Era(l >> eraShift) }
-
-// Number returns the number of the lease within its era, as the store states it.
-func (l LeaseID) Number() uint64 { return uint64(l) & maxNumber }
-
 // EraTracker holds the newest era of a store that a client has seen. It decides what responses
 // prove: those of an earlier era may arrive after one of a later era. Its methods may be called
 // from any goroutine.
@@ -144,8 +123,8 @@
 // CheckLease returns ErrNotFound if a lease was granted in an earlier era: its number may belong
 // to another process now.
 func (t *EraTracker) CheckLease(lease LeaseID) error {
-	if current := t.Current(); lease != 0 && lease.Era() < current {
-		return fmt.Errorf("%w: lease of era %d in era %d", ErrNotFound, lease.Era(), current)
+	if current := t.Current(); lease != NoLease && lease.Era < current {
+		return fmt.Errorf("%w: lease of era %d in era %d", ErrNotFound, lease.Era, current)
 	}
 	return nil
 }
@@ -157,7 +136,7 @@
 	if current := t.Current(); answered < current {
 		return fmt.Errorf("%w: response of era %d in era %d", ErrAmbiguous, answered, current)
 	}
-	if expected != 0 && expected.Era() < answered || lease != 0 && lease.Era() < answered {
+	if expected != 0 && expected.Era() < answered || lease != NoLease && lease.Era < answered {
 		return fmt.Errorf("%w: written in era %d under conditions of an earlier one", ErrAmbiguous, answered)
 	}
 	return nil
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -40,9 +40,6 @@
 func TestStoreWithoutErasKeepsItsNumbers(t *testing.T) {
 	is := is.New(t)
 	is.Equal(revisionOf(t, 0, 4711), Revision(4711))
-	lease, err := NewLeaseID(0, 77120)
-	is.NoErr(err)
-	is.Equal(lease, LeaseID(77120))
 }
 
 // TestNumbersOutOfRangeAreErrors guards against a number that spills into the era. The load: the
@@ -51,11 +48,8 @@
 	is := is.New(t)
 	_, err := NewRevision(0, maxNumber+1)
 	is.True(errors.Is(err, errOutOfRange))
-	_, err = NewLeaseID(maxEra+1, 1)
+	_, err = NewRevision(maxEra+1, 1)
 	is.True(errors.Is(err, errOutOfRange))
-	lease, err := NewLeaseID(7, 0)
-	is.NoErr(err)
-	is.Equal(lease, LeaseID(0)) // no lease in any era
 }
 
 // TestResponsesAcrossErasProveNothing guards against a lost change that counts as written or as
@@ -73,12 +67,11 @@
 	is.True(errors.Is(tracker.CheckExpected(old), ErrConflict))
 	is.NoErr(tracker.CheckExpected(present))
 	is.NoErr(tracker.CheckExpected(0)) // "does not exist" holds in each era
-	is.True(errors.Is(tracker.CheckWritten(1, old, 0), ErrAmbiguous))
-	is.True(errors.Is(tracker.CheckWritten(2, old, 0), ErrAmbiguous))
-	is.NoErr(tracker.CheckWritten(2, present, 0))
-	is.NoErr(tracker.CheckWritten(2, 0, 0))
-	oldLease, err := NewLeaseID(1, 9)
-	is.NoErr(err)
+	is.True(errors.Is(tracker.CheckWritten(1, old, NoLease), ErrAmbiguous))
+	is.True(errors.Is(tracker.CheckWritten(2, old, NoLease), ErrAmbiguous))
+	is.NoErr(tracker.CheckWritten(2, present, NoLease))
+	is.NoErr(tracker.CheckWritten(2, 0, NoLease))
+	oldLease := LeaseID{Era: 1, Number: 9}
 	is.True(errors.Is(tracker.CheckLease(oldLease), ErrNotFound))
 	is.True(errors.Is(tracker.CheckWritten(2, 0, oldLease), ErrAmbiguous))
 }
--- a/store/store.go
+++ b/store/store.go
@@ -13,9 +13,17 @@
 // of the store sets back. For a key, revision 0 means that the key does not exist.
 type Revision uint64
 
-// LeaseID identifies a lease by the era in which it was granted and its number, as Revision does
-// for a change. 0 means "no lease".
-type LeaseID uint64
+// LeaseID identifies a lease. The store gives the numbers of an earlier era out again.
+type LeaseID struct {
+	// Era is the era in which the lease was granted.
+	Era Era `json:"era"`
+	// Number is the number of the lease within its era, as the store states it; 0 means "no
+	// lease".
+	Number uint64 `json:"number"`
+}
+
+// NoLease is the ID of no lease.
+var NoLease = LeaseID{}
 
 // MaxValueBytes is the maximum size of a value.
 const MaxValueBytes = 1 << 20
@@ -46,7 +54,7 @@
 	Value []byte `json:"value"`
 	// Revision is the revision of the last change of this key.
 	Revision Revision `json:"revision"`
-	Lease    LeaseID  `json:"lease,omitempty"`
+	Lease    LeaseID  `json:"lease,omitzero"`
 }
 
 // Event is a change of one key. Entry.Value is nil if the key was deleted.
@@ -66,7 +74,7 @@
 	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
 	// Put writes value if the key is at revision expected (0: if it does not exist)
 	// and returns the new revision; otherwise it returns ErrConflict. If lease is not
-	// 0, the key is deleted when the lease lapses.
+	// NoLease, the key is deleted when the lease lapses.
 	Put(ctx context.Context, key string, value []byte, expected Revision, lease LeaseID) (Revision, error)
 	// Delete removes the key if it is at revision expected; otherwise it returns
 	// ErrConflict, or ErrNotFound if the key does not exist.
--- a/usage/seal.go
+++ b/usage/seal.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = o.options.Store.Put(ctx, recordKey(r.Shard, r.Window), value, 0, 0)
+	_, err = o.options.Store.Put(ctx, recordKey(r.Shard, r.Window), value, 0, store.NoLease)
 	switch {
 	case err == nil:
 		o.records[r.Window] = r
