--- a/discovery/heartbeatstore_test.go
+++ b/discovery/heartbeatstore_test.go
@@ -239,7 +239,7 @@
 					r := backends.NewRegistry()
 					s := NewServers(r, testPrefix, decodeTest, constantDelay(batchDelay), applyBound, logr.Discard())
 					ctx, cancel := context.WithCancel(context.Background())
-					heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return 0 }, applyBound, func() time.Duration { return applyBound / 2 })
+					heartbeatStore := NewHeartbeatStore(st, func() store.LeaseID { return store.NoLease }, applyBound, func() time.Duration { return applyBound / 2 })
 					var wg sync.WaitGroup
 					defer wg.Wait()
 					defer time.Sleep(time.Second) // lets removeLapsedPeriodically end
