A restored store leaves one holder of a duty

What was seen: after a restore from a copy without the record of a duty, a second process acquired it while the first still held it by its own clock. Cause: the free record and a renewal with 200 were taken as proof that no other process holds the duty. Change: a lease ends for its holder when any call of the process shows a later era. In a new era no process acquires a duty until one lease time after it has seen that era, since a holder of the era before may not know of it yet. A record that is not under the lease of its writer counts as free. A planned stop deletes its records under their revisions and doesn't end the lease by number: that call has no condition, and the number may belong to another process.

--- a/authority/duty.go
+++ b/authority/duty.go
@@ -23,6 +23,10 @@
 // dutyRecord is the value stored under duty/<name>.
 type dutyRecord struct {
 	Holder Process `json:"holder"`
+	// Lease is the lease of the writer. If the record is found under another lease, it is
+	// not kept alive by its holder: the store was restored and its numbers mean something
+	// else. nil in records of versions that didn't write it.
+	Lease *store.LeaseID `json:"lease,omitempty"`
 	// WriteID identifies the write. After a lost response it shows whether the
 	// write took effect.
 	WriteID string `json:"token"`
@@ -56,17 +60,17 @@
 	now := d.lease.clock.Now()
 	d.lease.mu.Lock()
 	defer d.lease.mu.Unlock()
-	return d.term, d.held && now.Before(d.lease.validUntil)
+	return d.term, d.held && d.lease.validLocked(now)
 }
 
 // FencingToken returns the store revision at which this process acquired the duty, and
 // whether it may act now. The revision increases with each change of the
-// holder, so it can serve as a fencing token.
+// holder, also when the store is restored, so it can serve as a fencing token.
 func (d *Duty) FencingToken() (uint64, bool) {
 	now := d.lease.clock.Now()
 	d.lease.mu.Lock()
 	defer d.lease.mu.Unlock()
-	return uint64(d.revision), d.held && now.Before(d.lease.validUntil)
+	return uint64(d.revision), d.held && d.lease.validLocked(now)
 }
 
 // MarkLost marks the duty as not held until the next acquisition, for example
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
 	"github.com/figweir/figweir/store"
@@ -23,6 +24,11 @@
 	RenewEvery time.Duration
 	// StoreTimeout limits each call to the store.
 	StoreTimeout time.Duration
+	// Era returns the newest era of the store that this process has seen by any call. nil if
+	// only the calls of the lease show it.
+	Era func() store.Era
+	// Log receives a line when duties are given up for a new era.
+	Log logr.Logger
 }
 
 // DefaultLeaseOptions returns options that tolerate two failed renewals before
@@ -48,6 +54,11 @@
 	// which the last successful renewal was sent, plus LeaseTime, minus Margin.
 	validUntil time.Time
 	duties     []*Duty
+	// era is the newest era seen, and eraSeenAt when it was seen first.
+	era       store.Era
+	eraSeenAt time.Time
+	// dutiesEndedByEra counts the duties that were given up because the store was restored.
+	dutiesEndedByEra int
 }
 
 // NewLease returns the lease of a process. The store grants it when it is first
@@ -86,6 +97,9 @@
 // for which this process is a candidate. It returns the error of the renewal.
 func (l *Lease) round(ctx context.Context) error {
 	var renewErr error
+	if l.options.Era != nil {
+		l.observeEra(l.options.Era())
+	}
 	if l.holdsDuty() {
 		renewErr = l.renew(ctx)
 	}
@@ -114,6 +128,53 @@
 	return err
 }
 
+// observeEra records the era of the store. A later one ends the duties of this process, since
+// their records and the lease may be gone.
+func (l *Lease) observeEra(era store.Era) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era <= l.era {
+		return
+	}
+	l.era, l.eraSeenAt = era, l.clock.Now()
+	if l.id == store.NoLease || l.id.Era >= era {
+		return
+	}
+	for _, d := range l.duties {
+		if d.held {
+			l.dutiesEndedByEra++
+			l.options.Log.Info("duty given up, the store was restored", "duty", d.name, "era", uint64(era),
+				"fencing_token", uint64(d.revision))
+		}
+	}
+	l.loseDutiesLocked()
+}
+
+// mayAcquire reports whether duties may be acquired in the present era. Their records say nothing
+// about holders of the era before until its leases have lapsed: a holder may not know yet that the
+// store was restored.
+func (l *Lease) mayAcquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era == 0 || l.clock.Now().Sub(l.eraSeenAt) >= l.options.LeaseTime
+}
+
+// validLocked reports whether the lease allows this process to act: it has not lapsed, and no
+// later era of the store was seen. The caller holds mu.
+func (l *Lease) validLocked(now time.Time) bool {
+	if l.options.Era != nil && l.id.Era < l.options.Era() {
+		return false
+	}
+	return now.Before(l.validUntil)
+}
+
+// DutiesEndedByEra returns the number of duties that were given up because the store was restored.
+func (l *Lease) DutiesEndedByEra() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dutiesEndedByEra
+}
+
 // grant returns a lease that can be used for an acquisition. Without a held
 // duty the lease is not renewed and may have expired, so a new one is
 // requested.
@@ -148,28 +209,45 @@
 func (l *Lease) loseDuties(id store.LeaseID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.id != id {
-		return
+	if l.id == id {
+		l.loseDutiesLocked()
 	}
+}
+
+// loseDutiesLocked marks all duties as not held and forgets the lease. The caller holds mu.
+func (l *Lease) loseDutiesLocked() {
 	l.id, l.validUntil = store.NoLease, time.Time{}
 	for _, d := range l.duties {
 		d.held = false
 	}
 }
 
-// stop marks all duties as not held and revokes the lease.
+// stop marks all duties as not held and deletes their records. It doesn't end the lease: while
+// this process doesn't know that the store was restored, that number may be the lease of another
+// one, and that call has no condition.
 func (l *Lease) stop(ctx context.Context) {
-	l.mu.Lock()
-	id := l.id
-	l.mu.Unlock()
-	if id == store.NoLease {
-		return
-	}
-	l.loseDuties(id)
+	records := l.takeRecords()
 	ctx, cancel := context.WithTimeout(ctx, l.options.StoreTimeout)
 	defer cancel()
-	// If the revocation fails, the lease expires.
-	_ = l.store.Revoke(ctx, id)
+	for key, revision := range records {
+		if err := l.store.Delete(ctx, key, revision); err != nil {
+			l.options.Log.Info("duty record not deleted, it expires with its lease", "key", key, "cause", err.Error())
+		}
+	}
+}
+
+// takeRecords marks all duties as not held. It returns the keys and revisions of their records.
+func (l *Lease) takeRecords() map[string]store.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	records := make(map[string]store.Revision)
+	for _, d := range l.duties {
+		if d.held {
+			records[d.key()] = d.revision
+		}
+	}
+	l.loseDutiesLocked()
+	return records
 }
 
 // acquire tries once to write the leased record of a duty. Errors are ignored,
@@ -178,43 +256,56 @@
 	ctx, cancel := context.WithTimeout(ctx, l.options.StoreTimeout)
 	defer cancel()
 	// A read is cheaper for the store than a write that is certain to fail.
-	if !l.checkRecord(ctx, d) {
+	free, expected := l.checkRecord(ctx, d)
+	if !free || !l.mayAcquire() {
 		return
 	}
 	id, err := l.grant(ctx)
 	if err != nil {
 		return
 	}
-	rec := dutyRecord{Holder: l.process, WriteID: uuid.NewString()}
+	l.observeEra(id.Era)
+	if !l.mayAcquire() {
+		return
+	}
+	rec := dutyRecord{Holder: l.process, Lease: &id, WriteID: uuid.NewString()}
 	raw, err := json.Marshal(rec)
 	if err != nil {
 		return
 	}
 	d.lastWriteID = rec.WriteID
-	revision, err := l.store.Put(ctx, d.key(), raw, 0, id)
+	revision, err := l.store.Put(ctx, d.key(), raw, expected, id)
 	switch {
 	case err == nil:
 		l.markHeld(d, id, revision)
 	case errors.Is(err, store.ErrNotFound):
 		l.loseDuties(id)
 	case errors.Is(err, store.ErrAmbiguous):
-		l.checkRecord(ctx, d)
+		_, _ = l.checkRecord(ctx, d)
 	}
 }
 
 // checkRecord reads the leased record. If the record was written by this
 // process and the response was lost, it marks the duty as held. It reports
-// whether the duty is free.
-func (l *Lease) checkRecord(ctx context.Context, d *Duty) (free bool) {
+// whether the duty is free, and the revision that an acquisition replaces. A record that is not
+// under the lease of its writer counts as free.
+func (l *Lease) checkRecord(ctx context.Context, d *Duty) (free bool, replaces store.Revision) {
 	entry, err := l.store.Get(ctx, d.key())
 	if err != nil {
-		return errors.Is(err, store.ErrNotFound)
+		return errors.Is(err, store.ErrNotFound), 0
 	}
+	l.observeEra(entry.Revision.Era())
 	var rec dutyRecord
-	if json.Unmarshal(entry.Value, &rec) == nil && rec.WriteID == d.lastWriteID {
+	if json.Unmarshal(entry.Value, &rec) != nil {
+		return false, 0
+	}
+	if rec.Lease != nil && *rec.Lease != entry.Lease {
+		return true, entry.Revision
+	}
+	if rec.WriteID == d.lastWriteID {
 		l.markHeld(d, entry.Lease, entry.Revision)
 	}
-	return false
+	return false, 0
 }
 
 // markHeld marks a duty as held if id is the current lease, and starts a new
--- a/authority/restored_test.go
+++ b/authority/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,3 +107,88 @@
 		is.True(held) // the duty is not free for good
 	})
 }
+
+// TestRecordUnderAnotherLeaseIsFree guards against a duty that nobody can take, because a lease
+// of another process keeps the record of a holder that is gone. The load: a store that was
+// restored; it gave the number of the dead holder's lease out again, to a process that renews it.
+func TestRecordUnderAnotherLeaseIsFree(t *testing.T) {
+	runRestored(t, func(is *is.I, s *restoredStore) {
+		_, kill := s.start("10.0.0.1")
+		time.Sleep(time.Second)
+		kill()
+		s.Restore(s.Copy()) // the record and its lease are in the copy
+		go func() {
+			lease := store.LeaseID{Era: 1, Number: 1}
+			for s.Renew(s.ctx, lease) == nil {
+				time.Sleep(time.Second)
+			}
+		}()
+		second, killSecond := s.start("10.0.0.2")
+		defer killSecond()
+		time.Sleep(2 * DefaultLeaseOptions().LeaseTime)
+		_, held := second.Term()
+		is.True(held)
+	})
+}
+
+// TestDutyEndsAsProcessSeesLaterEra guards against a holder that acts on after another part of its
+// process has learned that the store was restored.
+func TestDutyEndsAsProcessSeesLaterEra(t *testing.T) {
+	runRestored(t, func(is *is.I, s *restoredStore) {
+		options := DefaultLeaseOptions()
+		options.Era = s.Eras.Current
+		l := NewLease(s.Store, NewProcess("10.0.0.1"), SystemClock{}, options)
+		duty := l.Duty(testDuty, func() bool { return true })
+		is.NoErr(l.round(s.ctx))
+		token, held := duty.FencingToken()
+		is.True(held)
+		s.Restore(nil)
+		_, _, err := s.List(s.ctx, "other/")
+		is.NoErr(err)
+		_, held = duty.FencingToken()
+		is.True(!held)
+		_, held = duty.Term()
+		is.True(!held)
+		for range 10 {
+			_ = l.round(s.ctx)
+			time.Sleep(options.RenewEvery)
+		}
+		now, held := duty.FencingToken()
+		is.True(held && now > token)
+		is.Equal(l.DutiesEndedByEra(), 1)
+	})
+}
+
+// TestStopEndsNoLeaseOfAnotherProcess guards against a planned stop that ends the duty of another
+// process, whose lease has the number of the stopping one's. The load: a stop just after the
+// store was restored and before this process has called it again.
+func TestStopEndsNoLeaseOfAnotherProcess(t *testing.T) {
+	runRestored(t, func(is *is.I, s *restoredStore) {
+		l := NewLease(s.NewClient(), NewProcess("10.0.0.1"), SystemClock{}, DefaultLeaseOptions())
+		l.Duty(testDuty, func() bool { return true })
+		is.NoErr(l.round(s.ctx))
+		s.Restore(nil)
+		lease, err := s.Grant(s.ctx, time.Hour)
+		is.NoErr(err)
+		is.Equal(lease.Number, l.id.Number)
+		_, err = s.Put(s.ctx, "other", nil, 0, lease)
+		is.NoErr(err)
+		l.stop(s.ctx)
+		_, err = s.Get(s.ctx, "other")
+		is.NoErr(err)
+	})
+}
+
+// TestStopFreesDuty guards against a duty that stays with a stopped process until its lease lapses.
+func TestStopFreesDuty(t *testing.T) {
+	runRestored(t, func(is *is.I, s *restoredStore) {
+		l := NewLease(s.Store, NewProcess("10.0.0.1"), SystemClock{}, DefaultLeaseOptions())
+		duty := l.Duty(testDuty, func() bool { return true })
+		is.NoErr(l.round(s.ctx))
+		l.stop(s.ctx)
+		_, held := duty.Term()
+		is.True(!held)
+		_, err := s.Get(s.ctx, duty.key())
+		is.True(errors.Is(err, store.ErrNotFound))
+	})
+}
--- a/discovery/restored_test.go
+++ b/discovery/restored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/standin/memstore"
+	"github.com/figweir/figweir/store"
 )
 
 // TestDrainingServerStaysDrainingAfterRestore guards against new work for a server that leaves,
--- a/discovery/sharedreads_test.go
+++ b/discovery/sharedreads_test.go
@@ -78,7 +78,7 @@
 		addNode := func(name string, readers func() []string) {
 			path := &unresponsiveStore{Store: st, losesWatches: true}
 			path.latency.Store(int64(testLatency))
-			heartbeats := NewHeartbeatStore(path, func() store.LeaseID { return 0 }, readBound, func() time.Duration { return readBound / 8 })
+			heartbeats := NewHeartbeatStore(path, func() store.LeaseID { return store.NoLease }, readBound, func() time.Duration { return readBound / 8 })
 			heartbeats.now = now
 			node := &testReader{path: path, registry: backends.NewRegistry()}
 			currentReaders := func() []string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
+	"github.com/figweir/figweir/store"
 	"github.com/figweir/figweir/upstream"
 )
 
@@ -126,6 +127,7 @@
 	g := &Gateway{settingsFile: file, settings: s, log: log, level: level, logWriter: out, registry: backends.NewRegistry(), trueTime: boottime.NewTrueTime()}
 	g.pool = upstream.NewPool(upstream.DefaultOptions)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
+	g.store.Eras.OnChange(func(era store.Era) { g.log.Info("era of the store", "era", uint64(era)) })
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationBatchDelay, s.DrainBound(), log)
 	g.config = discovery.NewConfig(&g.table, platform.ConfigKey, platform.DecodeConfig, s.ConfigBound(), log)
 	g.nodes = discovery.NewNodes(discovery.Node{Name: s.Name, FailureDomain: s.FailureDomain, RPCAddress: s.Listen.Peers, LoadAddress: g.loadAddress(), CPU: s.Limits.CPUShare}, log)
@@ -178,6 +180,7 @@
 	g.lease = authority.NewLease(g.store, process, boottime.Clock{}, authority.LeaseOptions{
 		LeaseTime: g.settings.LeaseTime(), Margin: g.settings.LeaseTime() / 6,
 		RenewEvery: g.settings.LeaseTime() / 3, StoreTimeout: g.settings.LeaseTime() / 4,
+		Era: g.store.Eras.Current, Log: g.log,
 	})
 	g.duty = g.lease.Duty(dutyName, g.isDutyCandidate)
 	cloud := platform.NewCloud(g.settings.Cloud.Address, g.settings.Name, cloudTimeout)
--- a/node/duties.go
+++ b/node/duties.go
@@ -44,7 +44,9 @@
 		options: authority.DefaultJournalOptions(), byName: make(map[string]*managedDuty),
 	}
 	d.options.VMListLag = settings.SecondsToDuration(n.settings.Platform.ListLagSeconds)
-	d.lease = authority.NewLease(n.store, d.process, authority.SystemClock{}, authority.DefaultLeaseOptions())
+	leaseOptions := authority.DefaultLeaseOptions()
+	leaseOptions.Era, leaseOptions.Log = n.eras.Current, n.log
+	d.lease = authority.NewLease(n.store, d.process, authority.SystemClock{}, leaseOptions)
 	return d
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -43,10 +43,12 @@
 	settings settings.Settings
 	// process is the node's name and a random ID, which distinguishes this process
 	// from earlier ones on the same VM.
-	process      string
-	log          logr.Logger
-	metrics      *metrics.Set
-	store        store.Store
+	process string
+	log     logr.Logger
+	metrics *metrics.Set
+	store   store.Store
+	// eras holds the newest era of the store.
+	eras         *store.EraTracker
 	fleet        *fleet.Client
 	config       *config.CurrentSnapshot
 	repository   *config.Repository
@@ -92,7 +94,9 @@
 		peerHTTP: peer.NewHTTPClient(),
 		auth:     peer.NewAuth(s.Secrets.Peer),
 	}
-	n.store = countCalls(platform.NewStore(s.Platform.Address, timeout), n.metrics.StoreCallsTotal)
+	client := platform.NewStore(s.Platform.Address, timeout)
+	client.Eras.OnChange(func(era store.Era) { n.log.Info("era of the store", "era", uint64(era)) })
+	n.eras, n.store = client.Eras, countCalls(client, n.metrics.StoreCallsTotal)
 	n.repository = config.NewRepository(n.store)
 	var err error
 	if n.listeners, err = openListeners(s); err != nil {
