Registrations of a restored store don't bring back what is gone

What was seen: after a restore a draining server was chosen again, one that had left was chosen, and one newer than the copy was missing at once. Cause: the first list of the new history was taken for news, although it is older than what the node had read. Change: on the first list of a new era what the node knew stays until the server writes again; draining wins as long as it is unclear which is newer; removed registrations are remembered for ten minutes and ignored until written again; missing ones get the two seconds' grace also without a noticed outage. State of an earlier era from a peer is ignored. A mirror stays until the list that follows a lost history, so that a restore costs a list by each reader, not by each node. Positions that other nodes state never set this node's era: a wrong one could not be taken back.

--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"sync"
@@ -38,6 +39,7 @@
 	// observedRevision is the store revision up to which this node has read changes:
 	// an entry of a peer that is older and not in entries was removed.
 	observedRevision store.Revision
+	removed          removedServers
 	follower         follower
 }
 
@@ -54,7 +56,7 @@
 // NewServers returns a follower of the registrations under prefix. Changes are batched
 // over the time that batchDelay returns; a change to draining must be read within bound.
 func NewServers(r *backends.Registry, prefix string, decode func(string, []byte) (backends.Registration, error), batchDelay func() time.Duration, bound time.Duration, log logr.Logger) *Servers {
-	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, now: boottime.Now, entries: make(map[string]entry),
+	return &Servers{registry: r, prefix: prefix, decode: decode, log: log, now: boottime.Now, entries: make(map[string]entry), removed: make(removedServers),
 		follower: follower{prefix: prefix, log: log, bound: bound, batchDelay: batchDelay}}
 }
 
@@ -98,9 +100,12 @@
 func (s *Servers) Merge(entries []store.Entry, following bool, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(entries) == 0 {
+	at := maxRevision(entries)
+	if len(entries) == 0 || at.Era() < s.observedRevision.Era() {
+		// A peer that has not learned of the present era must not bring back what is gone.
 		return
 	}
+	s.enterEra(entries, at)
 	replace := following && !s.Following()
 	if !s.loaded || replace {
 		s.log.V(1).Info("registrations received from peer", "source", source, "following", following, "count", len(entries))
@@ -109,13 +114,16 @@
 	for _, e := range entries {
 		listed[e.Key] = true
 		old, known := s.entries[e.Key]
-		if known && old.revision < e.Revision || !known && e.Revision > s.observedRevision {
+		switch {
+		case known && old.revision < e.Revision || !known && e.Revision > s.observedRevision:
 			s.upsert(e)
+		case known && old.revision == e.Revision && !bytes.Equal(old.raw, e.Value):
+			s.mergeSameRevision(e)
 		}
 	}
 	for key := range s.entries {
 		if replace && !listed[key] {
-			s.handleMissing(key)
+			s.handleMissing(key, at)
 		}
 	}
 	s.loaded = true
@@ -132,8 +140,9 @@
 func (s *Servers) reset(entries []store.Entry, at store.Revision, afterOutage bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	restored := s.enterEra(entries, at)
 	s.observedRevision = max(s.observedRevision, at)
-	s.startGracePeriod(afterOutage)
+	s.startGracePeriod(afterOutage || restored)
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -141,7 +150,7 @@
 	}
 	for key := range s.entries {
 		if !listed[key] {
-			s.handleMissing(key)
+			s.handleMissing(key, at)
 		}
 	}
 	s.loaded = true
@@ -156,7 +165,7 @@
 	for _, e := range events {
 		s.revision = max(s.revision, e.Entry.Revision)
 		if e.Deleted {
-			s.handleMissing(e.Entry.Key)
+			s.handleMissing(e.Entry.Key, e.Entry.Revision)
 		} else {
 			s.upsert(e.Entry)
 		}
@@ -174,14 +183,63 @@
 	}
 }
 
+// enterEra takes over the entries of the first list of a new era: the store was restored from an
+// earlier copy. A listed registration may be older than the one read in the era before, so that
+// one stays until the backend server writes again, which it does within its heartbeat interval.
+// It reports whether the list is of a new era. The caller holds mu.
+func (s *Servers) enterEra(entries []store.Entry, at store.Revision) bool {
+	if !s.loaded || at.Era() <= s.observedRevision.Era() {
+		return false
+	}
+	retained := 0
+	for _, e := range entries {
+		s.removed.enterEra(e)
+		old, known := s.entries[e.Key]
+		if !known || s.listsDraining(e) {
+			continue
+		}
+		old.revision, old.lapsed = e.Revision, false
+		s.entries[e.Key] = old
+		retained++
+	}
+	s.observedRevision = at.EraStart()
+	s.log.Info("registrations of a restored store", "era", uint64(at.Era()), "listed", len(entries), "retained", retained, "known", len(s.entries))
+	return true
+}
+
+// mergeSameRevision takes over that a backend server drains from a peer that has kept this from the
+// era before, while this node knows only the copy. The caller holds mu.
+func (s *Servers) mergeSameRevision(e store.Entry) {
+	if s.listsDraining(e) {
+		delete(s.entries, e.Key)
+		s.upsert(e)
+	}
+}
+
+// listsDraining reports whether an entry states that the backend server drains.
+func (s *Servers) listsDraining(e store.Entry) bool {
+	registration, err := s.decode(strings.TrimPrefix(e.Key, s.prefix), e.Value)
+	return err == nil && registration.State == backends.Draining
+}
+
+// maxRevision returns the greatest revision of the entries.
+func maxRevision(entries []store.Entry) store.Revision {
+	var greatest store.Revision
+	for _, e := range entries {
+		greatest = max(greatest, e.Revision)
+	}
+	return greatest
+}
+
 // upsert stores a registration if it is new or changed. A registration that can't be
 // decoded is removed. The caller holds mu.
 func (s *Servers) upsert(e store.Entry) {
 	s.revision = max(s.revision, e.Revision)
 	old, known := s.entries[e.Key]
-	if known && old.revision == e.Revision && !old.lapsed {
+	if known && old.revision == e.Revision && !old.lapsed || s.removed.isRemoved(e) {
 		return
 	}
+	delete(s.removed, e.Key)
 	id := strings.TrimPrefix(e.Key, s.prefix)
 	registration, err := s.decode(id, e.Value)
 	if err != nil {
@@ -196,9 +254,9 @@
 	s.entries[e.Key] = entry{registration: registration, raw: e.Value, revision: e.Revision}
 }
 
-// handleMissing removes a registration that is no longer in the store, or marks it as
-// lapsed if the store has just recovered from an outage.
-func (s *Servers) handleMissing(key string) {
+// handleMissing removes a registration that is no longer in the store at a revision, or marks
+// it as lapsed if the store has just recovered from an outage.
+func (s *Servers) handleMissing(key string, at store.Revision) {
 	e, known := s.entries[key]
 	if !known {
 		return
@@ -211,8 +269,14 @@
 		s.entries[key] = e
 		return
 	}
+	s.remove(key, e, at)
+}
+
+// remove removes a registration that is not in the store at a revision. The caller holds mu.
+func (s *Servers) remove(key string, e entry, at store.Revision) {
 	s.log.Info("backend server gone", "key", key, "service", e.registration.Service)
 	delete(s.entries, key)
+	s.removed.add(key, at, s.now())
 }
 
 // removeLapsedPeriodically runs removeLapsed at a fixed interval until ctx ends.
@@ -234,8 +298,7 @@
 	changed := false
 	for key, e := range s.entries {
 		if e.lapsed {
-			s.log.Info("backend server gone", "key", key, "service", e.registration.Service)
-			delete(s.entries, key)
+			s.remove(key, e, s.observedRevision)
 			changed = true
 		}
 	}
--- a/discovery/sharedreads.go
+++ b/discovery/sharedreads.go
@@ -107,7 +107,7 @@
 	entries, at, err := s.Store.List(ctx, prefix)
 	if err != nil {
 		m.invalidate()
-		s.suspendStore(err)
+		s.suspendStore()
 		return nil, 0, err
 	}
 	m.reset(entries, at)
@@ -144,9 +144,14 @@
 		return nil, 0, store.ErrCompacted
 	}
 	events, at, err := s.Store.Watch(ctx, prefix, after, wait)
+	if errors.Is(err, store.ErrCompacted) {
+		// The list that follows at once resets the mirror. Until then the other nodes wait for
+		// it: without a mirror each of them would list at the store.
+		return nil, 0, err
+	}
 	if err != nil {
 		m.invalidate()
-		s.suspendStore(err)
+		s.suspendStore()
 		return nil, 0, err
 	}
 	m.apply(events, after, at)
@@ -251,10 +256,7 @@
 }
 
 // suspendStore suspends calls to the store after a failed one.
-func (s *SharedReads) suspendStore(cause error) {
-	if errors.Is(cause, store.ErrCompacted) {
-		return
-	}
+func (s *SharedReads) suspendStore() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeSuspendedUntil = s.now() + s.fractionOfBound(storeRetryFraction)
--- a/discovery/sharedreads_test.go
+++ b/discovery/sharedreads_test.go
@@ -76,7 +76,7 @@
 		now := func() time.Duration { return time.Since(start) + time.Hour }
 		ctx, cancel := context.WithCancel(t.Context())
 		addNode := func(name string, readers func() []string) {
-			path := &unresponsiveStore{Store: st, losesWatches: true}
+			path := &unresponsiveStore{Store: st.NewClient(), losesWatches: true}
 			path.latency.Store(int64(testLatency))
 			heartbeats := NewHeartbeatStore(path, func() store.LeaseID { return store.NoLease }, readBound, func() time.Duration { return readBound / 8 })
 			heartbeats.now = now
--- a/standin/memstore/memstore.go
+++ b/standin/memstore/memstore.go
@@ -99,7 +99,6 @@
 
 // Watch implements store.Store. It ends with store.ErrCompacted when a later era is seen.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-	s.Eras.Observe(after.Era())
 	within, era, cancel := s.Eras.WithinEra(ctx)
 	defer cancel()
 	if after.Era() < era {
@@ -113,6 +112,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if answered != after.Era() {
+		return nil, 0, store.ErrCompacted
+	}
 	for i := range events {
 		events[i].Entry = inEra(answered, events[i].Entry)
 	}
--- a/store/era.go
+++ b/store/era.go
@@ -40,6 +40,9 @@
 // Number returns the number of the revision within its era, as the store states it.
 func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
 
+// EraStart returns the position before the first change of the revision's era.
+func (r Revision) EraStart() Revision { return r &^ maxNumber }
+
 // EraTracker holds the newest era of a store that a client has seen. It decides what responses
 // prove: those of an earlier era may arrive after one of a later era. Its methods may be called
 // from any goroutine.
@@ -74,7 +77,8 @@
 	t.handlers = append(t.handlers, f)
 }
 
-// Observe records an era that a response, or another node's position in the store, has shown.
+// Observe records an era that a response of the store has shown. What other nodes state must not be
+// passed: a wrong era could never be taken back.
 func (t *EraTracker) Observe(era Era) {
 	t.mu.Lock()
 	if era <= t.era {
@@ -130,14 +134,14 @@
 }
 
 // CheckWritten returns an error if the acknowledgement of a write proves nothing: it belongs to an
-// earlier era than the newest one, so the write may be gone, or to a later one than the revision or
+// earlier era than the newest one, so the write may be gone, or to another one than the revision or
 // the lease on which the write depended, so the store compared numbers that mean something else.
 func (t *EraTracker) CheckWritten(answered Era, expected Revision, lease LeaseID) error {
 	if current := t.Current(); answered < current {
 		return fmt.Errorf("%w: response of era %d in era %d", ErrAmbiguous, answered, current)
 	}
-	if expected != 0 && expected.Era() < answered || lease != NoLease && lease.Era < answered {
-		return fmt.Errorf("%w: written in era %d under conditions of an earlier one", ErrAmbiguous, answered)
+	if expected != 0 && expected.Era() != answered || lease != NoLease && lease.Era != answered {
+		return fmt.Errorf("%w: written in era %d under conditions of another one", ErrAmbiguous, answered)
 	}
 	return nil
 }
