--- a/authority/duty.go
+++ b/authority/duty.go
@@ -11,15 +11,25 @@
 const DutyPrefix = "duty/"
 
 // DecodeHolder decodes the leased record of a duty and returns the process that holds
-// it. It returns an error if raw is not a valid record.
-func DecodeHolder(raw []byte) (Process, error) {
+// it; no process if the record is not under the lease of its writer. It returns an error if the
+// value is not a valid record.
+func DecodeHolder(e store.Entry) (Process, error) {
 	var r dutyRecord
-	if err := json.Unmarshal(raw, &r); err != nil {
+	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return Process{}, err
 	}
+	if !r.isUnderLease(e) {
+		return Process{}, nil
+	}
 	return r.Holder, nil
 }
 
+// isUnderLease reports whether the record was found under the lease of its writer, as far as both
+// are known: earlier versions neither wrote the lease nor passed it on with what they had read.
+func (r dutyRecord) isUnderLease(e store.Entry) bool {
+	return r.Lease == nil || e.Lease == store.NoLease || *r.Lease == e.Lease
+}
+
 // dutyRecord is the value stored under duty/<name>.
 type dutyRecord struct {
 	Holder Process `json:"holder"`
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -299,7 +299,7 @@
 	if json.Unmarshal(entry.Value, &rec) != nil {
 		return false, 0
 	}
-	if rec.Lease != nil && *rec.Lease != entry.Lease {
+	if !rec.isUnderLease(entry) {
 		return true, entry.Revision
 	}
 	if rec.WriteID == d.lastWriteID {
--- a/discovery/holder.go
+++ b/discovery/holder.go
@@ -13,7 +13,7 @@
 // Holder follows the record of a duty and stores the address of its holder.
 type Holder struct {
 	key      string
-	decode   func(raw []byte) (address string, err error)
+	decode   func(e store.Entry) (address string, err error)
 	log      logr.Logger
 	follower follower
 	address  atomic.Pointer[string]
@@ -28,8 +28,8 @@
 const holderBatchDelay = 200 * time.Millisecond
 
 // NewHolder returns a follower of the leased record under key. decode returns the
-// address of the holder named in the record.
-func NewHolder(key string, decode func([]byte) (string, error), log logr.Logger) *Holder {
+// address of the holder named in the record, "" if the record is nobody's.
+func NewHolder(key string, decode func(store.Entry) (string, error), log logr.Logger) *Holder {
 	return &Holder{key: key, decode: decode, log: log, follower: follower{prefix: key, log: log, bound: holderBound, batchDelay: constantDelay(holderBatchDelay)}}
 }
 
@@ -53,7 +53,7 @@
 	address := ""
 	for _, e := range entries {
 		if e.Key == h.key {
-			address = h.decodeAddress(e.Value)
+			address = h.decodeAddress(e)
 		}
 	}
 	h.setAddress(address)
@@ -67,13 +67,13 @@
 		if e.Deleted {
 			h.setAddress("")
 		} else {
-			h.setAddress(h.decodeAddress(e.Entry.Value))
+			h.setAddress(h.decodeAddress(e.Entry))
 		}
 	}
 }
 
-func (h *Holder) decodeAddress(raw []byte) string {
-	address, err := h.decode(raw)
+func (h *Holder) decodeAddress(e store.Entry) string {
+	address, err := h.decode(e)
 	if err != nil {
 		h.log.Info("cannot decode duty record", "key", h.key, "cause", err.Error())
 	}
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"sort"
 	"strconv"
@@ -47,6 +46,9 @@
 	LoadAddress string `json:"load"`
 	// CPU is the fraction of a CPU core that the node may use.
 	CPU float64 `json:"cpu"`
+	// Lease is the lease under which the node wrote its entry; nil if an earlier version wrote
+	// it.
+	Lease *store.LeaseID `json:"lease,omitempty"`
 }
 
 // Nodes registers this node and follows the list of all nodes.
@@ -63,6 +65,8 @@
 	lapsedUntil map[string]time.Duration
 	// loaded is true once the list has been read.
 	loaded bool
+	// revision is the position up to which the list has been read.
+	revision store.Revision
 	// ordered holds the nodes sorted by failure domain and name.
 	ordered  []Node
 	position atomic.Pointer[position]
@@ -243,66 +247,13 @@
 	f.run(ctx, n)
 }
 
-// Announce registers this node in the store, keeps its lease alive until ctx ends
-// and then removes the entry.
-func (n *Nodes) Announce(ctx context.Context, st store.Store) {
-	raw, err := json.Marshal(n.self)
-	if err != nil {
-		n.log.Error(err, "cannot encode node entry")
-		return
-	}
-	var lease store.LeaseID
-	for ctx.Err() == nil {
-		lease = n.renewOrRegister(ctx, st, raw, lease)
-		n.lease.Store(&lease)
-		sleep(ctx, nodeRenewInterval)
-	}
-	if lease == store.NoLease {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), nodeRenewInterval/2)
-	defer cancel()
-	if err := st.Revoke(ctx, lease); err != nil {
-		n.log.Info("cannot remove node entry, it expires with its lease", "cause", err.Error())
-	}
-}
-
-// renewOrRegister renews the lease of the entry, or writes the entry again if the lease
-// has lapsed. It returns the lease; store.NoLease after a
-// failure.
-func (n *Nodes) renewOrRegister(ctx context.Context, st store.Store, raw []byte, lease store.LeaseID) store.LeaseID {
-	if lease != store.NoLease {
-		err := st.Renew(ctx, lease)
-		if !errors.Is(err, store.ErrNotFound) {
-			return lease
-		}
-		n.log.Info("node lease lapsed")
-	}
-	lease, err := st.Grant(ctx, nodeLease)
-	if err != nil {
-		return store.NoLease
-	}
-	key := nodesPrefix + n.self.Name
-	_, err = st.Put(ctx, key, raw, 0, lease)
-	if !errors.Is(err, store.ErrConflict) {
-		return lease
-	}
-	// The entry of an earlier incarnation remains until its lease lapses.
-	old, err := st.Get(ctx, key)
-	if err == nil {
-		_, err = st.Put(ctx, key, raw, old.Revision, lease)
-	}
-	if err != nil {
-		n.log.Info("cannot write node entry", "cause", err.Error())
-		return store.NoLease
-	}
-	return lease
-}
-
-func (n *Nodes) reset(entries []store.Entry, _ store.Revision, afterOutage bool) {
+func (n *Nodes) reset(entries []store.Entry, at store.Revision, afterOutage bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.nodes
+	// A restored store doesn't have the entries that were written since the copy.
+	afterOutage = afterOutage || n.loaded && at.Era() > n.revision.Era()
+	n.revision = at
 	n.nodes = map[string]Node{n.self.Name: n.self}
 	for _, e := range entries {
 		n.upsert(e)
@@ -358,7 +309,7 @@
 	defer n.mu.Unlock()
 	for _, e := range events {
 		if e.Deleted {
-			n.remove(strings.TrimPrefix(e.Entry.Key, nodesPrefix))
+			n.handleDeleted(strings.TrimPrefix(e.Entry.Key, nodesPrefix))
 		} else {
 			n.upsert(e.Entry)
 		}
@@ -367,13 +318,26 @@
 	n.updatePositions()
 }
 
-// upsert stores the entry of a node. The caller holds mu.
+// handleDeleted removes a node whose entry was deleted, unless it is in its grace period: the
+// entry of a copy lapses before the node has registered again. The caller holds mu.
+func (n *Nodes) handleDeleted(name string) {
+	if until, lapsed := n.lapsedUntil[name]; !lapsed || n.now() >= until {
+		n.remove(name)
+	}
+}
+
+// upsert stores the entry of a node. An entry under another lease than the node's is kept alive by
+// another process, or comes from a copy of the store. The caller holds mu.
 func (n *Nodes) upsert(e store.Entry) {
 	var node Node
 	if err := json.Unmarshal(e.Value, &node); err != nil || node.Name == "" {
 		n.log.Info("cannot decode node entry", "key", e.Key)
 		return
 	}
+	if node.Lease != nil && e.Lease != store.NoLease && *node.Lease != e.Lease {
+		n.log.Info("node entry under another lease ignored", "name", node.Name, "era", uint64(e.Revision.Era()))
+		return
+	}
 	if _, known := n.nodes[node.Name]; !known {
 		n.log.V(1).Info("node added", "name", node.Name, "peers", node.RPCAddress)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,9 +215,10 @@
 	return g.settings.Cloud.Address != "" && g.ready.Load() && !g.stopping.Load() && known && holder == "" && g.nodes.Rank() < maxDutyCandidates
 }
 
-// decodeHolder returns the address of the holder named in the record of a duty.
-func decodeHolder(raw []byte) (string, error) {
-	process, err := authority.DecodeHolder(raw)
+// decodeHolder returns the address of the holder named in the record of a duty; "" if the record
+// is not under the holder's lease.
+func decodeHolder(e store.Entry) (string, error) {
+	process, err := authority.DecodeHolder(e)
 	return process.Address, err
 }
 
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -76,11 +76,13 @@
 }
 
 func storeEntry(e *figweirv1.MirrorEntry) store.Entry {
-	return store.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: store.Revision(e.GetRevision())}
+	return store.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: store.Revision(e.GetRevision()),
+		Lease: store.LeaseID{Era: store.Era(e.GetLeaseEra()), Number: e.GetLeaseNumber()}}
 }
 
 func mirrorEntry(e store.Entry, deleted bool) *figweirv1.MirrorEntry {
-	return &figweirv1.MirrorEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: deleted}
+	return &figweirv1.MirrorEntry{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: deleted,
+		LeaseEra: uint64(e.Lease.Era), LeaseNumber: e.Lease.Number}
 }
 
 // NewMirrorHandler returns the path and the HTTP handler of MirrorService.
