A node that starts asks its peers before it serves by the store's configuration

Cause: a node that starts between the return of a restored store and the operator's next write reads an older version than the others have, and served by it what had been withdrawn. Change: the first configuration read from the store is put in force after three other nodes have been asked for a newer one (two rounds, 0.8 s each at most; not at all without other nodes). A configuration with the version in force and other contents replaces it if the store shows it in a later era: the first one was never acknowledged. An older one in the store is ignored and logged.

--- a/discovery/config.go
+++ b/discovery/config.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,9 @@
 const configBatchDelay = 100 * time.Millisecond
 
 // Config follows the configuration in the store and publishes the newest version.
-// It never replaces a version by an older one.
+// It never replaces a version by an older one. A store that was restored from a copy may have an
+// older version than the other nodes. Hold keeps back the first version read from the store until
+// they have been asked.
 type Config struct {
 	table  *atomic.Pointer[core.Table]
 	key    string
@@ -28,6 +31,14 @@
 
 	mu  sync.Mutex
 	raw []byte
+	// era is the newest era in which the store has shown the version in force; 0 if only peers
+	// have.
+	era store.Era
+	// held is true while versions read from the store may not be put in force. The last one
+	// read meanwhile is in pending, and pendingRead is closed when the first one is read.
+	held        bool
+	pending     *store.Entry
+	pendingRead chan struct{}
 }
 
 // NewConfig returns a follower of the configuration stored under key. It stores the
@@ -69,29 +80,92 @@
 	return c.raw, t.Version
 }
 
-// ApplyIfNewer puts an encoded configuration in force if it is newer than the current
-// one. The source is only logged. A configuration that can't be decoded is logged and
+// ApplyIfNewer puts an encoded configuration of another node in force if it is newer than the
+// current one. The source is only logged. A configuration that can't be decoded is logged and
 // ignored.
 func (c *Config) ApplyIfNewer(raw []byte, source string) {
-	t, err := c.decode(raw)
-	if err != nil {
-		c.log.Info("configuration rejected", "source", source, "cause", err.Error())
-		return
+	t := c.decodeFrom(raw, source)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t != nil && t.Version > c.Version() {
+		c.replaceLocked(t, raw, 0, source)
 	}
+}
+
+// Hold keeps versions that are read from the store from being put in force until Release. It
+// returns a channel that is closed when the first one has been read.
+func (c *Config) Hold() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held, c.pendingRead = true, make(chan struct{})
+	return c.pendingRead
+}
+
+// Release ends Hold. It puts the last version read meanwhile in force if it is newer than those
+// of other nodes.
+func (c *Config) Release() {
+	c.mu.Lock()
+	pending := c.pending
+	c.held, c.pending = false, nil
+	c.mu.Unlock()
+	if pending != nil {
+		c.applyFromStore(*pending)
+	}
+}
+
+// applyFromStore puts a configuration read from the store in force if it is newer than the current
+// one, or is another one with the same version in a later era: the store has lost the other one
+// before it acknowledged it.
+func (c *Config) applyFromStore(e store.Entry) {
+	const source = "store"
+	t := c.decodeFrom(e.Value, source)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.table.Load(); old != nil && old.Version >= t.Version {
+	if t == nil {
+		return
+	}
+	if c.held {
+		if c.pending == nil {
+			close(c.pendingRead)
+		}
+		c.pending = &e
 		return
 	}
-	c.raw = raw
+	era, version := e.Revision.Era(), c.Version()
+	switch {
+	case t.Version > version:
+		c.replaceLocked(t, e.Value, era, source)
+	case t.Version < version:
+		c.log.Info("older configuration in the store ignored", "version", t.Version, "in_force", version, "era", uint64(era))
+	case era > c.era:
+		if !bytes.Equal(c.raw, e.Value) {
+			c.replaceLocked(t, e.Value, era, source)
+		}
+		c.era = era
+	}
+}
+
+// decodeFrom decodes a configuration. It returns nil after an error, which it logs.
+func (c *Config) decodeFrom(raw []byte, source string) *core.Table {
+	t, err := c.decode(raw)
+	if err != nil {
+		c.log.Info("configuration rejected", "source", source, "cause", err.Error())
+		return nil
+	}
+	return t
+}
+
+// replaceLocked puts a configuration in force. The caller holds mu.
+func (c *Config) replaceLocked(t *core.Table, raw []byte, era store.Era, source string) {
+	c.raw, c.era = raw, era
 	c.table.Store(t)
-	c.log.Info("configuration in force", "version", t.Version, "source", source)
+	c.log.Info("configuration in force", "version", t.Version, "source", source, "era", uint64(era))
 }
 
 func (c *Config) reset(entries []store.Entry, _ store.Revision, _ bool) {
 	for _, e := range entries {
 		if e.Key == c.key {
-			c.ApplyIfNewer(e.Value, "store")
+			c.applyFromStore(e)
 		}
 	}
 }
@@ -99,7 +173,7 @@
 func (c *Config) apply(events []store.Event, _ store.Revision, _ bool) {
 	for _, e := range events {
 		if e.Entry.Key == c.key && !e.Deleted {
-			c.ApplyIfNewer(e.Entry.Value, "store")
+			c.applyFromStore(e.Entry)
 		}
 	}
 }
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,6 +43,11 @@
 	hintDelay = 250 * time.Millisecond
 	// pullTimeout is the timeout of one pull.
 	pullTimeout = 800 * time.Millisecond
+	// firstPullPeers is how many other nodes a node asks for a newer configuration at once
+	// before it puts the first one read from the store in force.
+	firstPullPeers = 3
+	// firstPullRounds is how often it asks other ones if none of them answers.
+	firstPullRounds = 2
 )
 
 // Relay pulls state from other nodes while the store is unavailable or when a hint
@@ -55,6 +62,8 @@
 	quarantine    *quarantine.Tracker
 
 	configHint, registrationsHint pendingHint
+	// firstConfigRead is closed when the first configuration was read from the store.
+	firstConfigRead <-chan struct{}
 }
 
 // pendingHint holds the latest hint from a node that has read more than this one.
@@ -88,9 +97,10 @@
 }
 
 // NewRelay returns a relay between the followers c and s and the other nodes, whose state
-// p pulls. q is merged with theirs.
+// p pulls. q is merged with theirs. Until Run has asked the other nodes, c puts no configuration of
+// the store in force.
 func NewRelay(c *Config, s *Servers, q *quarantine.Tracker, p StatePuller, peerAddresses func() []string, log logr.Logger) *Relay {
-	return &Relay{config: c, servers: s, quarantine: q, puller: p, peerAddresses: peerAddresses, log: log,
+	return &Relay{firstConfigRead: c.Hold(), config: c, servers: s, quarantine: q, puller: p, peerAddresses: peerAddresses, log: log,
 		configHint: pendingHint{wake: make(chan struct{}, 1)}, registrationsHint: pendingHint{wake: make(chan struct{}, 1)}}
 }
 
@@ -118,6 +128,7 @@
 func (r *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { r.askPeersFirst(ctx) })
 	wg.Go(func() {
 		r.pullOnHints(ctx, &r.configHint, constantDelay(hintDelay), r.config.Version)
 	})
@@ -159,19 +170,58 @@
 	}
 }
 
-// pull merges the state of the node at address into the followers.
-func (r *Relay) pull(ctx context.Context, address string) {
+// askPeersFirst waits for the first configuration from the store, asks other nodes whether they
+// have a newer one, and then allows the store's to be put in force.
+func (r *Relay) askPeersFirst(ctx context.Context) {
+	select {
+	case <-r.firstConfigRead:
+	case <-ctx.Done():
+		return
+	}
+	addresses := slices.Clone(r.peerAddresses())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	answered := false
+	for range firstPullRounds {
+		asked := addresses[:min(len(addresses), firstPullPeers)]
+		addresses = addresses[len(asked):]
+		if answered = r.pullAll(ctx, asked); answered || len(addresses) == 0 {
+			break
+		}
+	}
+	r.log.Info("peers asked for the configuration", "answered", answered, "config_version", r.config.Version())
+	r.config.Release()
+}
+
+// pullAll pulls from several nodes at the same time. It reports whether one of them answered.
+func (r *Relay) pullAll(ctx context.Context, addresses []string) bool {
+	var answered atomic.Bool
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		wg.Go(func() {
+			if r.pull(ctx, address) {
+				answered.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return answered.Load()
+}
+
+// pull merges the state of the node at address into the followers. It reports whether the node
+// answered.
+func (r *Relay) pull(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	known := r.config.Version()
 	state, err := r.puller.Pull(ctx, address, known)
 	if err != nil {
 		r.log.Info("peer did not answer", "address", address, "config_version", known, "cause", err.Error())
-		return
+		return false
 	}
 	if len(state.Config) > 0 {
 		r.config.ApplyIfNewer(state.Config, "peer "+address)
 	}
 	r.servers.Merge(state.Registrations, state.Following, "peer "+address)
 	r.quarantine.Apply(time.Now(), state.Quarantine)
+	return true
 }
