No window of usage is reported twice with other figures after a restore

Cause: the sealed figures in the store were taken as proof of what was reported. After a restore the seal can be gone while the report was accepted; published counts and the lease of the usage data are gone as well, and neither was noticed. A holder whose store has lost a seal writes the known figures again. Since when an era is known is recorded in the store by its first holder, so that a process that has just started withholds nothing needlessly. The record of the minimum of engines is written again after a conflict.

--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// minEnginesRecordRevision returns the revision of the minEngines record; 0 if there is none or it
+// can't be read.
+func (a *autoscaler) minEnginesRecordRevision(ctx context.Context) store.Revision {
+	entry, err := a.store.Get(ctx, minEnginesKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		a.log.Info("cannot read minimum engine counts", "cause", err.Error())
+	}
+	return entry.Revision
+}
+
 // raiseMinEngines raises the minimum number of engines of a service to n and stores it.
 func (a *autoscaler) raiseMinEngines(ctx context.Context, service string, n int) {
 	if n <= a.minEngines[service] {
@@ -176,6 +186,11 @@
 	if err == nil {
 		a.minEnginesRevision, err = a.store.Put(ctx, minEnginesKey, raw, a.minEnginesRevision, store.NoLease)
 	}
+	if errors.Is(err, store.ErrConflict) {
+		// The store was restored, or an earlier write whose response was lost took effect. The
+		// next raise replaces that record.
+		a.minEnginesRevision = a.minEnginesRecordRevision(ctx)
+	}
 	if err != nil {
 		a.log.Info("cannot store minimum engine counts", "cause", err.Error())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,9 @@
 	reporter       *metering.Reporter
 	counter        *metering.Counter
 	receivedCounts *metering.ReceivedCounts
-	usageWindows   metering.Windows
+	// seals holds the sealed usage figures that this node knows.
+	seals        *metering.Seals
+	usageWindows metering.Windows
 	// incarnations holds the incarnation of the last update from each address. Only the
 	// goroutine that receives updates uses it.
 	incarnations map[string]uint64
@@ -152,7 +154,7 @@
 	windows := metering.Windows{Length: s.UsageWindow()}
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
-	g.counter, g.receivedCounts = counter, metering.NewReceivedCounts()
+	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
@@ -188,6 +190,7 @@
 	g.reporter = &metering.Reporter{
 		Counter: counter, Windows: windows, Clock: g.trueTime, Store: g.store, Duty: g.duty, Sender: cloud,
 		Incarnation: incarnationName(g.incarnation), Heard: g.receivedCounts,
+		Seals: g.seals, Era: g.store.Eras.Current,
 		Delay:  time.Duration(g.settings.Bounds.UsageDelaySeconds * float64(time.Second)),
 		Fenced: func(err error) bool { return errors.Is(err, platform.ErrFenced) },
 		Log:    g.log,
@@ -257,6 +260,7 @@
 	var dutyGroup, backgroundGroup sync.WaitGroup
 	g.startFollowers(backgroundCtx, &backgroundGroup)
 	dutyGroup.Go(func() { g.lease.Run(dutyCtx) })
+	g.reporter.OnSealed = func(window int64, counts metering.Counts) { g.announceSeal(loadConn, window, counts) }
 	if g.settings.Cloud.HasDuty(platform.DutyUsage) {
 		dutyGroup.Go(func() { g.reporter.Run(dutyCtx) })
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -236,6 +236,9 @@
 	case figweirv1.Scope_SCOPE_RATE_LIMITS:
 		g.receiveRateLimit(now, from, u)
 		return
+	case figweirv1.Scope_SCOPE_SEALED_USAGE:
+		g.receiveSeals(now, from, u)
+		return
 	case figweirv1.Scope_SCOPE_QUARANTINE:
 		g.quarantine.receive(now, u)
 		return
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -64,15 +64,19 @@
 	c, d := &fakeClock{at}, &fakeDuty{token: 1}
 	r := &Reporter{
 		Counter: NewCounter(windows, c), Windows: windows, Clock: c, Store: st, Duty: d, Sender: b,
-		Incarnation: name, Heard: NewReceivedCounts(), Delay: 10 * time.Second,
+		Incarnation: name, Heard: NewReceivedCounts(), Seals: NewSeals(), Delay: 10 * time.Second,
 		Fenced: func(error) bool { return false }, Log: logr.Discard(),
 		published: make(map[int64]*publication), reported: make(map[int64]bool),
 		retryAt: make(map[int64]time.Time),
 	}
+	if s, ok := st.(*memstore.Store); ok {
+		r.Era = s.Eras.Current
+	}
 	return &testNode{r, d, c}
 }
 
 func (n *testNode) tick() {
+	n.updateEra(n.now())
 	n.publish(context.Background(), n.now(), FinalDelay)
 	n.reportDue(context.Background(), n.now())
 }
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -8,6 +8,7 @@
 	"maps"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -78,8 +79,17 @@
 	Incarnation string
 	// Heard holds the counts that other nodes have sent directly.
 	Heard *ReceivedCounts
+	// Seals holds the sealed figures that this node knows. OnSealed, if not nil, is called with
+	// those of this node, to announce them to other nodes.
+	Seals    *Seals
+	OnSealed func(window int64, counts Counts)
+	// Era returns the newest era of the store that was seen; nil if the store states none.
+	Era func() store.Era
 	// Delay is the time after the end of a window by which its report is due.
 	Delay time.Duration
+	// Withheld counts the windows that were not reported because their figures may have been
+	// lost with the store after a report.
+	Withheld atomic.Int64
 	// Fenced reports whether an error means that another holder has acted.
 	Fenced func(error) bool
 	Log    logr.Logger
@@ -95,8 +105,15 @@
 	publishAt time.Time
 	// retryAt is when to try again to seal a window whose counts were incomplete.
 	retryAt map[int64]time.Time
+	eraView eraView
 }
 
+// errMayBeReported means that a window may have been reported with figures that are lost.
+var errMayBeReported = errors.New("metering: the window may have been reported before the store was restored")
+
+// errStoreRestored means that the store was restored while a window was being sealed.
+var errStoreRestored = errors.New("metering: the store was restored")
+
 // errNodesMissing means that some nodes have not published their counts yet.
 var errNodesMissing = errors.New("metering: some nodes have not published their counts")
 
@@ -125,6 +142,7 @@
 		case <-ticker.C:
 		}
 		now := r.now()
+		r.updateEra(now)
 		r.publish(ctx, now, FinalDelay)
 		r.reportDue(ctx, now)
 	}
@@ -192,18 +210,17 @@
 	key := countsKey(window) + r.Incarnation
 	revision, err := r.Store.Put(ctx, key, raw, p.revision, lease)
 	if errors.Is(err, store.ErrConflict) {
-		// An earlier write whose response was lost has taken effect.
+		// An earlier write whose response was lost has taken effect, or the store was restored
+		// from a copy with other counts, or with none.
 		old, getErr := r.Store.Get(ctx, key)
-		if getErr != nil {
+		if getErr != nil && !errors.Is(getErr, store.ErrNotFound) {
 			return getErr
 		}
 		p.revision = old.Revision
 		return err
 	}
-	if errors.Is(err, store.ErrNotFound) {
-		r.lease = store.NoLease
-	}
 	if err != nil {
+		r.forgetLostLease(err)
 		return err
 	}
 	p.revision, p.counts = revision, counts
@@ -224,6 +241,14 @@
 	return lease, nil
 }
 
+// forgetLostLease makes the next write ask for a new lease if a write failed because the lease is
+// gone.
+func (r *Reporter) forgetLostLease(err error) {
+	if errors.Is(err, store.ErrNotFound) {
+		r.lease = store.NoLease
+	}
+}
+
 func countsKey(window int64) string {
 	return countsPrefix + strconv.FormatInt(window, 10) + "/"
 }
@@ -241,6 +266,7 @@
 	if !held {
 		return
 	}
+	r.recordEra(ctx)
 	newest := r.Windows.At(now.Add(-r.delayFraction(sealFraction))) - 1
 	for window := newest - retainedWindows + 1; window <= newest; window++ {
 		end := r.Windows.End(window)
@@ -254,6 +280,13 @@
 			r.retryAt[window] = now.Add(sealRetryDelay)
 			continue
 		}
+		if errors.Is(err, errMayBeReported) || errors.Is(err, errSealsDiffer) {
+			r.Log.Info("usage of a window is not reported", "window", window, "fencing_token", token,
+				"era", uint64(r.eraView.era), "cause", err.Error())
+			r.Withheld.Add(1)
+			r.reported[window] = true
+			continue
+		}
 		if err != nil {
 			r.Log.Info("usage not reported", "window", window, "fencing_token", token, "cause", err.Error())
 			if r.Fenced(err) {
@@ -296,15 +329,69 @@
 }
 
 // seal returns the figures of a window. They are written to the store only once, so that
-// every later holder reports the same figures.
+// every later holder reports the same figures. A store that was restored may have lost them: then
+// they are written again if this node knows them, and otherwise the window isn't sealed anew
+// (errMayBeReported).
 func (r *Reporter) seal(ctx context.Context, window int64, late bool) (Counts, error) {
 	entry, err := r.Store.Get(ctx, sealedKey(window))
 	if err == nil {
-		return decodeCounts(entry.Value)
+		sealed, err := decodeCounts(entry.Value)
+		if err != nil {
+			return nil, err
+		}
+		return sealed, r.Seals.Add(window, sealed)
 	}
 	if !errors.Is(err, store.ErrNotFound) {
 		return nil, err
 	}
+	if err := r.checkEra(); err != nil {
+		return nil, err
+	}
+	if sealed, known := r.Seals.get(window); known {
+		r.Log.Info("sealed figures are written again, the store has lost them", "window", window, "era", uint64(r.eraView.era))
+		return sealed, r.writeSeal(ctx, window, sealed)
+	}
+	withheld := r.mayHaveBeenReported(window)
+	sum, err := r.sum(ctx, window, late || withheld)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.checkEra(); err != nil || len(sum) == 0 {
+		return nil, err
+	}
+	if withheld {
+		return nil, errMayBeReported
+	}
+	if err := r.writeSeal(ctx, window, sum); err != nil {
+		return nil, err
+	}
+	return sum, r.Seals.Add(window, sum)
+}
+
+// writeSeal writes the sealed figures of a window, which the store must not have, and announces
+// them to other nodes.
+func (r *Reporter) writeSeal(ctx context.Context, window int64, sealed Counts) error {
+	raw, err := json.Marshal(sealed)
+	if err != nil {
+		return err
+	}
+	lease, err := r.dataLease(ctx)
+	if err != nil {
+		return err
+	}
+	if _, err := r.Store.Put(ctx, sealedKey(window), raw, 0, lease); err != nil {
+		r.forgetLostLease(err)
+		return fmt.Errorf("write sealed figures of window %d: %w", window, err)
+	}
+	if r.OnSealed != nil {
+		r.OnSealed(window, sealed)
+	}
+	return nil
+}
+
+// sum returns the counts of all nodes in a window. Unless late is true, it returns
+// errNodesMissing if those of a node may be incomplete.
+func (r *Reporter) sum(ctx context.Context, window int64, late bool) (Counts, error) {
 	entries, _, err := r.Store.List(ctx, countsKey(window))
 	if err != nil {
 		return nil, err
@@ -325,20 +412,6 @@
 	for _, counts := range byIncarnation {
 		sum.add(counts)
 	}
-	if len(sum) == 0 {
-		return nil, nil
-	}
-	raw, err := json.Marshal(sum)
-	if err != nil {
-		return nil, err
-	}
-	lease, err := r.dataLease(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := r.Store.Put(ctx, sealedKey(window), raw, 0, lease); err != nil {
-		return nil, fmt.Errorf("write sealed figures of window %d: %w", window, err)
-	}
 	return sum, nil
 }
 
@@ -375,10 +448,15 @@
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return nil, err
 	}
+	return c, c.validate()
+}
+
+// validate returns an error if a count is negative or a workspace has no name.
+func (c Counts) validate() error {
 	for workspace, n := range c {
 		if n < 0 || strings.TrimSpace(workspace) == "" {
-			return nil, fmt.Errorf("invalid count %d of workspace %q", n, workspace)
+			return fmt.Errorf("invalid count %d of workspace %q", n, workspace)
 		}
 	}
-	return c, nil
+	return nil
 }
