A stopping node sends nothing that its grace period would cut

Cause: a stopping node took requests for three seconds whatever its grace period is, and passed on what it had taken before whenever it became ready to be sent (a slow body, a retry). Change: requests are taken for half of the grace period at most. From then on a request is sent to a server, first or again, only if its deadline is before the end; otherwise it is refused, as not run only if that is proved. 0.4 s before the end of the grace period running requests are ended with an answer, not by closing their connections. core.Drain decides, without a network.

--- a/core/core.go
+++ b/core/core.go
@@ -123,6 +123,8 @@
 	Observer     Observer
 	// Quarantine blocks requests whose prompt parts crash backend servers.
 	Quarantine *quarantine.Tracker
+	// Draining is the planned stop of the node; nil if it never stops.
+	Draining *Drain
 }
 
 // exchange is the state of one request while it is served.
@@ -221,6 +223,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline, context.DeadlineExceeded)
 	defer cancel()
+	defer e.Draining.onEnd(cancel)()
 	defer e.freeHandle()
 	defer func() {
 		for _, c := range e.resumedChoices {
@@ -239,7 +242,7 @@
 			e.fail(ReasonDeadline)
 			return
 		}
-		if e.refuseIfQuarantined() {
+		if e.refuseIfQuarantined() || e.refuseIfStopping() {
 			return
 		}
 		choice, err := e.Chooser.Choose(time.Now(), e.criteria(service))
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -50,6 +50,8 @@
 	ReasonDeadlineUnreachable Reason = "deadline_out_of_reach"
 	// ReasonCallerGone means that the caller has disconnected.
 	ReasonCallerGone Reason = "caller_gone"
+	// ReasonStopping means that the node stops before the request would end.
+	ReasonStopping Reason = "node_stops"
 	// ReasonQuarantined means that the prompt has parts that crash backend servers.
 	ReasonQuarantined Reason = "prompt_quarantined"
 	// ReasonStreamCut means that a stream was interrupted and could not be resumed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,9 +46,14 @@
 	// load balancer stops using a node after two failed readiness probes, one
 	// second apart.
 	acceptAfterStop = 3 * time.Second
-	// stopMargin is how long before the end of the grace period the node exits at the
-	// latest.
+	// maxAcceptFraction limits acceptAfterStop to a fraction of the grace period, so that the
+	// requests taken last have time to end.
+	maxAcceptFraction = 0.5
+	// stopMargin is how long before the end of the grace period the node ends the requests
+	// that still run.
 	stopMargin = 400 * time.Millisecond
+	// stopAnswerTime is how long their answers may take.
+	stopAnswerTime = 200 * time.Millisecond
 	// retryBudgetFraction keeps the retries of all nodes below the shared budget
 	// while nodes join and leave.
 	retryBudgetFraction = 0.8
@@ -171,6 +176,7 @@
 		Meter:        counter,
 		Observer:     g.observer,
 		Quarantine:   g.quarantine.tracker,
+		Draining:     core.NewDrain(),
 	}
 	g.setUpDuties(counter, windows, backend)
 	return g
@@ -316,15 +322,20 @@
 
 // stop continues to serve until the load balancer has removed the node. It then
 // rejects new requests, which the end of the grace period might interrupt, and waits
-// for the running ones.
+// for the running ones. From then on a request that was taken before is sent to a backend server
+// only if it will end in time. Requests that still run shortly before the end of the grace period
+// are answered with an error.
 func (g *Gateway) stop(l *platform.Listener) {
-	deadline := time.Now().Add(g.settings.GracePeriod() - stopMargin)
+	now, gracePeriod := time.Now(), g.settings.GracePeriod()
+	acceptUntil := now.Add(min(acceptAfterStop, time.Duration(maxAcceptFraction*float64(gracePeriod))))
+	endsAt := now.Add(gracePeriod - stopMargin)
+	g.callerHandler.Core.Draining.Begin(acceptUntil, endsAt)
 	g.stopping.Store(true)
 	g.callerHandler.Stopping.Store(true)
-	time.Sleep(acceptAfterStop)
+	time.Sleep(time.Until(acceptUntil))
 	g.callerHandler.RejectNew.Store(true)
 	_ = l.Listener.Close()
-	for time.Now().Before(deadline) {
+	for time.Now().Before(endsAt.Add(stopAnswerTime)) {
 		l.CloseIdle(stopIdleTime)
 		if g.callerHandler.InFlight.Load() == 0 && l.Connections() == 0 {
 			return
