--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"slices"
 	"sort"
 	"strconv"
@@ -51,6 +53,33 @@
 	Lease *store.LeaseID `json:"lease,omitempty"`
 }
 
+// maxNodeCPU is the greatest number of CPU cores that is plausible for one node.
+const maxNodeCPU = 1 << 12
+
+// validate returns an error if the entry, which stands under the key of the node with the given
+// name, describes no node: another writer may have left it.
+func (n Node) validate(name string) error {
+	if n.Name == "" || n.Name != name {
+		return fmt.Errorf("entry of node %.40q names %.40q", name, n.Name)
+	}
+	if n.CPU < 0 || n.CPU > maxNodeCPU {
+		return fmt.Errorf("%g CPU cores are out of range", n.CPU)
+	}
+	for _, address := range []string{n.RPCAddress, n.LoadAddress} {
+		if address != "" && !isAddress(address) {
+			return fmt.Errorf("address %.40q is no host and port", address)
+		}
+	}
+	return nil
+}
+
+// isAddress reports whether an address has a host and a port that can be called.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && number > 0
+}
+
 // Nodes registers this node and follows the list of all nodes.
 type Nodes struct {
 	self Node
@@ -330,8 +359,12 @@
 // another process, or comes from a copy of the store. The caller holds mu.
 func (n *Nodes) upsert(e store.Entry) {
 	var node Node
-	if err := json.Unmarshal(e.Value, &node); err != nil || node.Name == "" {
-		n.log.Info("cannot decode node entry", "key", e.Key)
+	err := json.Unmarshal(e.Value, &node)
+	if err == nil {
+		err = node.validate(strings.TrimPrefix(e.Key, nodesPrefix))
+	}
+	if err != nil {
+		n.log.Info("node entry ignored", "key", e.Key, "cause", err.Error())
 		return
 	}
 	if node.Lease != nil && e.Lease != store.NoLease && *node.Lease != e.Lease {
