--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -76,6 +76,7 @@
 		return err
 	}
 	a.lease, a.revision = lease, revision
+	a.nodes.Registrations.Add(1)
 	return nil
 }
 
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -99,6 +99,8 @@
 	// ordered holds the nodes sorted by failure domain and name.
 	ordered  []Node
 	position atomic.Pointer[position]
+	// Registrations counts how often this node has written its entry.
+	Registrations atomic.Int64
 	// lease is the lease of this node's entry; nil while there is none.
 	lease atomic.Pointer[store.LeaseID]
 }
--- a/discovery/servers.go
+++ b/discovery/servers.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,6 +42,9 @@
 	observedRevision store.Revision
 	removed          removedServers
 	follower         follower
+	// RetainedOverRestores counts the registrations that were kept as they were because a
+	// restored store listed them from its copy.
+	RetainedOverRestores atomic.Int64
 }
 
 // entry is one registration as it was last read.
@@ -203,6 +207,7 @@
 		retained++
 	}
 	s.observedRevision = at.EraStart()
+	s.RetainedOverRestores.Add(int64(retained))
 	s.log.Info("registrations of a restored store", "era", uint64(at.Era()), "listed", len(entries), "retained", retained, "known", len(s.entries))
 	return true
 }
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -87,6 +87,9 @@
 	Era func() store.Era
 	// Delay is the time after the end of a window by which its report is due.
 	Delay time.Duration
+	// SealsRewritten counts the sealed figures that were written again because the store had
+	// lost them.
+	SealsRewritten atomic.Int64
 	// Withheld counts the windows that were not reported because their figures may have been
 	// lost with the store after a report.
 	Withheld atomic.Int64
@@ -349,6 +352,7 @@
 	}
 	if sealed, known := r.Seals.get(window); known {
 		r.Log.Info("sealed figures are written again, the store has lost them", "window", window, "era", uint64(r.eraView.era))
+		r.SealsRewritten.Add(1)
 		return sealed, r.writeSeal(ctx, window, sealed)
 	}
 	withheld := r.mayHaveBeenReported(window)
--- a/store/era.go
+++ b/store/era.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Era is the number of a history of the store. It rises by one each time the store comes back
@@ -49,6 +50,8 @@
 type EraTracker struct {
 	mu  sync.Mutex
 	era Era
+	// seenAt is when era was seen first.
+	seenAt time.Time
 	// ended is canceled when a later era is seen.
 	ended    context.Context
 	endEra   context.CancelFunc
@@ -69,6 +72,16 @@
 	return t.era
 }
 
+// Age returns the time since the present era was seen first; 0 if none was.
+func (t *EraTracker) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.era == 0 {
+		return 0
+	}
+	return time.Since(t.seenAt)
+}
+
 // OnChange adds a function that is called with each later era, the first one included. It must not
 // call the tracker's OnChange or Observe.
 func (t *EraTracker) OnChange(f func(Era)) {
@@ -85,7 +98,7 @@
 		t.mu.Unlock()
 		return
 	}
-	t.era = era
+	t.era, t.seenAt = era, time.Now()
 	t.endEra()
 	t.ended, t.endEra = context.WithCancel(context.Background())
 	handlers := t.handlers
