figweir's own configuration doesn't go back with a restored store

Cause: the revision of the configuration was the store's number of its head. After a restore a copy's older head has, with the era, a greater revision (and before eras were known, was taken for current by a node that started): an accepted withdrawal of a key went back. Change: a head states the least revision it can have, one more than its predecessor's, so revisions increase over restores and stay the store's numbers otherwise. A node that polls the store and finds an older head than the one in force, or none, writes its own again under the head's position; of several only one succeeds. A change by an operator that was made from the copy is a conflict. A node that starts takes the word of a store that can be restored for what was accepted only two seconds after its start.

--- a/config/repository.go
+++ b/config/repository.go
@@ -41,6 +41,9 @@
 	Parts map[string]string `json:"parts"`
 	// PreviousHeads lists the heads that preceded this one, newest first.
 	PreviousHeads []PreviousHead `json:"recent,omitempty"`
+	// MinRevision is the least revision that the head can have. It keeps revisions increasing
+	// when the store was restored and gives its numbers out again.
+	MinRevision store.Revision `json:"min_revision,omitempty"`
 }
 
 // PreviousHead identifies an earlier head.
@@ -54,12 +57,21 @@
 // of it before the writer reads the head again.
 const maxPreviousHeads = 16
 
-// Version is a head record with its store revision.
+// Version is a head record with its revision.
 type Version struct {
+	// Revision orders the versions of the configuration. It is the store's number of the write,
+	// but at least Head.MinRevision.
 	Revision store.Revision
+	// Position is the revision of the head in the store.
+	Position store.Revision
 	Head     Head
 }
 
+// newVersion returns the version of a head that was written at a position in the store.
+func newVersion(head Head, position store.Revision) Version {
+	return Version{Revision: max(head.MinRevision, store.Revision(position.Number())), Position: position, Head: head}
+}
+
 // ConflictError means that another change was applied first. Its text is meant for
 // operators.
 type ConflictError struct {
@@ -168,11 +180,11 @@
 
 // DecodeHead decodes the store entry of the head record.
 func DecodeHead(entry store.Entry) (Version, error) {
-	v := Version{Revision: entry.Revision}
-	if err := json.Unmarshal(entry.Value, &v.Head); err != nil {
+	var head Head
+	if err := json.Unmarshal(entry.Value, &head); err != nil {
 		return Version{}, fmt.Errorf("config head: %w", err)
 	}
-	return v, nil
+	return newVersion(head, entry.Revision), nil
 }
 
 // Parts returns the parts of a head by name. It reads from the store only those
@@ -227,6 +239,28 @@
 	if previous.Revision != baseRevision {
 		return Version{}, &ConflictError{Base: baseRevision, Current: previous.Revision, Author: previous.Head.Author}
 	}
+	head, err := r.putParts(ctx, previous, parts, author)
+	if err != nil {
+		return Version{}, err
+	}
+	head.MinRevision = previous.Revision + 1
+	return r.swapHead(ctx, head, previous)
+}
+
+// WriteAgain writes a version that was acknowledged and that the store has lost: its head is lost,
+// an older one of a copy from which the store was restored, or zero if it has none. It returns a
+// *ConflictError if the store has another head by now, and the errors of Apply.
+func (r *Repository) WriteAgain(ctx context.Context, parts map[string][]byte, revision store.Revision, author string, lost Version) (Version, error) {
+	head, err := r.putParts(ctx, lost, parts, author)
+	if err != nil {
+		return Version{}, err
+	}
+	head.MinRevision = revision
+	return r.swapHead(ctx, head, lost)
+}
+
+// putParts writes the parts that the previous version doesn't have. It returns a head with them.
+func (r *Repository) putParts(ctx context.Context, previous Version, parts map[string][]byte, author string) (Head, error) {
 	head := Head{Token: uuid.NewString(), Author: author, Parts: make(map[string]string, len(parts)), PreviousHeads: previous.nextPreviousHeads()}
 	for name, value := range parts {
 		digest := PartDigest(value)
@@ -235,10 +269,10 @@
 			continue
 		}
 		if err := r.putPart(ctx, name, digest, value); err != nil {
-			return Version{}, err
+			return Head{}, err
 		}
 	}
-	return r.swapHead(ctx, head, baseRevision)
+	return head, nil
 }
 
 // nextPreviousHeads returns the PreviousHeads of a head that succeeds this
@@ -266,17 +300,17 @@
 	return fmt.Errorf("config part %s: %w", name, err)
 }
 
-// swapHead replaces the head record if its revision is still baseRevision. If
+// swapHead replaces the head record if it is still that of base. If
 // the write fails with a conflict or an ambiguous result, it reads the record
 // again to determine the outcome.
-func (r *Repository) swapHead(ctx context.Context, head Head, baseRevision store.Revision) (Version, error) {
+func (r *Repository) swapHead(ctx context.Context, head Head, base Version) (Version, error) {
 	raw, err := json.Marshal(head)
 	if err != nil {
 		return Version{}, err
 	}
-	revision, err := r.store.Put(ctx, HeadKey, raw, baseRevision, store.NoLease)
+	position, err := r.store.Put(ctx, HeadKey, raw, base.Position, store.NoLease)
 	if err == nil {
-		return Version{Revision: revision, Head: head}, nil
+		return newVersion(head, position), nil
 	}
 	if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAmbiguous) {
 		return Version{}, err
@@ -285,11 +319,11 @@
 	if readErr != nil {
 		return Version{}, err
 	}
-	conflict := &ConflictError{Base: baseRevision, Current: current.Revision, Author: current.Head.Author}
+	conflict := &ConflictError{Base: base.Revision, Current: current.Revision, Author: current.Head.Author}
 	if errors.Is(err, store.ErrConflict) {
 		return Version{}, conflict
 	}
-	return resolveAmbiguousWrite(head, baseRevision, current, conflict)
+	return resolveAmbiguousWrite(head, base.Revision, current, conflict)
 }
 
 // resolveAmbiguousWrite determines whether a head whose write had no response
--- a/configsync/apply.go
+++ b/configsync/apply.go
@@ -40,6 +40,11 @@
 // it is unknown whether the change was stored.
 func (s *Sync) Apply(ctx context.Context, d *config.Document, base store.Revision, author string) (Result, error) {
 	count(counterApplies)
+	if base < s.Revision() {
+		// The store may have lost the revision in force. It is written again first, so that the
+		// operator sees the conflict.
+		s.readHead(ctx)
+	}
 	version, err := s.repository.Apply(ctx, d, base, author)
 	if err != nil {
 		return Result{}, err
--- a/configsync/harness_test.go
+++ b/configsync/harness_test.go
@@ -134,7 +134,7 @@
 	settings.Self = n.vm
 	p := &process{mux: http.NewServeMux()}
 	p.members = membership.New(settings, n, peer.NewMembershipClient(client, auth), logr.Discard())
-	p.sync = configsync.New(configsync.Settings{}, p.members, memnet.PartitionedStore{Store: n.cluster.store, Partitioned: n.isCutFromStore}, config.NewCurrentSnapshot(),
+	p.sync = configsync.New(configsync.Settings{}, p.members, memnet.PartitionedStore{Store: n.cluster.store.NewClient(), Partitioned: n.isCutFromStore}, config.NewCurrentSnapshot(),
 		peer.NewConfigClient(client, auth), logr.Discard())
 	if n.rule != nil {
 		p.sync.SetRule(n.rule)
--- a/configsync/metrics.go
+++ b/configsync/metrics.go
@@ -8,8 +8,9 @@
 	counterHeadReads        = "store_head_reads"
 	counterWatches          = "store_watches"
 	counterLists            = "store_lists"
-	counterPartLoads        = "store_part_loads" // each reads every changed part
-	counterApplies          = "store_applies"    // each writes every changed part and the head
+	counterPartLoads        = "store_part_loads"   // each reads every changed part
+	counterApplies          = "store_applies"      // each writes every changed part and the head
+	counterWrittenAgain     = "store_writes_again" // each writes the lost parts and the head
 	counterInstalled        = "revisions_installed"
 	counterUnusable         = "revisions_unusable"
 	counterPushes           = "pushes"
--- a/configsync/relay.go
+++ b/configsync/relay.go
@@ -70,9 +70,41 @@
 		s.log.V(1).Info("configuration head not read", "error", err.Error())
 		return
 	}
+	if version.Revision < s.Revision() {
+		s.writeAgain(ctx, version)
+	}
 	s.handleHead(ctx, version, sent)
 }
 
+// writeAgain writes the revision in force to the store, which has lost it: the store was restored
+// from a copy with an older head, or with none. Another node may do the same; only one write of a
+// head succeeds.
+func (s *Sync) writeAgain(ctx context.Context, lost config.Version) {
+	r := s.currentRevision.Load()
+	if r == nil || r.number <= lost.Revision || lost.Position < s.headPosition.Load() && lost.Position != 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.CallTimeout)
+	defer cancel()
+	values := make(map[string][]byte, len(r.parts))
+	for name, p := range r.parts {
+		values[name] = p.Value
+	}
+	version, err := s.repository.WriteAgain(ctx, values, r.number, r.author, lost)
+	s.log.Info("configuration written again, the store has lost it", "revision", r.number, "store_had", lost.Revision,
+		"written_as", version.Revision, "error", errorText(err))
+	if err == nil {
+		count(counterWrittenAgain)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // watchHead watches the head in the store while this node is a relay.
 func (s *Sync) watchHead(ctx context.Context) {
 	var after store.Revision
@@ -83,7 +115,7 @@
 			}
 			continue
 		}
-		after = max(after, s.Revision())
+		after = max(after, s.headPosition.Load())
 		events, next, err := s.watchOnce(ctx, after)
 		switch {
 		case ctx.Err() != nil:
@@ -148,8 +180,9 @@
 // is zero if the call does not count as a read of the store.
 func (s *Sync) handleHead(ctx context.Context, version config.Version, sent time.Time) {
 	if !sent.IsZero() {
-		s.members.RecordStoreRead(sent, version.Revision)
+		s.members.RecordStoreRead(sent, version.Revision, version.Position.Era() > 0)
 	}
+	s.headPosition.Store(max(s.headPosition.Load(), version.Position))
 	if version.Revision > s.Revision() {
 		s.loadVersion(ctx, version)
 	}
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -81,6 +81,7 @@
 	freshnessRule func(Evidence, time.Duration) ServingState
 
 	currentRevision atomic.Pointer[revision]
+	headPosition    atomicRevision // greatest position in the store at which a head was read
 	ready           atomic.Bool
 	newerPeers      chan membership.VM // peer with a greater revision, to pull from
 	pushSignal      chan struct{}      // signals that this relay has a revision to push
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -22,6 +22,9 @@
 	transport Transport
 	log       logr.Logger
 	startedAt time.Time
+	// readsProveFrom is the time from which a read of the store shows which revisions were
+	// accepted; guarded by mu.
+	readsProveFrom time.Time
 
 	view atomic.Pointer[View]
 	// onNewerRevision is called when a peer has a greater revision in force.
@@ -43,16 +46,21 @@
 	rng             *rand.Rand
 }
 
+// restoreSettleTime is how long a node that starts doesn't take the store's word for which revisions
+// were accepted if the store may have been restored just before: within that time running nodes
+// write again what it has lost.
+const restoreSettleTime = 2 * time.Second
+
 // New returns a membership with an empty view. Run starts the exchange.
 func New(settings Settings, lister Lister, transport Transport, log logr.Logger) *Membership {
 	settings = settings.withDefaults()
 	now := time.Now()
 	m := &Membership{
-		settings:    settings,
-		lister:      lister,
-		transport:   transport,
-		log:         log,
-		startedAt:   now,
+		settings:  settings,
+		lister:    lister,
+		transport: transport,
+		log:       log,
+		startedAt: now, readsProveFrom: now,
 		incarnation: uint64(now.UnixMilli()),
 		evidence:    newEvidence(),
 		quorum:      quorum{listLag: settings.ListLag},
@@ -95,10 +103,14 @@
 }
 
 // RecordStoreRead records that a read of the store, sent at the given time,
-// returned the head at revision.
-func (m *Membership) RecordStoreRead(sent time.Time, revision store.Revision) {
+// returned the head at revision. mayBeRestored is true if the store can come back from an
+// earlier copy.
+func (m *Membership) RecordStoreRead(sent time.Time, revision store.Revision, mayBeRestored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if mayBeRestored {
+		m.readsProveFrom = m.startedAt.Add(restoreSettleTime)
+	}
 	m.highestRevision = max(m.highestRevision, revision)
 	m.evidence.addStoreRead(sent, revision, m.inForce)
 	m.publishLocked(time.Now())
@@ -257,7 +269,7 @@
 		// Acknowledgements by the previous incarnation of this node may count for
 		// changes until the acknowledgement window has passed. A majority is
 		// therefore sufficient only after that time.
-		m.informed = fresh && readAt.After(m.startedAt) ||
+		m.informed = fresh && readAt.After(m.readsProveFrom) ||
 			majority && majorityAt.After(m.startedAt.Add(m.settings.AckWindow))
 	}
 	m.quorum.prune(now, fresh, fresh || majority)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -72,7 +72,7 @@
 		}
 		time.Sleep(time.Millisecond)
 		for _, m := range n.nodes {
-			m.RecordStoreRead(time.Now(), 0)
+			m.RecordStoreRead(time.Now(), 0, false)
 			wg.Go(func() { m.Run(ctx) })
 		}
 		f(is.New(t), n)
@@ -140,7 +140,7 @@
 		time.Sleep(time.Second)
 		for range 50 {
 			time.Sleep(10 * time.Millisecond)
-			n.nodes["vm000"].RecordStoreRead(time.Now(), 0)
+			n.nodes["vm000"].RecordStoreRead(time.Now(), 0, false)
 			view := n.nodes["vm001"].View()
 			is.True(view.StoreReadAge(time.Now()).Age >= 400*time.Millisecond)
 			is.True(view.MajorityAge(time.Now()).Age >= 400*time.Millisecond)
