Orders and intents over a restore: tokens rise, and what may be on its way is waited for

A planned stop deleted the record of another process that had the number of its own. Change: numbers and epochs start above those of earlier eras. In a new era no order is sent until one lease time and one connection timeout after it was seen (RestoredError says so); a target that checks tokens is fenced once per term, since intents may be lost; intents that a copy brings back are closed by their writer or its successor at the address. A stopping process reads its record and its node entry before it deletes them.

--- a/authority/blockedtimes_test.go
+++ b/authority/blockedtimes_test.go
@@ -227,7 +227,7 @@
 		r.add(Intent{
 			OrderID: other.Incarnation, Target: Target{Name: name, Generation: 1 << 40}, Writer: other,
 			Order: Order{Kind: "role", Detail: strings.Repeat("d", detailBytes)}, OpenedUnixMillis: time.Now().UnixMilli(),
-		})
+		}, 0)
 	}
 	return r
 }
--- a/authority/duty.go
+++ b/authority/duty.go
@@ -83,6 +83,14 @@
 	return uint64(d.revision), d.held && d.lease.validLocked(now)
 }
 
+// tokenFloor returns a number that is greater than the tokens of all orders of earlier eras and not
+// greater than those of the present one. The store may have lost which were given out.
+func (d *Duty) tokenFloor() uint64 {
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	return uint64(d.revision.EraStart())
+}
+
 // MarkLost marks the duty as not held until the next acquisition, for example
 // after a target has seen a higher fencing token.
 func (d *Duty) MarkLost() {
--- a/authority/errors.go
+++ b/authority/errors.go
@@ -21,6 +21,19 @@
 	return fmt.Sprintf("authority: this process does not hold duty %s; the order was not sent", e.Duty)
 }
 
+// RestoredError is returned while orders of holders before a restore of the store may still be on
+// their way: the store may have lost their intents. The order was not sent.
+type RestoredError struct {
+	Duty string
+	// Wait is how long that lasts.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("authority: the store was restored, duty %s sends no orders for %s; the order was not sent", e.Duty, e.Wait.Round(time.Millisecond))
+}
+
 // BlockedError is returned if an open intent of another process blocks the
 // target. The order was not sent.
 type BlockedError struct {
--- a/authority/journal.go
+++ b/authority/journal.go
@@ -72,6 +72,11 @@
 	// pending lists intents of this process that are no longer needed.
 	pending  []pendingClose
 	absences vmAbsences
+
+	// fencedIn holds, by target, when it was last fenced.
+	fencedIn map[string]fencing
+	// restoredClosedIn is the era in which closeRestored has closed intents. Only Sweep uses it.
+	restoredClosedIn store.Era
 }
 
 // pendingClose is an intent of this process to close at or after notBefore.
@@ -80,12 +85,15 @@
 	notBefore time.Time
 }
 
+// fencing is the term of the duty in which a generation of a target was fenced.
+type fencing struct{ term, generation uint64 }
+
 // NewJournal returns the journal of a duty. fence may be nil if no target
 // checks fencing tokens.
 func NewJournal(s store.Store, d *Duty, vms VMLister, fence FenceFunc, options JournalOptions) *Journal {
 	j := &Journal{
 		duty: d, process: d.lease.process, clock: d.lease.clock, options: options, vmLister: vms, fence: fence,
-		stats: &counters{}, blocked: newBlockedTracker(), inProgress: make(map[string]bool), absences: make(vmAbsences),
+		stats: &counters{}, blocked: newBlockedTracker(), inProgress: make(map[string]bool), fencedIn: make(map[string]fencing), absences: make(vmAbsences),
 	}
 	j.started = j.clock.Now()
 	j.writer = newRecordWriter(s, journalPrefix+d.name, options.StoreTimeout, j.stats, j.recordChanged)
@@ -171,7 +179,7 @@
 	lastRecord := j.record
 	j.mu.Unlock()
 	needed, err := j.checkIntents(lastRecord, target)
-	if err != nil || !needed {
+	if err != nil || !needed && !j.mayHaveLostIntents(term, target) {
 		return err
 	}
 	fence, err := j.openIntent(ctx, Intent{
@@ -191,9 +199,23 @@
 	if err != nil {
 		return err
 	}
+	j.mu.Lock()
+	j.fencedIn[target.Name] = fencing{term, target.Generation}
+	j.mu.Unlock()
 	return j.closeFenced(ctx, fence)
 }
 
+// mayHaveLostIntents reports whether the target must be fenced although no intent is open: a store
+// that was restored may have lost those of earlier holders. Once per term is enough.
+func (j *Journal) mayHaveLostIntents(term uint64, target Target) bool {
+	if !target.ChecksTokens || j.fence == nil || j.duty.lease.newestEra() == 0 {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.fencedIn[target.Name] != fencing{term, target.Generation}
+}
+
 // closeFenced closes the intent of an accepted fencing order and those of all
 // orders to the target with a lower token.
 func (j *Journal) closeFenced(ctx context.Context, fence Intent) error {
@@ -222,6 +244,9 @@
 	if j.hasTakenOver(term) {
 		return nil
 	}
+	if wait := j.duty.lease.untilEraSettled(j.options.ConnectionTimeout); wait > 0 {
+		return &RestoredError{Duty: j.duty.name, Wait: wait}
+	}
 	return j.writer.commit(ctx, func(r *record) (bool, error) {
 		if j.ownsRecord(r) && j.hasTakenOver(term) {
 			return false, nil
@@ -230,7 +255,7 @@
 		if !j.duty.MayAct(term) {
 			return false, j.notHolderError()
 		}
-		r.Epoch++
+		r.Epoch = max(r.Epoch, j.duty.tokenFloor()) + 1
 		r.Holder = j.process
 		j.mu.Lock()
 		defer j.mu.Unlock()
@@ -281,7 +306,7 @@
 		replaced = r.remove(func(i Intent) bool {
 			return i.Target.Name == intent.Target.Name && i.Target.Generation < intent.Target.Generation
 		})
-		opened = r.add(intent)
+		opened = r.add(intent, j.duty.tokenFloor())
 		return true, nil
 	})
 	if err != nil {
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -131,12 +131,13 @@
 // observeEra records the era of the store. A later one ends the duties of this process, since
 // their records and the lease may be gone.
 func (l *Lease) observeEra(era store.Era) {
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if era <= l.era {
 		return
 	}
-	l.era, l.eraSeenAt = era, l.clock.Now()
+	l.era, l.eraSeenAt = era, now
 	if l.id == store.NoLease || l.id.Era >= era {
 		return
 	}
@@ -150,13 +151,34 @@
 	l.loseDutiesLocked()
 }
 
+// newestEra returns the newest era seen.
+func (l *Lease) newestEra() store.Era {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
 // mayAcquire reports whether duties may be acquired in the present era. Their records say nothing
 // about holders of the era before until its leases have lapsed: a holder may not know yet that the
 // store was restored.
 func (l *Lease) mayAcquire() bool {
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.era == 0 || l.clock.Now().Sub(l.eraSeenAt) >= l.options.LeaseTime
+	return l.era == 0 || now.Sub(l.eraSeenAt) >= l.options.LeaseTime
+}
+
+// untilEraSettled returns how long it takes until no order can still be on its way that a holder of
+// an earlier era has sent: its lease has lapsed by then, and a copy of its order arrives within
+// the connection timeout. The intents of these orders may be gone with the store.
+func (l *Lease) untilEraSettled(connectionTimeout time.Duration) time.Duration {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.era == 0 {
+		return 0
+	}
+	return l.options.LeaseTime + connectionTimeout - now.Sub(l.eraSeenAt)
 }
 
 // validLocked reports whether the lease allows this process to act: it has not lapsed, and no
@@ -226,28 +248,44 @@
 // this process doesn't know that the store was restored, that number may be the lease of another
 // one, and that call has no condition.
 func (l *Lease) stop(ctx context.Context) {
-	records := l.takeRecords()
 	ctx, cancel := context.WithTimeout(ctx, l.options.StoreTimeout)
 	defer cancel()
-	for key, revision := range records {
-		if err := l.store.Delete(ctx, key, revision); err != nil {
-			l.options.Log.Info("duty record not deleted, it expires with its lease", "key", key, "cause", err.Error())
+	for _, d := range l.takeDuties() {
+		if err := l.deleteRecord(ctx, d); err != nil {
+			l.options.Log.Info("duty record not deleted, it expires with its lease", "duty", d.name, "cause", err.Error())
 		}
 	}
 }
 
-// takeRecords marks all duties as not held. It returns the keys and revisions of their records.
-func (l *Lease) takeRecords() map[string]store.Revision {
+// takeDuties marks all duties as not held. It returns those that were.
+func (l *Lease) takeDuties() []*Duty {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	records := make(map[string]store.Revision)
+	var held []*Duty
 	for _, d := range l.duties {
 		if d.held {
-			records[d.key()] = d.revision
+			held = append(held, d)
 		}
 	}
 	l.loseDutiesLocked()
-	return records
+	return held
+}
+
+// deleteRecord deletes the record of a duty if this process has written it. It reads the record
+// first: in a restored store, that of another process may have the number of this one's.
+func (l *Lease) deleteRecord(ctx context.Context, d *Duty) error {
+	entry, err := l.store.Get(ctx, d.key())
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var rec dutyRecord
+	if err := json.Unmarshal(entry.Value, &rec); err != nil || rec.WriteID != d.lastWriteID {
+		return err
+	}
+	return l.store.Delete(ctx, d.key(), entry.Revision)
 }
 
 // acquire tries once to write the leased record of a duty. Errors are ignored,
--- a/authority/record.go
+++ b/authority/record.go
@@ -22,10 +22,12 @@
 	// WriteID identifies the write. After a lost response it shows whether the
 	// write took effect.
 	WriteID string `json:"token"`
-	// Epoch is incremented whenever a process takes the journal over.
+	// Epoch increases whenever a process takes the journal over, also when the store is
+	// restored.
 	Epoch  uint64  `json:"epoch"`
 	Holder Process `json:"holder"`
-	// LastNumber is the number of the last opened intent. It never decreases.
+	// LastNumber is the number of the last opened intent. Later ones are greater, also when the
+	// store is restored.
 	LastNumber uint64   `json:"next"`
 	Intents    []Intent `json:"intents,omitempty"`
 }
@@ -81,9 +83,9 @@
 	return removed
 }
 
-// add appends an intent with the next number and returns it.
-func (r *record) add(intent Intent) Intent {
-	r.LastNumber++
+// add appends an intent with the next number, which is greater than after, and returns it.
+func (r *record) add(intent Intent, after uint64) Intent {
+	r.LastNumber = max(r.LastNumber, after) + 1
 	intent.Number = r.LastNumber
 	r.Intents = append(r.Intents, intent)
 	return intent
--- a/authority/simulation_test.go
+++ b/authority/simulation_test.go
@@ -201,7 +201,7 @@
 // call.
 type proc struct {
 	Process
-	store.Store // the shared one
+	store.Store // a client of the shared one
 	sim         *simulation
 	lease       *Lease
 	duty        *Duty
@@ -228,8 +228,11 @@
 func (sim *simulation) start(address string) *proc {
 	sim.setVM(address, true)
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &proc{Process: NewProcess(address), Store: sim.store, sim: sim, cancel: cancel, armedPoints: map[pausePoint]bool{}, storeFault: map[memstore.Op]memstore.Fault{}}
-	p.lease = NewLease(p, p.Process, p, sim.leaseOptions)
+	client := sim.store.NewClient()
+	p := &proc{Process: NewProcess(address), Store: client, sim: sim, cancel: cancel, armedPoints: map[pausePoint]bool{}, storeFault: map[memstore.Op]memstore.Fault{}}
+	options := sim.leaseOptions
+	options.Era = client.Eras.Current
+	p.lease = NewLease(p, p.Process, p, options)
 	p.duty = p.lease.Duty(testDuty, func() bool { return true })
 	p.journal = NewJournal(p, p.duty, p, p.fence, sim.journalOptions)
 	started := time.Now()
--- a/authority/statemachine_test.go
+++ b/authority/statemachine_test.go
@@ -33,6 +33,36 @@
 	})
 }
 
+// Guards against conflicting orders, and against orders that targets refuse for good, when the store
+// is restored: to copies of any age, again and again, while it is away, with lost answers, late
+// writes, killed and frozen holders. The targets check fencing tokens: without that, an order of a
+// frozen holder whose intent was lost can't be told apart.
+func TestNoConflictingOrdersOverRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rapid.SyncTest(rt, func(rt *rapid.T) {
+			m := &stateMachine{sim: newSimulation()}
+			m.sim.addTarget("engine-checking", true)
+			m.sim.addTarget("other-checking", true)
+			m.mainTarget = m.sim.targets[0]
+			m.drawListLag(rt)
+			for range rapid.IntRange(2, 4).Draw(rt, "processes") {
+				m.startProcess()
+				time.Sleep(13 * time.Millisecond)
+			}
+			defer m.sim.stop()
+			actions := m.actions()
+			copies := []*memstore.Copy{m.sim.store.Copy()}
+			actions["copy"] = func(*rapid.T) { copies = append(copies, m.sim.store.Copy()) }
+			restore := func(rt *rapid.T) {
+				m.sim.store.Restore(copies[rapid.IntRange(0, len(copies)-1).Draw(rt, "which copy")])
+			}
+			actions["restore"], actions["restore2"] = restore, restore
+			rt.Repeat(actions)
+			m.endFaults(rt)
+		})
+	})
+}
+
 type stateMachine struct {
 	sim          *simulation
 	addressCount int
--- a/authority/sweep.go
+++ b/authority/sweep.go
@@ -24,6 +24,9 @@
 	if err := j.closePending(ctx); err != nil {
 		return err
 	}
+	if err := j.closeRestored(ctx); err != nil {
+		return err
+	}
 	term, held := j.duty.Term()
 	if !held {
 		return nil
@@ -51,6 +54,47 @@
 	return foreign || j.record != nil && now.Sub(j.recordTime) >= j.options.MaxRecordAge
 }
 
+// closeRestored closes, once in each era, the intents of this process and of earlier ones at its
+// address that a restored store has again although they were closed: no other rule closes those.
+func (j *Journal) closeRestored(ctx context.Context) error {
+	era := j.duty.lease.newestEra()
+	if era == j.restoredClosedIn || j.duty.lease.untilEraSettled(j.options.ConnectionTimeout) > 0 {
+		return nil
+	}
+	if err := j.writer.refresh(ctx); err != nil {
+		return err
+	}
+	if ids := j.closedButRecorded(); len(ids) > 0 {
+		if err := j.closeOwn(ctx, ids); err != nil {
+			return err
+		}
+	}
+	j.restoredClosedIn = era
+	return nil
+}
+
+// closedButRecorded returns the order IDs of the recorded intents of earlier processes at this address,
+// and of this one as far as they are neither in progress nor waiting to be closed.
+func (j *Journal) closedButRecorded() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.record == nil {
+		return nil
+	}
+	pending := make(map[string]bool, len(j.pending))
+	for _, p := range j.pending {
+		pending[p.orderID] = true
+	}
+	var ids []string
+	for _, i := range j.record.Intents {
+		own := i.Writer.Incarnation == j.process.Incarnation && !pending[i.OrderID] && !j.inProgress[i.Target.Name]
+		if own || isPreviousIncarnation(i.Writer, j.process) {
+			ids = append(ids, i.OrderID)
+		}
+	}
+	return ids
+}
+
 // closePending closes the pending intents of this process that are due.
 func (j *Journal) closePending(ctx context.Context) error {
 	now := j.clock.Now()
--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -31,10 +31,8 @@
 type announcer struct {
 	nodes *Nodes
 	store store.Store
-	// lease is the lease of the entry; store.NoLease while there is none. revision is the
-	// revision of the entry.
-	lease    store.LeaseID
-	revision store.Revision
+	// lease is the lease of the entry; store.NoLease while there is none.
+	lease store.LeaseID
 }
 
 // renewOrRegister renews the lease of the entry, or writes the entry again if the lease is gone.
@@ -71,24 +69,29 @@
 	if err != nil {
 		return err
 	}
-	revision, err := a.store.Put(ctx, key, raw, old.Revision, lease)
-	if err != nil {
+	if _, err := a.store.Put(ctx, key, raw, old.Revision, lease); err != nil {
 		return err
 	}
-	a.lease, a.revision = lease, revision
+	a.lease = lease
 	a.nodes.Registrations.Add(1)
 	return nil
 }
 
-// remove deletes the entry. It doesn't end the lease by its number, which may be the lease of
-// another process if the store was restored and this node doesn't know of it yet.
+// remove deletes the entry, if it is still the one that this node has written. It doesn't end the
+// lease by its number, which may be the lease of another process if the store was restored and this
+// node doesn't know of it yet.
 func (a *announcer) remove(ctx context.Context) {
 	if a.lease == store.NoLease {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, nodeRenewInterval/2)
 	defer cancel()
-	if err := a.store.Delete(ctx, nodesPrefix+a.nodes.self.Name, a.revision); err != nil {
+	key := nodesPrefix + a.nodes.self.Name
+	entry, err := a.store.Get(ctx, key)
+	if err == nil && entry.Lease == a.lease {
+		err = a.store.Delete(ctx, key, entry.Revision)
+	}
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		a.nodes.log.Info("cannot remove node entry, it expires with its lease", "cause", err.Error())
 	}
 }
