--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,6 +31,7 @@
 	{"hangup", false, func(d *Deployment, r *rand.Rand) func() { d.randomNode(r).signal(syscall.SIGHUP); return func() {} }},
 	{"store connection", true, disturbStoreConnection},
 	{"store failures", true, failStoreOperations},
+	{"store restored", true, restoreStore},
 	{"server connection", false, disturbServerConnection},
 	{"server faults", false, injectServerFaults},
 	{"release", false, replaceServer},
@@ -97,6 +98,23 @@
 	return func() { d.store.SetFault(nil) }
 }
 
+// restoreStore copies the store. At the end of the fault the store is away for a moment and comes back
+// as that copy; the operator then writes its configuration again, as the backend servers do.
+func restoreStore(d *Deployment, r *rand.Rand) func() {
+	earlier := d.store.Copy()
+	away := time.Duration(r.IntN(int(maxRestoreTime)))
+	return func() {
+		d.store.SetFault(func(memstore.Op, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+		time.Sleep(away)
+		d.store.Restore(earlier)
+		d.store.SetFault(nil)
+		d.writeConfig()
+	}
+}
+
+// maxRestoreTime is the longest time for which a store that is restored is away.
+const maxRestoreTime = time.Second
+
 func (d *Deployment) randomBackend(r *rand.Rand) *backend {
 	all := append(append([]*backend{}, d.plainServers...), d.engines...)
 	return all[r.IntN(len(all))]
