figweir's own usage windows: none is reported twice after a restore

Cause: the record of a window in the store was taken as proof of what was reported; the next owner sealed and reported it again under another report ID. Change: a window that was due before the era was known, and has no record, gets one that is marked as withheld and never reported; its contributions still tell late usage apart. Within one step in which the store turns out to be restored nothing is sealed or reported. Since when an era is known (store.EraSince) is shared with the gateway's reporter.

--- a/metering/era.go
+++ b/metering/era.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -22,29 +20,12 @@
 	maxRepublishDelay = time.Second
 )
 
-// eraRecord is the value stored under eraKey.
-type eraRecord struct {
-	Era store.Era `json:"era"`
-	// SinceMillis is when a node first knew of the era, in milliseconds since 1970.
-	SinceMillis int64 `json:"since_unix_ms"`
-}
-
-// eraView is what a reporter knows of the era of the store.
-type eraView struct {
-	era store.Era
-	// since is a time at which the era had already begun, in true time.
-	since time.Time
-	// recorded is true once since was compared with the record in the store.
-	recorded bool
-}
-
 // updateEra notices a new era. What this node had published and the lease of its usage data may be
 // gone then.
 func (r *Reporter) updateEra(now time.Time) {
-	if r.Era == nil || r.Era() == r.eraView.era {
+	if r.Era == nil || !r.eraSince.Update(r.Era(), now) {
 		return
 	}
-	r.eraView = eraView{era: r.Era(), since: now}
 	r.lease = store.NoLease
 	if len(r.published) == 0 {
 		return
@@ -55,55 +36,27 @@
 		}
 	}
 	r.publishAt = now.Add(rand.N(maxRepublishDelay))
-	r.Log.Info("usage counts are published again, the store was restored", "era", uint64(r.eraView.era))
+	r.Log.Info("usage counts are published again, the store was restored", "era", uint64(r.eraSince.Era()))
 }
 
 // checkEra returns an error if the era has changed since the present round began: what was read in
 // the round may be gone.
 func (r *Reporter) checkEra() error {
-	if r.Era != nil && r.Era() != r.eraView.era {
+	if r.Era != nil && r.Era() != r.eraSince.Era() {
 		return errStoreRestored
 	}
 	return nil
 }
 
-// recordEra compares the time since when this node knows the era with the record in the store,
-// which the first holder in the era writes: a node that has just started knows of it only since
-// then. Errors are logged, and the next round tries again.
+// recordEra records since when the era is known. Errors are logged, and the next round tries again.
 func (r *Reporter) recordEra(ctx context.Context) {
-	if r.eraView.era == 0 || r.eraView.recorded {
-		return
-	}
-	entry, err := r.Store.Get(ctx, eraKey)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		r.Log.Info("cannot read since when the era of the store is known", "cause", err.Error())
-		return
-	}
-	var record eraRecord
-	if err == nil && json.Unmarshal(entry.Value, &record) == nil && record.Era == r.eraView.era {
-		if since := time.UnixMilli(record.SinceMillis); since.Before(r.eraView.since) {
-			r.eraView.since = since
-		}
-		r.eraView.recorded = true
-		return
-	}
-	raw, err := json.Marshal(eraRecord{r.eraView.era, r.eraView.since.UnixMilli()})
-	if err == nil {
-		_, err = r.Store.Put(ctx, eraKey, raw, entry.Revision, store.NoLease)
-	}
-	if err != nil {
+	if err := r.eraSince.Record(ctx, r.Store, eraKey); err != nil {
 		r.Log.Info("cannot record since when the era of the store is known", "cause", err.Error())
-		return
 	}
-	r.eraView.recorded = true
 }
 
 // mayHaveBeenReported reports whether a window that isn't sealed in the store may have been sealed
 // and reported in an earlier era.
 func (r *Reporter) mayHaveBeenReported(window int64) bool {
-	if r.eraView.era == 0 {
-		return false
-	}
-	sealable := r.Windows.End(window).Add(r.delayFraction(sealFraction))
-	return sealable.Before(r.eraView.since.Add(maxClockError))
+	return r.eraSince.Precedes(r.Windows.End(window).Add(r.delayFraction(sealFraction)), maxClockError)
 }
--- a/metering/reporter.go
+++ b/metering/reporter.go
@@ -108,7 +108,8 @@
 	publishAt time.Time
 	// retryAt is when to try again to seal a window whose counts were incomplete.
 	retryAt map[int64]time.Time
-	eraView eraView
+	// eraSince states since when the era of the store is known.
+	eraSince store.EraSince
 }
 
 // errMayBeReported means that a window may have been reported with figures that are lost.
@@ -285,7 +286,7 @@
 		}
 		if errors.Is(err, errMayBeReported) || errors.Is(err, errSealsDiffer) {
 			r.Log.Info("usage of a window is not reported", "window", window, "fencing_token", token,
-				"era", uint64(r.eraView.era), "cause", err.Error())
+				"era", uint64(r.eraSince.Era()), "cause", err.Error())
 			r.Withheld.Add(1)
 			r.reported[window] = true
 			continue
@@ -351,7 +352,7 @@
 		return nil, err
 	}
 	if sealed, known := r.Seals.get(window); known {
-		r.Log.Info("sealed figures are written again, the store has lost them", "window", window, "era", uint64(r.eraView.era))
+		r.Log.Info("sealed figures are written again, the store has lost them", "window", window, "era", uint64(r.eraSince.Era()))
 		r.SealsRewritten.Add(1)
 		return sealed, r.writeSeal(ctx, window, sealed)
 	}
--- a/node/usagewindows.go
+++ b/node/usagewindows.go
@@ -115,6 +115,7 @@
 		Shard: shard, Shards: usageShards, Window: w.node.settings.UsageWindow(),
 		Store: w.node.store, Nodes: w.node.meter, Transport: w.node.meter.client,
 		FencedSender: dutySender{journal}, Reporter: w.reporter, NewToken: uuid.NewString,
+		Era: w.node.eras.Current,
 	})
 	w.mu.Lock()
 	w.owners[owner] = true
@@ -143,7 +144,8 @@
 		Sealed: a.Sealed + b.Sealed, Adopted: a.Adopted + b.Adopted,
 		Reported: a.Reported + b.Reported, LateReports: a.LateReports + b.LateReports,
 		Corrections: a.Corrections + b.Corrections, Corrected: a.Corrected.Add(b.Corrected),
-		TooLate: a.TooLate.Add(b.TooLate), Unreachable: a.Unreachable + b.Unreachable,
+		Withheld: a.Withheld + b.Withheld,
+		TooLate:  a.TooLate.Add(b.TooLate), Unreachable: a.Unreachable + b.Unreachable,
 	}
 }
 
--- a/usage/cluster_test.go
+++ b/usage/cluster_test.go
@@ -158,6 +158,7 @@
 			Shard: uint32(shard), Shards: testShards, Window: testWindow, Grace: testGrace, HorizonWindows: 1000,
 			Store: c.store, Nodes: c, Transport: testTransport{c, -1}, FencedSender: testFencedSender{c, p}, Reporter: c,
 			NewToken: func() string { c.token++; return fmt.Sprint("token-", c.token) },
+			Era:      c.store.Eras.Current,
 		})
 	}
 	c.processes[i] = p
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -77,6 +77,8 @@
 	Reporter     billing.Reporter
 	// NewToken returns a unique token for a record.
 	NewToken func() string
+	// Era returns the newest era of the store that was seen; nil if the store states none.
+	Era func() store.Era
 }
 
 // Owner seals and reports the windows of one shard. An Owner is used for one
@@ -90,6 +92,8 @@
 	mu sync.Mutex
 	// loaded is set if the newest record has been looked up in the store.
 	loaded bool
+	// eraSince states since when the era of the store is known.
+	eraSince store.EraSince
 	// firstWindow is the first window of the shard, 0 if not known yet.
 	firstWindow int64
 	// latest is the record of the newest sealed window, nil if there is none.
@@ -141,6 +145,9 @@
 	Corrected   Figures
 	// TooLate is usage that arrived after the horizon and is not reported.
 	TooLate Figures
+	// Withheld counts records that this owner wrote and that are not reported, since the window
+	// may have been reported before the store was restored.
+	Withheld uint64
 	// Unreachable counts failed collections.
 	Unreachable uint64
 }
@@ -190,10 +197,20 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	last := o.lastDue(now)
+	if err := o.updateEra(ctx, now); err != nil {
+		return fmt.Errorf("since when the era of the store is known: %w", err)
+	}
 	if err := o.loadNewest(ctx, last); err != nil {
 		return err
 	}
-	return errors.Join(o.sealDue(ctx, last), o.reportAll(ctx, now))
+	if err := o.checkEra(); err != nil {
+		return err
+	}
+	sealErr := o.sealDue(ctx, last)
+	if err := o.checkEra(); err != nil {
+		return errors.Join(sealErr, err)
+	}
+	return errors.Join(sealErr, o.reportAll(ctx, now))
 }
 
 // Run calls Step when a window is due, and every retry interval while Step
--- a/usage/record.go
+++ b/usage/record.go
@@ -40,6 +40,9 @@
 	// record of their window, and whose difference has been reported as a
 	// correction in this record or an earlier one.
 	Corrected []CorrectedTotal `json:"corrected,omitempty"`
+	// Withheld is true if the window is not reported: it may have been reported by an owner whose
+	// record a restored store has lost.
+	Withheld bool `json:"withheld,omitempty"`
 	// Unreported contains the earlier windows whose reports were not confirmed
 	// when the record was written.
 	Unreported []int64 `json:"unreported,omitempty"`
--- a/usage/seal.go
+++ b/usage/seal.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/figweir/figweir/store"
 )
@@ -129,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if err := o.checkEra(); err != nil {
+		return err
+	}
 	return o.writeRecord(ctx, r)
 }
 
@@ -192,6 +196,9 @@
 		o.updateStats(func(s *OwnerStats) { s.Adopted++ })
 		return
 	}
+	if stored.Withheld {
+		o.updateStats(func(s *OwnerStats) { s.Withheld++ })
+	}
 	var amount Figures
 	for _, c := range stored.Corrections {
 		amount = amount.Add(Figures{c.Calls, c.PromptTokens, c.OutputTokens})
@@ -230,7 +237,9 @@
 	for _, window := range r.Unreported {
 		o.addUnreported(window)
 	}
-	o.addUnreported(r.Window)
+	if !r.Withheld {
+		o.addUnreported(r.Window)
+	}
 	o.trimRecords()
 }
 
@@ -272,10 +281,48 @@
 	return window - int64(o.options.HorizonWindows)*o.windowSeconds()
 }
 
+// eraKey is the key of the record that states since when the era of the store is known.
+const eraKey = "usage-era"
+
+// maxClockError is how much the clocks of two owners may differ.
+const maxClockError = time.Second
+
+// updateEra notices another era of the store. What this owner has read or written may be gone then,
+// so it reads the newest record again.
+func (o *Owner) updateEra(ctx context.Context, now time.Time) error {
+	if o.options.Era == nil {
+		return nil
+	}
+	if o.eraSince.Update(o.options.Era(), now) {
+		o.loaded, o.latest, o.ambiguous, o.firstWindow = false, nil, nil, 0
+		clear(o.records)
+	}
+	return o.eraSince.Record(ctx, o.options.Store, eraKey)
+}
+
+// errStoreRestored means that the store was restored during a step: what was read may be gone.
+var errStoreRestored = errors.New("usage: the store was restored")
+
+// checkEra returns an error if the era has changed since the step began.
+func (o *Owner) checkEra() error {
+	if o.options.Era != nil && o.options.Era() != o.eraSince.Era() {
+		return errStoreRestored
+	}
+	return nil
+}
+
+// mayHaveBeenReported reports whether a window without a record may have been sealed and reported by
+// an owner in an earlier era.
+func (o *Owner) mayHaveBeenReported(window int64) bool {
+	due := time.Unix(window+o.windowSeconds(), 0).Add(o.options.Grace)
+	return o.eraSince.Precedes(due, maxClockError)
+}
+
 // buildRecord builds the record of a window from the pending totals.
 func (o *Owner) buildRecord(ctx context.Context, window int64) (*Record, error) {
 	token := o.options.NewToken()
 	r := &Record{
+		Withheld:    o.mayHaveBeenReported(window),
 		Token:       token,
 		ReportID:    fmt.Sprintf("usage-%d-%d-%s", o.options.Shard, window, token),
 		Shard:       o.options.Shard,
