Claims of a restored store are not granted again

Cause: the index of a range assumed that a later head of the store continues the former one. A copy's head was applied from the wrong entry on, claims that were gone were granted again, and with an empty store the range refused everything for good. Change: after a restore the writer loads the head anew, forgets cached segments, and writes the keys that it knows and the store has lost as unknown ones before it decides anything, so that writers on other nodes know them too.

--- a/node/claims.go
+++ b/node/claims.go
@@ -47,7 +47,7 @@
 	c := &claims{node: n}
 	cfg := once.DefaultConfig()
 	cfg.Ranges = claimRanges
-	cfg.Log = n.log
+	cfg.Log, cfg.Era = n.log, n.eras.Current
 	writeLimiter := once.NewWriteLimiter(claimWritesPerSecond)
 	c.writers = once.NewWriters(claimRanges, func(r once.Range) *once.Writer { return c.startWriter(r, cfg, writeLimiter) })
 	claimerConfig := once.DefaultClaimerConfig()
--- a/once/commit.go
+++ b/once/commit.go
@@ -57,6 +57,16 @@
 				continue
 			}
 		}
+		if err := w.writeLost(ctx); err != nil {
+			w.logErrorChange(err)
+			if !ambiguous {
+				refuseAll(ops)
+				return
+			}
+			w.refusePending()
+			w.backOff(ctx)
+			continue
+		}
 		ambiguous = ambiguous && w.revision == ambiguousRevision
 		p := w.plan(ops)
 		if len(p.entries) == 0 {
--- a/once/config.go
+++ b/once/config.go
@@ -45,6 +45,8 @@
 	// OutcomeReads is the maximum number of segments read per second to serve
 	// repeats of finished calls. Further repeats get Done without the outcome.
 	OutcomeReads float64
+	// Era returns the newest era of the store that was seen; nil if the store states none.
+	Era func() store.Era
 	// Log receives one message each time the range starts or stops refusing
 	// requests, or the reason changes. Single requests are not logged.
 	Log logr.Logger
--- a/once/load.go
+++ b/once/load.go
@@ -24,6 +24,8 @@
 	w.lastAccess = time.Now()
 	entry, err := w.store.Get(callCtx, headKey(w.rangeID))
 	switch {
+	case errors.Is(err, store.ErrNotFound) && (w.wasRestored(0) || w.beforeRestore != nil):
+		return w.adoptRestored(ctx, &pb.OnceHead{}, 0, 0)
 	case errors.Is(err, store.ErrNotFound):
 		if w.revision != 0 {
 			return fmt.Errorf("%w: the head of range %d is missing", ErrCorrupt, w.rangeID)
@@ -41,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if w.wasRestored(entry.Revision) || w.beforeRestore != nil {
+		return w.adoptRestored(ctx, head, entry.Revision, len(entry.Value))
+	}
 	return w.applyHead(ctx, head, entry.Revision, len(entry.Value))
 }
 
--- a/once/segment.go
+++ b/once/segment.go
@@ -101,6 +101,13 @@
 	return nil
 }
 
+// clearCache forgets all segments: a restored store may have others with their numbers.
+func (s *segmentReader) clearCache() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache = nil
+}
+
 func (s *segmentReader) addToCache(segment *pb.OnceSegment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/once/writer.go
+++ b/once/writer.go
@@ -50,6 +50,10 @@
 	// lastError is the text of the error that prevents writes, or empty if the
 	// range is writable.
 	lastError string
+	// beforeRestore is the index from before a restore of the store, until the present head is
+	// loaded. lost holds the entries that the store has lost and that are not written again yet.
+	beforeRestore *index
+	lost          []*pb.OnceEntry
 	// deleted contains the numbers of dropped segments that were deleted from
 	// the store.
 	deleted map[uint64]bool
