A node that starts after a restore asks nodes of the copy too

Found by TestWithdrawnKeyStaysWithdrawnAfterRestore as it was written: the entries of running nodes in a copy stand under other leases, so a node that started then knew no peer to ask and served by the copy's configuration. Such entries are kept as unverified, and are asked; the relay waits for the list of nodes first. demo: the check passes after a restore to a copy from before it, with the call that must run once.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -78,6 +78,21 @@
 	is.Equal(result.Sent, result.Passed)
 }
 
+// Guards against a deployment that serves by what a restored store has lost or brought back, or that
+// runs a call twice whose record is gone. The load: every kind of request through every node, before
+// a restore to a copy from before them and after it.
+func TestCheckPassesAfterRestore(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, Options{})
+	earlier := d.Platform.Store.Copy()
+	before := d.Check(t.Context())
+	d.Platform.Store.Restore(earlier)
+	result := d.Check(t.Context())
+	t.Log(before.Failed, result.Failed)
+	is.Equal(len(result.Failed), 0) // all requests pass
+	is.Equal(result.Sent, before.Sent)
+}
+
 // Guards against responses that the OpenAI client library can't parse.
 func TestOpenAIClientReadsResponses(t *testing.T) {
 	is := is.New(t)
--- a/discovery/nodes.go
+++ b/discovery/nodes.go
@@ -89,6 +89,8 @@
 
 	mu    sync.Mutex
 	nodes map[string]Node
+	// unverified holds nodes whose entries are not under their lease: they run or not.
+	unverified map[string]Node
 	// lapsedUntil holds the end of the grace period of each node whose entry was lost in
 	// a store outage, on the boot clock.
 	lapsedUntil map[string]time.Duration
@@ -118,6 +120,7 @@
 	return &Nodes{
 		self: self, log: log, now: boottime.Now,
 		nodes: map[string]Node{self.Name: self}, lapsedUntil: make(map[string]time.Duration),
+		unverified: make(map[string]Node),
 	}
 }
 
@@ -159,6 +162,26 @@
 	return list
 }
 
+// UnverifiedAddresses returns the RPC addresses of nodes whose entries come from a copy of the store.
+// They may be gone.
+func (n *Nodes) UnverifiedAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]string, 0, len(n.unverified))
+	for _, node := range n.unverified {
+		if node.Name != n.self.Name && node.RPCAddress != "" {
+			list = append(list, node.RPCAddress)
+		}
+	}
+	return list
+}
+
+// Loaded reports whether the list has been read.
+func (n *Nodes) Loaded() bool {
+	_, loaded := n.CountIfLoaded()
+	return loaded
+}
+
 // Position returns the index of this node in the list sorted by failure domain
 // and name, and the number of nodes.
 func (n *Nodes) Position() (index, count int) {
@@ -282,6 +305,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	previous := n.nodes
+	clear(n.unverified)
 	// A restored store doesn't have the entries that were written since the copy.
 	afterOutage = afterOutage || n.loaded && at.Era() > n.revision.Era()
 	n.revision = at
@@ -352,6 +376,7 @@
 // handleDeleted removes a node whose entry was deleted, unless it is in its grace period: the
 // entry of a copy lapses before the node has registered again. The caller holds mu.
 func (n *Nodes) handleDeleted(name string) {
+	delete(n.unverified, name)
 	if until, lapsed := n.lapsedUntil[name]; !lapsed || n.now() >= until {
 		n.remove(name)
 	}
@@ -371,8 +396,10 @@
 	}
 	if node.Lease != nil && e.Lease != store.NoLease && *node.Lease != e.Lease {
 		n.log.Info("node entry under another lease ignored", "name", node.Name, "era", uint64(e.Revision.Era()))
+		n.unverified[node.Name] = node
 		return
 	}
+	delete(n.unverified, node.Name)
 	if _, known := n.nodes[node.Name]; !known {
 		n.log.V(1).Info("node added", "name", node.Name, "peers", node.RPCAddress)
 	}
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -58,8 +58,10 @@
 	puller  StatePuller
 	// peerAddresses returns the RPC addresses of the nodes that can be pulled from.
 	peerAddresses func() []string
-	log           logr.Logger
-	quarantine    *quarantine.Tracker
+	// PeersLoaded reports whether the list of nodes has been read; nil if there is none.
+	PeersLoaded func() bool
+	log         logr.Logger
+	quarantine  *quarantine.Tracker
 
 	configHint, registrationsHint pendingHint
 	// firstConfigRead is closed when the first configuration was read from the store.
@@ -178,6 +180,7 @@
 	case <-ctx.Done():
 		return
 	}
+	r.awaitPeers(ctx)
 	addresses := slices.Clone(r.peerAddresses())
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	answered := false
@@ -192,6 +195,14 @@
 	r.config.Release()
 }
 
+// awaitPeers waits until the list of nodes has been read, at most for pullTimeout.
+func (r *Relay) awaitPeers(ctx context.Context) {
+	const interval = 10 * time.Millisecond
+	for waited := time.Duration(0); r.PeersLoaded != nil && !r.PeersLoaded() && waited < pullTimeout && ctx.Err() == nil; waited += interval {
+		sleep(ctx, interval)
+	}
+}
+
 // pullAll pulls from several nodes at the same time. It reports whether one of them answered.
 func (r *Relay) pullAll(ctx context.Context, addresses []string) bool {
 	var answered atomic.Bool
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -25,7 +25,11 @@
 
 // deployment is a set of nodes in front of engines, in one process over loopback.
 type deployment struct {
-	t        *testing.T
+	t *testing.T
+	// store is the platform's store, which is served at storeAddress.
+	store        *memstore.Store
+	storeAddress string
+
 	hosts    []string
 	gateways []*Gateway
 	engines  []*backendsim.Process
@@ -72,6 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.ctx = ctx
 	t.Cleanup(func() { cancel(); d.nodes.Wait() })
+	d.store, d.storeAddress = st, l.Addr().String()
 	for i := range nodes {
 		d.startNode(fmt.Sprintf("n%d", i), fmt.Sprintf("%s.%d", subnet, i+1), l.Addr().String())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,7 @@
 	client := peer.NewStateClient(peer.NewHTTPClient(), peer.NewAuth(""))
 	g.dutyHolder = discovery.NewHolder(authority.DutyPrefix+dutyName, decodeHolder, log)
 	g.relay = discovery.NewRelay(g.config, g.servers, g.quarantine.tracker, client, g.peerAddresses, log)
+	g.relay.PeersLoaded = g.nodes.Loaded
 	windows := metering.Windows{Length: s.UsageWindow()}
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -67,13 +67,13 @@
 	return time.Duration(fraction * float64(g.settings.DrainBound()))
 }
 
-// peerAddresses returns the RPC addresses of the other nodes, or the seeds if the list
-// of nodes is empty.
+// peerAddresses returns the RPC addresses of the other nodes. If the list of nodes is empty, these
+// are the seeds and the nodes of which it is not known whether they run.
 func (g *Gateway) peerAddresses() []string {
 	if list := g.nodes.PeerAddresses(); len(list) > 0 {
 		return list
 	}
-	var list []string
+	list := g.nodes.UnverifiedAddresses()
 	for _, seed := range g.settings.Seeds {
 		if seed != g.settings.Listen.Peers {
 			list = append(list, seed)
