--- a/once/commit.go
+++ b/once/commit.go
@@ -46,7 +46,7 @@
 		}
 		refreshed := !w.indexValid
 		if !w.indexValid {
-			if err := w.refresh(ctx); err != nil {
+			if err := w.load(ctx); err != nil {
 				w.logErrorChange(err)
 				if !ambiguous {
 					refuseAll(ops)
@@ -57,16 +57,6 @@
 				continue
 			}
 		}
-		if err := w.writeLost(ctx); err != nil {
-			w.logErrorChange(err)
-			if !ambiguous {
-				refuseAll(ops)
-				return
-			}
-			w.refusePending()
-			w.backOff(ctx)
-			continue
-		}
 		ambiguous = ambiguous && w.revision == ambiguousRevision
 		p := w.plan(ops)
 		if len(p.entries) == 0 {
--- a/once/restored.go
+++ b/once/restored.go
@@ -59,6 +59,14 @@
 	return entries
 }
 
+// load reads the head, and writes again what a restored store has lost.
+func (w *Writer) load(ctx context.Context) error {
+	if err := w.refresh(ctx); err != nil {
+		return err
+	}
+	return w.writeLost(ctx)
+}
+
 // writeLost writes the entries that a restored store has lost. After an error the range takes no
 // requests; the next batch tries again. An entry that is written twice has no further effect.
 func (w *Writer) writeLost(ctx context.Context) error {
