--- a/authority/restored_journal_test.go
+++ b/authority/restored_journal_test.go
@@ -9,6 +9,13 @@
 	"github.com/matryer/is"
 )
 
+// token returns the token of the last accepted order.
+func (t *target) token() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastToken
+}
+
 // TestOrderOfEarlierEraDoesNotFollow guards against an order that a holder has sent before a restore
 // and that arrives after one of its successor, although the target checks no tokens: its intent is
 // gone with the store. The load: a holder that is killed as the store is restored, with a copy of its
@@ -25,7 +32,7 @@
 			first.do(target, target.Target)
 			time.Sleep(2 * time.Second)
 		}
-		last := target.lastToken
+		last := target.token()
 		first.mu.Lock()
 		first.sendFaults, first.copyDelay = []sendFault{delayCopy}, 4999*time.Millisecond
 		first.mu.Unlock()
@@ -42,7 +49,7 @@
 		_, err := accepted.result()
 		is.NoErr(err) // orders are possible again
 		is.Equal(sim.failure(), "")
-		is.True(target.lastToken > last)
+		is.True(target.token() > last)
 	})
 }
 
