--- a/e2e/gatewaystop_test.go
+++ b/e2e/gatewaystop_test.go
@@ -23,11 +23,11 @@
 	"github.com/figweir/figweir/store"
 )
 
+// gatewayAddress is the loopback address of the node, another one in each run of the tests.
+var gatewayAddress = fmt.Sprintf("127.%d.77.1", 200+os.Getpid()%50)
+
 const (
-	gatewayAddress   = "127.91.77.1"
-	gatewayCallers   = gatewayAddress + ":8100"
-	gatewayReadiness = "http://" + gatewayAddress + ":8101/-/readiness"
-	gatewayGrace     = 3 * time.Second
+	gatewayGrace = 3 * time.Second
 	// gatewayWorkTime is how long a backend server works on one request.
 	gatewayWorkTime = gatewayGrace / 5
 	callerKey       = "key-a"
@@ -56,7 +56,7 @@
 	put(backendsim.ServersPrefix+"p0", raw, err)
 	raw, err = json.Marshal(map[string]any{
 		"name": "n0", "ip_address": gatewayAddress, "failure_domain": "z",
-		"listen": map[string]any{"callers": gatewayCallers, "readiness": gatewayAddress + ":8101", "peers": gatewayAddress + ":8102"},
+		"listen": map[string]any{"callers": gatewayAddress + ":8100", "readiness": gatewayAddress + ":8101", "peers": gatewayAddress + ":8102"},
 		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": 200},
 		"bounds": map[string]any{"grace_period_s": gatewayGrace.Seconds(), "retry_ratio": 0.2, "retry_extra": 50.0},
 		"store":  map[string]any{"address": platform.Listener.Addr().String()},
@@ -66,7 +66,7 @@
 	is.NoErr(os.WriteFile(file, raw, 0o600))
 	p := startProcess(t, "gateway", "gateway", "--settings", file)
 	eventually(t, "the gateway is ready", func() error {
-		resp, err := http.Get(gatewayReadiness)
+		resp, err := http.Get("http://" + gatewayAddress + ":8101/-/readiness")
 		if err != nil {
 			return err
 		}
@@ -105,7 +105,7 @@
 	var runs sync.Map
 	p := startGateway(t, func(r backendsim.Run) { runs.Store(r.Attempt, true) })
 	send := func(client *http.Client, id string, body io.Reader, length int64) (status int) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+gatewayCallers+"/unsafe/x", body)
+		r, err := http.NewRequest(http.MethodPost, "http://"+gatewayAddress+":8100/unsafe/x", body)
 		if err != nil {
 			t.Error(err)
 			return 0
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -29,6 +29,8 @@
 	// store is the platform's store, which is served at storeAddress.
 	store        *memstore.Store
 	storeAddress string
+	// subnet holds the first three numbers of the nodes' addresses.
+	subnet string
 
 	hosts    []string
 	gateways []*Gateway
@@ -45,7 +47,7 @@
 func startDeployment(t *testing.T, nodes, engines int) *deployment {
 	is := is.New(t)
 	d := &deployment{t: t}
-	subnet := fmt.Sprintf("127.%d.77", 10+os.Getpid()%80)
+	d.subnet = fmt.Sprintf("127.%d.77", 10+os.Getpid()%80)
 	st := memstore.New()
 	r := chi.NewRouter()
 	kvserver.Register(r, st)
@@ -78,7 +80,7 @@
 	t.Cleanup(func() { cancel(); d.nodes.Wait() })
 	d.store, d.storeAddress = st, l.Addr().String()
 	for i := range nodes {
-		d.startNode(fmt.Sprintf("n%d", i), fmt.Sprintf("%s.%d", subnet, i+1), l.Addr().String())
+		d.startNode(fmt.Sprintf("n%d", i), fmt.Sprintf("%s.%d", d.subnet, i+1), l.Addr().String())
 	}
 	for _, g := range d.gateways {
 		for g.nodes.Count() < nodes {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -37,7 +37,7 @@
 		}
 	}
 	d.store.Restore(copied)
-	d.startNode("n2", "127.98.77.3", d.storeAddress)
+	d.startNode("n2", d.subnet+".3", d.storeAddress)
 	for node, g := range d.gateways {
 		is.Equal(g.config.Version(), int64(2))
 		status, ran := d.send(node, "p") // with the withdrawn key
