Test of an accepted change starts when the change has to be in force

'Accepted' promises that one evidence window later no node serves with an older one (configsync.Accepted), and the test checked from the first moment.

--- a/configsync/restored_test.go
+++ b/configsync/restored_test.go
@@ -23,6 +23,9 @@
 	// base is the revision in the copy, accepted the one in which the key is withdrawn.
 	base, accepted store.Revision
 	copy           *memstore.Copy
+	// inForceFrom is when no node may serve with an older revision than the accepted one: one
+	// evidence window after it was accepted, see configsync.Accepted.
+	inForceFrom time.Time
 }
 
 func runRestored(t *testing.T, run func(c *restoredCluster)) {
@@ -37,6 +40,7 @@
 		c.is.NoErr(err)
 		c.is.Equal(result.Status, configsync.Accepted)
 		c.accepted = result.Revision
+		c.inForceFrom = time.Now().Add(p.members.EvidenceWindow())
 		run(c)
 	})
 }
@@ -46,6 +50,9 @@
 func (c *restoredCluster) expectInForce(d time.Duration) {
 	for range d / (50 * time.Millisecond) {
 		time.Sleep(50 * time.Millisecond)
+		if time.Now().Before(c.inForceFrom) {
+			continue
+		}
 		for _, n := range c.nodes {
 			p := n.process.Load()
 			if p == nil {
