--- a/metering/restored_test.go
+++ b/metering/restored_test.go
@@ -298,3 +298,32 @@
 	_, known = s.get(7)
 	is.True(!known) // memory is bounded
 }
+
+// TestWindowSealableJustAfterRestoreIsWithheld guards against a report of a window that the former
+// holder may have sealed by a clock that is ahead. The load: a request in each of two windows; the
+// store is restored less than the clock error before the second one could be sealed.
+func TestWindowSealableJustAfterRestoreIsWithheld(t *testing.T) {
+	is := is.New(t)
+	st, b := memstore.New(), &fakeBilling{reports: map[int64]map[string]int64{}}
+	holder := newTestNode("a", st, b, start)
+	holder.duty.held = true
+	first := holder.Windows.At(start)
+	holder.Counter.RequestStarted("w", start)
+	restoredAt := holder.Windows.End(first).Add(holder.delayFraction(lateSealFraction))
+	run := func(from, until time.Time) {
+		for at := from; !at.After(until); at = at.Add(tickInterval) {
+			holder.clock.now = at
+			holder.tick()
+		}
+	}
+	second := holder.Windows.End(first).Add(time.Second)
+	run(start, second)
+	holder.Counter.RequestStarted("w", second)
+	run(second, restoredAt)
+	is.Equal(b.reports[first], map[string]int64{"w": 1})
+	st.Restore(nil)
+	run(restoredAt, holder.Windows.End(first+1).Add(holder.Delay))
+	_, reported := b.reports[first+1]
+	is.True(!reported)
+	is.Equal(holder.Withheld.Load(), int64(1))
+}
