Logs and metrics tell why a caller's request was sent after it had left

Change: tcpstate looks at sockets without reading; each attempt has a trace (write begun and ended, exchange given up, unacknowledged bytes, whether the caller had closed its connection when the write began); the time a request lay unread is a histogram. Nothing decides by it yet.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -12,10 +12,8 @@
 // attempt sends the request to the chosen backend server and reports whether the
 // request is settled, that is, whether its final answer has been sent.
 func (e *exchange) attempt(ctx context.Context, choice *backends.Choice) bool {
-	a := &Attempt{
-		Request: e.request, Server: choice.Server, Workspace: e.record.Workspace,
-		Priority: e.priority(), LastEventID: e.request.LastEventID,
-	}
+	a := e.newAttempt(choice.Server)
+	a.LastEventID = e.request.LastEventID
 	if choice.Prefill {
 		e.prefill(ctx, a, choice)
 		return e.settled
@@ -61,6 +59,15 @@
 	return true
 }
 
+// newAttempt returns an attempt on a backend server, with a trace that the record refers to.
+func (e *exchange) newAttempt(server *backends.Server) *Attempt {
+	e.record.LastSend = newSendTrace(e.request)
+	return &Attempt{
+		Request: e.request, Server: server, Workspace: e.record.Workspace,
+		Priority: e.priority(), TimeLeft: time.Until(e.deadline), Trace: e.record.LastSend,
+	}
+}
+
 // sentAttempt is an attempt that a backend server has begun to respond to.
 type sentAttempt struct {
 	*Attempt
--- a/core/core.go
+++ b/core/core.go
@@ -109,6 +109,8 @@
 	MaxPause time.Duration
 	// TotalTime is the time from the arrival to the end of the request.
 	TotalTime time.Duration
+	// LastSend is the trace of the last attempt; nil if there was none.
+	LastSend *SendTrace
 }
 
 // Core serves requests. All fields must be set before the first call of Serve.
--- a/core/relay.go
+++ b/core/relay.go
@@ -161,10 +161,9 @@
 // the end of the request if there is an answer.
 func (e *exchange) resumeOn(ctx context.Context, choice *backends.Choice, lastID string) Answer {
 	e.record.Server = choice.Server
-	o := e.Upstream.Send(ctx, &Attempt{
-		Request: e.request, Server: choice.Server, Workspace: e.record.Workspace,
-		Priority: e.priority(), TimeLeft: time.Until(e.deadline), LastEventID: lastID,
-	})
+	a := e.newAttempt(choice.Server)
+	a.LastEventID = lastID
+	o := e.Upstream.Send(ctx, a)
 	e.counts.record(o)
 	e.chargeAttempt(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
--- a/core/request.go
+++ b/core/request.go
@@ -19,6 +19,13 @@
 	// Key is the API key of the request; empty if there is none.
 	Key       string
 	ArrivedAt time.Time
+	// Unread is how long the request had been waiting in the machine when it was read, as far
+	// as the kernel tells.
+	Unread time.Duration
+	// ReadTime is the time from the first byte that was read of the request to its last one.
+	ReadTime time.Duration
+	// Caller is the caller's connection; nil if it can't be observed.
+	Caller Caller
 	// CallerTimeout is how long the caller waits for the answer; 0 if not stated.
 	CallerTimeout time.Duration
 	// Prompt is nil for requests to services that don't serve models.
@@ -30,6 +37,13 @@
 	Message any
 }
 
+// Caller is the connection of a caller.
+type Caller interface {
+	// HasLeft reports whether the caller has closed the connection, as far as this machine
+	// knows, also if nothing has read that yet. It must not block.
+	HasLeft() bool
+}
+
 // Attempt is one try to run a request on one backend server.
 type Attempt struct {
 	Request *Request
@@ -45,6 +59,8 @@
 	LastEventID string
 	// KVSource refers to the KV cache of a separate prefill; nil if there is none.
 	KVSource *KVHandle
+	// Trace records how far the attempt was sent.
+	Trace *SendTrace
 }
 
 // KVHandle identifies KV cache that an engine holds for one request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,7 +161,7 @@
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
-	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection}
+	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection, OnSocketError: g.observer.logSocketError}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
@@ -285,6 +285,7 @@
 	backgroundGroup.Go(func() { g.reloadOnSignal(backgroundCtx, sighup) })
 
 	callerListener := platform.NewListener(baseListener, &g.table)
+	callerListener.OnSocketError = g.observer.logSocketError
 	callerServer := &http.Server{
 		Handler: g.callerRoutes(), ConnContext: platform.ConnContext, ConnState: platform.TrackConnState,
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,9 +30,10 @@
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges *expvar.Map
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft *expvar.Map
+	socketErrorOnce                                                                                   sync.Once
 
-	firstEvent, totalTime, prefillTime, longestPause *metrics.Histogram
+	firstEvent, totalTime, prefillTime, longestPause, unread *metrics.Histogram
 	// burn measures the consumption of error budgets.
 	burn *burnMonitor
 	// gauges returns the current values of gauges by name.
@@ -41,10 +43,10 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
-		longestPause: metrics.NewHistogram(),
-		logLimiter:   rate.NewLimiter(0, 0),
+		longestPause: metrics.NewHistogram(), unread: metrics.NewHistogram(),
+		logLimiter: rate.NewLimiter(0, 0),
 	}
 	o.setLogRate(linesPerSecond)
 	return o
@@ -108,6 +110,10 @@
 	if r.Reason != "" {
 		o.refusals.Add(string(r.Reason), 1)
 	}
+	if r.Reason == core.ReasonCallerGone {
+		o.countCallerLeft(r)
+	}
+	o.unread.Observe(r.Request.Unread)
 	if r.TimeToFirstEvent > 0 {
 		o.firstEvent.Observe(r.TimeToFirstEvent)
 	}
@@ -146,6 +152,9 @@
 	if r.Server != nil {
 		fields = append(fields, logging.BackendServerKey, r.Server.ID)
 	}
+	if r.Reason == core.ReasonCallerGone {
+		fields = append(fields, callerLeftFields(r)...)
+	}
 	return fields
 }
 
@@ -169,7 +178,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
@@ -177,6 +186,7 @@
 	b = o.longestPause.AppendText(b, "longest_pause_ms")
 	b = o.prefillTime.AppendText(b, "prefilled_ms")
 	b = o.totalTime.AppendText(b, "answer_ms")
+	b = o.unread.AppendText(b, "unread_ms")
 	gauges := o.gauges()
 	names := make([]string, 0, len(gauges))
 	for name := range gauges {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/figweir/figweir/tcpstate"
 )
 
 // readBufferSize is large enough for the header of a response and a few events of a stream.
@@ -58,6 +60,16 @@
 	return n, err
 }
 
+// unacknowledged returns the number of written bytes that the server has not acknowledged, or -1
+// if the kernel doesn't tell.
+func (c *conn) unacknowledged() int {
+	n, err := tcpstate.Unacknowledged(c.Conn)
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
 func (c *conn) close() { _ = c.Conn.Close() }
 
 // isReusable reports whether an idle connection is still open and has no unread data:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -60,8 +60,30 @@
 	// Matches reports whether a response with the given header answers this request.
 	// If nil, every response does.
 	Matches func(http.Header) bool
+	// Trace is told how far the request was sent; it may be nil.
+	Trace Trace
 }
 
+// Trace records the steps of one exchange. Its methods may be called from any goroutine and must
+// not block.
+type Trace interface {
+	// WriteStarted is called before the first byte is written.
+	WriteStarted(at time.Time)
+	// Written is called when the request, up to its body if that is long, has been handed to
+	// the kernel.
+	Written(at time.Time)
+	// GivenUp is called when the exchange ends before its response is complete. unacknowledged
+	// is the number of written bytes that the server has not acknowledged, -1 if unknown.
+	GivenUp(at time.Time, unacknowledged int)
+}
+
+// noTrace records nothing.
+type noTrace struct{}
+
+func (noTrace) WriteStarted(time.Time) {}
+func (noTrace) Written(time.Time)      {}
+func (noTrace) GivenUp(time.Time, int) {}
+
 // maxInlineBodyBytes is the largest body that is written before the response is read. A
 // longer body is written concurrently, because a backend server may respond before it has
 // read the complete body.
@@ -86,6 +108,7 @@
 
 	pool            *Pool
 	conn            *conn
+	trace           Trace
 	stopWatchingCtx func() bool
 	// keepIdle is how long the connection may stay idle after Close; it is not reused
 	// if this is 0 or less.
@@ -106,9 +129,14 @@
 	if err != nil {
 		return nil, &NotSentError{r.Address, err}
 	}
-	resp := &Response{pool: p, conn: c, Reused: c.reused}
+	resp := &Response{pool: p, conn: c, Reused: c.reused, trace: r.Trace}
+	if resp.trace == nil {
+		resp.trace = noTrace{}
+	}
 	resp.stopWatchingCtx = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	resp.trace.WriteStarted(time.Now())
 	sent, err := resp.writeRequest(r)
+	resp.trace.Written(time.Now())
 	if err != nil {
 		resp.closeConn()
 		if !sent {
@@ -292,5 +320,8 @@
 // closeConn closes the connection.
 func (resp *Response) closeConn() {
 	resp.stopWatchingCtx()
+	if !resp.bodyRead {
+		resp.trace.GivenUp(time.Now(), resp.conn.unacknowledged())
+	}
 	resp.conn.close()
 }
