--- a/core/core_test.go
+++ b/core/core_test.go
@@ -82,12 +82,14 @@
 	events []Event
 	// interrupted interrupts the stream with an error after its events.
 	interrupted bool
+	// closed counts the calls of Close.
+	closed int
 }
 
 func (a *fakeAnswer) Head() Head               { return Head{Status: a.status} }
 func (a *fakeAnswer) Stream() bool             { return a.stream }
 func (a *fakeAnswer) ReadAll() ([]byte, error) { return []byte(a.body), a.err }
-func (a *fakeAnswer) Close()                   {}
+func (a *fakeAnswer) Close()                   { a.closed++ }
 func (a *fakeAnswer) Next() (Event, error) {
 	if len(a.events) > 0 {
 		e := a.events[0]
@@ -329,6 +331,23 @@
 	is.Equal(f.upstream.attempts[1].LastEventID, "2")
 }
 
+// TestInterruptedStreamIsEndedBeforeTheNextAttempt guards against a stream that still runs at the
+// server before while the next one works on it: the exchange must end before the next attempt is
+// sent, and not when that is answered.
+func TestInterruptedStreamIsEndedBeforeTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	interrupted := &fakeAnswer{status: 200, stream: true, events: events("1", "2"), interrupted: true}
+	next := &fakeAnswer{status: 200, stream: true, events: events("3", "4")}
+	f := newFixture(Streaming, true, Answered{interrupted}, Refused{Status: 503}, Answered{next})
+	var closedBefore []int
+	f.upstream.onSend = func() { closedBefore = append(closedBefore, interrupted.closed) }
+	s := f.serve(nil)
+	is.Equal(s.body, "1234")
+	is.Equal(closedBefore, []int{0, 1, 1})
+	is.Equal(interrupted.closed, 1)
+	is.Equal(next.closed, 1)
+}
+
 // TestUnresumableStreamIsAborted guards against an interrupted stream that ends as if
 // it were complete, and against endless attempts when the retry budget is empty.
 func TestUnresumableStreamIsAborted(t *testing.T) {
