A request is not sent once its caller has left

What callers and servers saw: requests reached servers after their clients had closed the connection (GONE), 0.7 s in the users' record. The core looked only at the request's context. net/http ends that in a goroutine which starts when the body has been read and may run much later than the handler, and an idle connection to a server is had without any wait that would notice the end. So whatever closed the connection before the write was sent on. Nothing is sent then, so "not run" is true; no further server is tried, the server is not blamed, the retry budget is not charged, and the connection to the server is kept. Besides: an attempt that the quarantine canceled before it was sent no longer marks its server as unreachable. Why it works: the kernel knows of the close before the process can write, however late the process runs.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -48,7 +48,13 @@
 	case Refused:
 		choice.Refused(time.Now())
 		return e.onRefused(choice.Server)
+	case Abandoned:
+		e.abandon(choice.Server)
+		return false
 	case NotSent:
+		if errors.Is(context.Cause(attemptCtx), errQuarantined) {
+			return e.onQuarantined(choice.Server, errQuarantined)
+		}
 		if ctx.Err() == nil {
 			choice.Unreachable(time.Now())
 		}
@@ -110,7 +116,8 @@
 // chargeAttempt counts an attempt against the retry budget unless the outcome shows
 // that it was not sent.
 func (e *exchange) chargeAttempt(o Outcome) {
-	if _, unsent := o.(NotSent); unsent {
+	switch o.(type) {
+	case NotSent, Abandoned:
 		return
 	}
 	if e.chargedAttempts == 0 {
@@ -128,7 +135,7 @@
 	}
 	e.handleUses++
 	switch o.(type) {
-	case NotSent, Refused:
+	case NotSent, Abandoned, Refused:
 		if e.handleUses >= maxHandleUses {
 			e.freeHandle()
 		}
@@ -191,6 +198,10 @@
 		return
 	}
 	e.chargeAttempt(o)
+	if _, abandoned := o.(Abandoned); abandoned {
+		e.abandon(choice.Server)
+		return
+	}
 	e.excluded = append(e.excluded, choice.Server.ID)
 	event, cause := "prefill_lost", error(nil)
 	switch o := o.(type) {
@@ -268,7 +279,7 @@
 	if time.Until(e.deadline) < minTimeLeft {
 		reason = ReasonDeadline
 	}
-	if e.ctx.Err() != nil {
+	if e.callerGone() {
 		reason = ReasonCallerGone
 	}
 	e.fail(reason)
@@ -290,5 +301,5 @@
 // attempt is sent.
 func (e *exchange) mayRunAgain() bool {
 	return e.route.Idempotent() && e.counts.mayHaveRun < e.route.MaxAttempts &&
-		e.ctx.Err() == nil && time.Until(e.deadline) >= minTimeLeft
+		!e.callerGone() && time.Until(e.deadline) >= minTimeLeft
 }
--- a/core/core.go
+++ b/core/core.go
@@ -160,6 +160,8 @@
 	lastEventAt time.Time
 	// settled is set once the request has been refused.
 	settled bool
+	// abandoned is set once an attempt was not sent because the caller has left.
+	abandoned bool
 	// retryAcquired is set if the budget has already granted the next attempt.
 	retryAcquired bool
 	// sharedParts are the ids of the prompt parts that other requests may share.
@@ -236,7 +238,7 @@
 	e.record.Service = service
 	e.sharedParts = e.request.Prompt.SharedPartIDs()
 	for {
-		if e.ctx.Err() != nil {
+		if e.callerGone() {
 			e.fail(ReasonCallerGone)
 			return
 		}
@@ -260,6 +262,15 @@
 	}
 }
 
+// callerGone reports whether the caller is known to have left.
+func (e *exchange) callerGone() bool { return e.abandoned || e.ctx.Err() != nil }
+
+// abandon records an attempt that was not sent because the caller has left.
+func (e *exchange) abandon(server *backends.Server) {
+	e.abandoned = true
+	e.Observer.AttemptFailed(&e.record, server, "abandoned", ErrCallerLeft)
+}
+
 // noServerReason maps an error of Chooser.Choose to the reason of the refusal.
 func (e *exchange) noServerReason(err error) Reason {
 	switch {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -24,6 +24,8 @@
 	freed           []string
 	// onSend and onPrefill, if set, are called for each attempt and each prefill.
 	onSend, onPrefill func()
+	// afterPrefill, if set, is called at the end of each prefill.
+	afterPrefill func()
 	// waits is set if attempts wait until they are canceled.
 	waits bool
 	// runs counts the attempts that a backend server may have run.
@@ -37,6 +39,9 @@
 	if u.onSend != nil {
 		u.onSend()
 	}
+	if a.Trace.BeforeWrite(time.Now()) != nil {
+		return Abandoned{}
+	}
 	if u.waits {
 		<-ctx.Done()
 		u.runs++
@@ -58,6 +63,12 @@
 	if u.onPrefill != nil {
 		u.onPrefill()
 	}
+	if a.Trace.BeforeWrite(time.Now()) != nil {
+		return nil, Abandoned{}
+	}
+	if u.afterPrefill != nil {
+		defer u.afterPrefill()
+	}
 	if len(u.prefillOutcomes) > 0 {
 		o := u.prefillOutcomes[0]
 		u.prefillOutcomes = u.prefillOutcomes[1:]
--- a/core/relay.go
+++ b/core/relay.go
@@ -174,6 +174,11 @@
 		}
 		answered.Answer.Close()
 	}
+	if _, abandoned := o.(Abandoned); abandoned {
+		e.abandon(choice.Server)
+		e.record.Reason = ReasonCallerGone
+		return nil
+	}
 	e.Observer.AttemptFailed(&e.record, choice.Server, "resume_failed", nil)
 	return nil
 }
@@ -182,7 +187,7 @@
 // disconnected, that the deadline passed, or otherwise the given reason.
 func (e *exchange) interruptionReason(reason Reason) Reason {
 	switch {
-	case e.ctx.Err() != nil:
+	case e.callerGone():
 		return ReasonCallerGone
 	case time.Until(e.deadline) < minTimeLeft:
 		return ReasonDeadline
--- a/core/request.go
+++ b/core/request.go
@@ -103,13 +103,16 @@
 	Close()
 }
 
-// Outcome is the result of an attempt. The only implementations are NotSent, Refused,
-// Lost and Answered.
+// Outcome is the result of an attempt. The only implementations are NotSent, Abandoned,
+// Refused, Lost and Answered.
 type Outcome interface{ outcome() }
 
 // NotSent means that the backend server can't have received the request.
 type NotSent struct{ Cause error }
 
+// Abandoned means that the attempt was not sent because the caller has left, see ErrCallerLeft.
+type Abandoned struct{}
+
 // Refused means that the backend server reported that it did not run the request.
 type Refused struct {
 	Status int
@@ -123,16 +126,18 @@
 // Answered means that the request has run and an answer is available.
 type Answered struct{ Answer Answer }
 
-func (NotSent) outcome()  {}
-func (Refused) outcome()  {}
-func (Lost) outcome()     {}
-func (Answered) outcome() {}
+func (NotSent) outcome()   {}
+func (Abandoned) outcome() {}
+func (Refused) outcome()   {}
+func (Lost) outcome()      {}
+func (Answered) outcome()  {}
 
 // Upstream sends attempts to backend servers. Its methods may be called from any
 // goroutine.
 type Upstream interface {
 	// Send sends one attempt, without retries. Canceling ctx ends the
-	// attempt.
+	// attempt. Send and Prefill call a.Trace.BeforeWrite right before the first byte is
+	// written, and send nothing if it returns an error.
 	Send(ctx context.Context, a *Attempt) Outcome
 	// Prefill processes the prompt of an attempt on the engine a.Server and returns
 	// a handle of the KV cache. The outcome is nil if there is a handle.
--- a/core/sendtrace.go
+++ b/core/sendtrace.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 )
@@ -27,7 +28,8 @@
 	// Unacknowledged is the number of bytes that the server had not acknowledged then; -1 if
 	// unknown.
 	Unacknowledged int
-	// CallerHadLeft is set if the caller had closed its connection when the write started.
+	// CallerHadLeft is set if the caller had closed its connection when the request was about
+	// to be written, so that it was not.
 	CallerHadLeft bool
 }
 
@@ -36,12 +38,19 @@
 	return &SendTrace{arrivedAt: r.ArrivedAt, caller: r.Caller}
 }
 
-// WriteStarted records that the first byte is about to be written.
-func (t *SendTrace) WriteStarted(at time.Time) {
-	t.writeStarted.Store(int64(at.Sub(t.arrivedAt)))
-	if t.caller != nil {
-		t.callerHadLeft.Store(t.caller.HasLeft())
+// ErrCallerLeft means that a request was not sent because its caller has closed the connection.
+var ErrCallerLeft = errors.New("the caller has closed its connection")
+
+// BeforeWrite must be called right before the first byte of the attempt is written. It returns
+// ErrCallerLeft if the attempt must not be sent: the socket shows that the caller has left before
+// the context of the request ends, which takes a goroutine that may not have run yet.
+func (t *SendTrace) BeforeWrite(at time.Time) error {
+	if t.caller != nil && t.caller.HasLeft() {
+		t.callerHadLeft.Store(true)
+		return ErrCallerLeft
 	}
+	t.writeStarted.Store(int64(at.Sub(t.arrivedAt)))
+	return nil
 }
 
 // Written records that the head of the request has been handed to the kernel.
--- a/e2e/abandoned_test.go
+++ b/e2e/abandoned_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -42,8 +43,12 @@
 // clients send in this time, on connections that they have used before, and leave after 0.4 s.
 func TestBusyGatewaySendsNothingForCallersWhoLeft(t *testing.T) {
 	is := is.New(t)
-	runs := make(chan string, 100)
-	p := startGateway(t, func(r backendsim.Run) { runs <- r.Attempt })
+	var lateRuns sync.Map
+	p := startGateway(t, func(r backendsim.Run) {
+		if strings.HasPrefix(r.Attempt, "left-") {
+			lateRuns.Store(r.Attempt, true)
+		}
+	})
 	const clients = 40
 	request := func(kind, id string) string {
 		r, err := http.NewRequest(http.MethodPost, "http://"+backendsim.Host+"/unsafe/x", nil)
@@ -68,7 +73,6 @@
 		is.Equal(resp.StatusCode, http.StatusOK)
 		_, err = io.Copy(io.Discard, resp.Body)
 		is.NoErr(err)
-		<-runs
 	}
 	p.pause(t)
 	for i, c := range conns {
@@ -87,10 +91,10 @@
 		}
 		return nil
 	})
-	close(runs)
-	for id := range runs {
+	lateRuns.Range(func(id, _ any) bool {
 		t.Errorf("%s ran after its caller had left", id)
-	}
+		return true
+	})
 }
 
 // nodeCounters are some of the metrics of a node of figweir's own interface.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -9,10 +9,10 @@
 func (o *observer) countCallerLeft(r *core.Record) {
 	send := r.LastSend.Times()
 	switch {
+	case send.CallerHadLeft:
+		o.callersLeft.Add("found_at_write", 1)
 	case send.WriteStarted == 0:
 		o.callersLeft.Add("before_sending", 1)
-	case send.CallerHadLeft:
-		o.callersLeft.Add("sent_after_leaving", 1)
 	case send.Unacknowledged > 0:
 		o.callersLeft.Add("unacknowledged", 1)
 	default:
--- a/upstream/abandoned_test.go
+++ b/upstream/abandoned_test.go
@@ -39,6 +39,38 @@
 	is.Equal(requests.Load(), int64(2))
 }
 
+// TestConnectionOutlivesRequestThatIsNotSent guards against a new connection for each request that
+// is dropped before it is sent, and against an idle time that begins anew with each of them.
+func TestConnectionOutlivesRequestThatIsNotSent(t *testing.T) {
+	is := is.New(t)
+	address, requests, connections := startScriptedServer(t, completeResponse, completeResponse)
+	p := NewPool(DefaultOptions)
+	_, err := do(t, p, newGet(address))
+	is.NoErr(err)
+	idleUntil := p.idle[address][0].idleUntil
+	errDropped := errors.New("dropped")
+	for range 10 {
+		r := newGet(address)
+		r.Trace = droppingTrace{errDropped}
+		_, err = do(t, p, r)
+		var notSent *NotSentError
+		is.True(errors.As(err, &notSent))
+		is.True(errors.Is(err, errDropped))
+	}
+	is.True(!p.idle[address][0].idleUntil.After(idleUntil.Add(time.Millisecond)))
+	_, err = do(t, p, newGet(address))
+	is.NoErr(err)
+	is.Equal(connections.Load(), int64(1))
+	is.Equal(requests.Load(), int64(2))
+}
+
+// droppingTrace keeps each request from being sent.
+type droppingTrace struct{ err error }
+
+func (t droppingTrace) BeforeWrite(time.Time) error { return t.err }
+func (t droppingTrace) Written(time.Time)           {}
+func (t droppingTrace) GivenUp(time.Time, int)      {}
+
 // TestGivenUpRequestIsNotDeliveredLate guards against a server that gets a complete request after
 // it has been given up, because its bytes waited in the socket of the node: the server's side takes
 // no more than a part of it before.
@@ -95,8 +127,8 @@
 	givenUp chan int
 }
 
-func (t *recordedTrace) WriteStarted(time.Time) {}
-func (t *recordedTrace) Written(time.Time)      { close(t.written) }
+func (t *recordedTrace) BeforeWrite(time.Time) error { return nil }
+func (t *recordedTrace) Written(time.Time)           { close(t.written) }
 func (t *recordedTrace) GivenUp(_ time.Time, unacknowledged int) {
 	select {
 	case t.givenUp <- unacknowledged:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -67,8 +67,10 @@
 // Trace records the steps of one exchange. Its methods may be called from any goroutine and must
 // not block.
 type Trace interface {
-	// WriteStarted is called before the first byte is written.
-	WriteStarted(at time.Time)
+	// BeforeWrite is called once there is a connection, right before the first byte is
+	// written. If it returns an error, nothing is sent, and Do fails with a NotSentError that
+	// wraps the error.
+	BeforeWrite(at time.Time) error
 	// Written is called when the request, up to its body if that is long, has been handed to
 	// the kernel.
 	Written(at time.Time)
@@ -80,9 +82,9 @@
 // noTrace records nothing.
 type noTrace struct{}
 
-func (noTrace) WriteStarted(time.Time) {}
-func (noTrace) Written(time.Time)      {}
-func (noTrace) GivenUp(time.Time, int) {}
+func (noTrace) BeforeWrite(time.Time) error { return nil }
+func (noTrace) Written(time.Time)           {}
+func (noTrace) GivenUp(time.Time, int)      {}
 
 // maxInlineBodyBytes is the largest body that is written before the response is read. A
 // longer body is written concurrently, because a backend server may respond before it has
@@ -133,8 +135,11 @@
 	if resp.trace == nil {
 		resp.trace = noTrace{}
 	}
+	if err := resp.checkBeforeWrite(ctx); err != nil {
+		p.putBack(c)
+		return nil, &NotSentError{r.Address, err}
+	}
 	resp.stopWatchingCtx = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp.trace.WriteStarted(time.Now())
 	sent, err := resp.writeRequest(r)
 	resp.trace.Written(time.Now())
 	if err != nil {
@@ -151,6 +156,16 @@
 	return resp, nil
 }
 
+// checkBeforeWrite returns the reason why the request must not be sent any more, or nil. The
+// context has to be checked here too: an idle connection is had without a wait that would notice
+// its end.
+func (resp *Response) checkBeforeWrite(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return resp.trace.BeforeWrite(time.Now())
+}
+
 // lostError returns a LostError. If ctx has ended, that is the cause.
 func (p *Pool) lostError(ctx context.Context, c *conn, err error) error {
 	if ctx.Err() != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -191,6 +191,15 @@
 	p.mu.Unlock()
 }
 
+// putBack returns a connection to the pool on which nothing was sent.
+func (p *Pool) putBack(c *conn) {
+	keepIdle := p.options.IdleTimeout
+	if !c.idleUntil.IsZero() {
+		keepIdle = time.Until(c.idleUntil)
+	}
+	p.putIdle(c, keepIdle)
+}
+
 // Sweep closes idle connections that have expired. Call it about once a second.
 func (p *Pool) Sweep() {
 	now := time.Now()
