An exchange that is given up ends at once, and is not delivered later

What servers saw: requests that arrive after they have been given up, and servers that work on while the node is busy elsewhere. The end of the context only made reads and writes fail; the connection was closed when whoever relays the response came to it, for example after a write to a caller that doesn't read (5 s). And it was an ordinary close, after which the kernel still delivers what lies in the socket, however late. Change: the end of the context closes the connection itself. While the server has not acknowledged all of the request, that is a reset, which discards the rest; otherwise an orderly close, which the kernel repeats until it has arrived, also over a path that is cut for a moment. Evidence: TestGivenUpRequestIsNotDeliveredLate and TestServerLearnsAtOnceThatRequestIsGivenUp failed before and pass now (20 runs with the race detector). The cause that a failed read reports is that of the context now.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -70,6 +70,17 @@
 	return n
 }
 
+// abort closes the connection of an exchange that was given up. While the server has not
+// acknowledged the complete request, a reset discards the rest of it: after an orderly close the
+// kernel would deliver it, however late. Otherwise the close is orderly, because the kernel repeats
+// that until it has arrived, and a reset may be lost.
+func (c *conn) abort(unacknowledged int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && unacknowledged > 0 {
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
+
 func (c *conn) close() { _ = c.Conn.Close() }
 
 // isReusable reports whether an idle connection is still open and has no unread data:
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -110,6 +110,7 @@
 
 	pool            *Pool
 	conn            *conn
+	ctx             context.Context
 	trace           Trace
 	stopWatchingCtx func() bool
 	// keepIdle is how long the connection may stay idle after Close; it is not reused
@@ -125,13 +126,13 @@
 
 // Do writes a request and reads the header of the response. The error is a *NotSentError
 // or a *LostError. If ctx ends before Close, the exchange fails and the connection is
-// closed.
+// closed at once, see conn.abort.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.getConn(ctx, r.Address)
 	if err != nil {
 		return nil, &NotSentError{r.Address, err}
 	}
-	resp := &Response{pool: p, conn: c, Reused: c.reused, trace: r.Trace}
+	resp := &Response{pool: p, conn: c, ctx: ctx, Reused: c.reused, trace: r.Trace}
 	if resp.trace == nil {
 		resp.trace = noTrace{}
 	}
@@ -139,7 +140,7 @@
 		p.putBack(c)
 		return nil, &NotSentError{r.Address, err}
 	}
-	resp.stopWatchingCtx = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	resp.stopWatchingCtx = context.AfterFunc(ctx, resp.giveUp)
 	sent, err := resp.writeRequest(r)
 	resp.trace.Written(time.Now())
 	if err != nil {
@@ -304,6 +305,8 @@
 	n, err := b.body.Read(p)
 	if err == io.EOF {
 		b.response.bodyRead = true
+	} else if err != nil && b.response.ctx.Err() != nil {
+		err = context.Cause(b.response.ctx)
 	}
 	return n, err
 }
@@ -335,8 +338,18 @@
 // closeConn closes the connection.
 func (resp *Response) closeConn() {
 	resp.stopWatchingCtx()
-	if !resp.bodyRead {
-		resp.trace.GivenUp(time.Now(), resp.conn.unacknowledged())
+	if resp.bodyRead {
+		resp.conn.close()
+		return
 	}
-	resp.conn.close()
+	resp.giveUp()
+}
+
+// giveUp ends the exchange before the response is complete, at once and at the backend server too:
+// whoever relays the response may be busy elsewhere. It may be called more than once, from any
+// goroutine.
+func (resp *Response) giveUp() {
+	unacknowledged := resp.conn.unacknowledged()
+	resp.trace.GivenUp(time.Now(), unacknowledged)
+	resp.conn.abort(unacknowledged)
 }
