An interrupted stream is ended before it goes on elsewhere

Cause: relayStream closed the interrupted answer only after the next server had answered. A stream that is given up for bytes that are no event runs on until then. Change: it is closed first.

--- a/core/relay.go
+++ b/core/relay.go
@@ -53,7 +53,11 @@
 // relayStream relays a stream event by event. If the stream is interrupted and the
 // route allows it, the stream is resumed on another backend server.
 func (e *exchange) relayStream(ctx context.Context, a *sentAttempt, answer Answer) bool {
-	defer func() { answer.Close() }()
+	defer func() {
+		if answer != nil {
+			answer.Close()
+		}
+	}()
 	choice := a.choice
 	event, err := answer.Next()
 	if err != nil && err != io.EOF {
@@ -79,13 +83,13 @@
 			return true
 		}
 		recordFailure(ctx, choice)
-		nextAnswer, nextChoice := e.resume(ctx, choice.Server, lastID)
-		if nextAnswer == nil {
+		// The server may still generate, for example if it sent bytes that are no event.
+		answer.Close()
+		answer, choice = e.resume(ctx, choice.Server, lastID)
+		if answer == nil {
 			e.sink.Abort()
 			return true
 		}
-		answer.Close()
-		answer, choice = nextAnswer, nextChoice
 		event, err = answer.Next()
 	}
 }
--- a/core/request.go
+++ b/core/request.go
@@ -98,8 +98,8 @@
 	// io.EOF at the end of a complete stream and any other error if the stream was
 	// interrupted.
 	Next() (Event, error)
-	// Close releases the answer. If it has not been read completely, the backend
-	// server cancels the request.
+	// Close releases the answer and must be called once. If the answer has not been read
+	// completely, the backend server learns at once that the request is canceled.
 	Close()
 }
 
