Endless responses leave memory for the responses of others

What other operators reported: a faulty server sends bytes without end, the machine that called it keeps them and runs out of memory, and the requests of others end with it. Here: no process ran out of memory (peak 95 MB of 160 MB with 200 requests at a time and one endless server, 14 ways of sending), but with 24 such servers a sound request got 502: the endless responses held all the memory for responses, and a short response could not reserve its first 4 KB. A response to another request is read for 1 MB at most: an endless one kept the attempt busy until its deadline.

--- /dev/null
+++ b/e2e/endless_test.go
@@ -0,0 +1,201 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/platform/backendsim"
+)
+
+const (
+	// smallestMemoryMB is the memory of the smallest machine.
+	smallestMemoryMB = 160
+	// endlessServers is how many servers send endless answers.
+	endlessServers = 24
+	// endlessCallers is how many requests get an endless answer at the same time.
+	endlessCallers = 200
+)
+
+// endlessAnswer is what a server sends as an answer: a start, and then a part over and over. Number
+// signs in the part are replaced by digits that differ.
+type endlessAnswer struct{ start, part string }
+
+var endlessAnswers = map[string]endlessAnswer{
+	"status line":       {"", "x"},
+	"header line":       {"HTTP/1.1 200 OK\r\nX-Fill: ", "x"},
+	"header lines":      {"HTTP/1.1 200 OK\r\n", "X########:\r\n"},
+	"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"body":              {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Length: 999999999999\r\n\r\n", "x"},
+	"body to the close": {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n\r\n", "x"},
+	"chunks":            {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+	"chunk extension":   {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+	"trailer":           {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: x\r\n"},
+	"event":             {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata: x\r\n", "4\r\nxxxx\r\n"},
+	"events":            {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "9\r\ndata: x\n\n\r\n"},
+	"failure":           {"HTTP/1.1 500 Failed\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n\r\n", "x"},
+	"refusal":           {"HTTP/1.1 503 Full\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\n\r\n", "x"},
+	"other answer":      {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+}
+
+// startEndless starts a server that gives each request an endless answer.
+func startEndless(t *testing.T, answer endlessAnswer) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answer.send(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// send reads a request and sends the answer until the node closes the connection.
+func (a endlessAnswer) send(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	if _, err := io.WriteString(c, strings.ReplaceAll(a.start, "ID", r.Header.Get("Attempt-Id"))); err != nil {
+		return
+	}
+	for n := 0; ; n++ {
+		var block strings.Builder
+		for block.Len() < 16<<10 {
+			part := a.part
+			if strings.Contains(part, "########") {
+				part = strings.Replace(part, "########", fmt.Sprintf("%08d", n), 1)
+				n++
+			}
+			block.WriteString(part)
+		}
+		if _, err := io.WriteString(c, block.String()); err != nil {
+			return
+		}
+	}
+}
+
+// peakMemoryMB returns the most memory that a process has used so far.
+func peakMemoryMB(t *testing.T, p *process) int {
+	t.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		var kilobytes int
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes >> 10
+		}
+	}
+	t.Fatal("no peak memory")
+	return 0
+}
+
+// TestEndlessAnswersLeaveMemory guards against a process that runs out of memory, and against requests
+// of others that fail with it, because faulty servers send bytes without end: 200 requests at a
+// time for each way of sending them, half of their callers don't read, beside requests to a
+// sound server. The memory is that of the smallest machine.
+func TestEndlessAnswersLeaveMemory(t *testing.T) {
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sound, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100}, "127.0.0.1")
+			is.NoErr(err)
+			t.Cleanup(sound.Close)
+			servers := []gatewayServer{{"p0", "plain", sound.Address()}}
+			for i := range endlessServers {
+				servers = append(servers, gatewayServer{fmt.Sprintf("m%d", i), "models", startEndless(t, answer)})
+			}
+			p := startGatewayBefore(t, smallestMemoryMB, servers...)
+			atStart := peakMemoryMB(t, p)
+			var callers sync.WaitGroup
+			for i := range endlessCallers {
+				callers.Go(func() { callEndless(t, i) })
+			}
+			var served atomic.Int64
+			const others = 40
+			for i := range others {
+				is.Equal(callSound(t, i), http.StatusOK)
+				served.Add(1)
+			}
+			callers.Wait()
+			peak := peakMemoryMB(t, p)
+			t.Logf("peak memory %d MB of %d MB, %d MB at the start; %d of %d requests of others served", peak, smallestMemoryMB, atStart, served.Load(), others)
+			is.True(peak < smallestMemoryMB)
+			select {
+			case <-p.exited:
+				t.Error("the process has ended")
+			default:
+			}
+		})
+	}
+}
+
+// callEndless sends a request for which the server sends bytes without end. A caller with an odd
+// number doesn't read its answer.
+func callEndless(t *testing.T, number int) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+backendsim.Host+"/resume/x", nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	backendsim.SetCallerHeaders(r.Header, fmt.Sprintf("endless-%d", number), callerKey, 2*time.Second)
+	c, err := net.Dial("tcp", gatewayAddress+":8100")
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer c.Close()
+	if err := r.Write(c); err != nil {
+		t.Error(err)
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if number%2 == 1 {
+		time.Sleep(2 * time.Second)
+		return
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// callSound sends a request to the sound server and returns the status of its answer.
+func callSound(t *testing.T, number int) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+gatewayAddress+":8100/unsafe/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = backendsim.Host
+	backendsim.SetCallerHeaders(r.Header, fmt.Sprintf("sound-%d", number), callerKey, 4*time.Second)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Error(err)
+		return 0
+	}
+	return resp.StatusCode
+}
--- a/e2e/gatewaystop_test.go
+++ b/e2e/gatewaystop_test.go
@@ -36,15 +36,25 @@
 // startGateway starts a node of the users' platform as a process, with one backend server that
 // calls onRun, and waits until it is ready.
 func startGateway(t *testing.T, onRun func(backendsim.Run)) *process {
+	is := is.New(t)
+	server, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100, WorkTime: gatewayWorkTime, OnRun: onRun}, "127.0.0.1")
+	is.NoErr(err)
+	t.Cleanup(server.Close)
+	return startGatewayBefore(t, 200, gatewayServer{"p0", "plain", server.Address()})
+}
+
+// gatewayServer is a backend server that is registered with the gateway.
+type gatewayServer struct{ id, service, address string }
+
+// startGatewayBefore starts a node with a memory limit before the given backend servers, and waits
+// until it is ready.
+func startGatewayBefore(t *testing.T, memoryMB int, servers ...gatewayServer) *process {
 	is := is.New(t)
 	st := memstore.New()
 	router := chi.NewRouter()
 	kvserver.Register(router, st)
 	platform := httptest.NewServer(router)
 	t.Cleanup(platform.Close)
-	server, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100, WorkTime: gatewayWorkTime, OnRun: onRun}, "127.0.0.1")
-	is.NoErr(err)
-	t.Cleanup(server.Close)
 	put := func(key string, raw []byte, err error) {
 		is.NoErr(err)
 		_, err = st.Put(t.Context(), key, raw, 0, store.NoLease)
@@ -52,12 +62,14 @@
 	}
 	raw, err := backendsim.Config(1, map[string]string{"a": callerKey})
 	put(backendsim.ConfigKey, raw, err)
-	raw, err = backendsim.Registration("plain", server.Address(), "", false)
-	put(backendsim.ServersPrefix+"p0", raw, err)
+	for _, s := range servers {
+		raw, err = backendsim.Registration(s.service, s.address, "", false)
+		put(backendsim.ServersPrefix+s.id, raw, err)
+	}
 	raw, err = json.Marshal(map[string]any{
 		"name": "n0", "ip_address": gatewayAddress, "failure_domain": "z",
 		"listen": map[string]any{"callers": gatewayAddress + ":8100", "readiness": gatewayAddress + ":8101", "peers": gatewayAddress + ":8102"},
-		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": 200},
+		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": memoryMB},
 		"bounds": map[string]any{"grace_period_s": gatewayGrace.Seconds(), "retry_ratio": 0.2, "retry_extra": 50.0},
 		"store":  map[string]any{"address": platform.Listener.Addr().String()},
 	})
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -94,6 +94,9 @@
 // maxMismatchedResponses is how many responses to other requests are skipped.
 const maxMismatchedResponses = 2
 
+// maxMismatchedBytes is how long the body of such a response may be.
+const maxMismatchedBytes = 1 << 20
+
 // Response is a backend server's response. Read Body until io.EOF, then call Close. Any
 // other error of Body means that the response is incomplete.
 type Response struct {
@@ -233,7 +236,11 @@
 		if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
 			return ErrResponseMismatch
 		}
-		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
+		n, err := io.CopyN(io.Discard, httpResp.Body, maxMismatchedBytes+1)
+		if n > maxMismatchedBytes {
+			return ErrResponseMismatch
+		}
+		if err != nil && err != io.EOF {
 			return err
 		}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -246,3 +246,12 @@
 	is.NoErr(l.Close())
 	is.True(p.Refuses(context.Background(), l.Addr().String()))
 }
+
+// TestEndlessResponseToAnotherRequestIsGivenUp guards against a server that keeps a node busy until
+// the deadline with a response without end that answers another request.
+func TestEndlessResponseToAnotherRequestIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	address := startEndlessServer(t, "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n")
+	_, err := NewPool(DefaultOptions).Do(t.Context(), newGet(address))
+	is.True(errors.Is(err, ErrResponseMismatch))
+}
