figweir node sends nothing for callers who have left

What servers saw: 26 of 40 requests of callers who had left while the process stood still were sent on by figweir node too; a call with an idempotency key always, since it is sent under a context that outlives its caller. Change: the caller's connection is looked at before each attempt, and by the transport of the clients of engines and services before a request is sent and after a dial. Such a request is not sent, so its claim is released and "not run" is true; no other server is tried. The transport limits headers of responses to 64 KB (net/http: 10 MB). Not covered here: bytes that lie in the socket to a server, and a close behind a further request on the connection.

--- a/caller/call.go
+++ b/caller/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/service"
+	"github.com/figweir/figweir/tcpstate"
 )
 
 const (
@@ -215,6 +217,9 @@
 		if !errors.Is(err, service.ErrNotSent) {
 			return service.Response{}, true, apierr.Wrap(err, apierr.OutcomeUnknown, "the call may have run; no whole answer came")
 		}
+		if errors.Is(err, tcpstate.ErrPeerClosed) {
+			return service.Response{}, false, apierr.Wrap(err, apierr.Unavailable, "the call was not sent", apierr.NotRun())
+		}
 		info.Exclude = append(info.Exclude, target.Name)
 	}
 	return service.Response{}, false, apierr.New(apierr.Unavailable, "no server of the service could be reached", apierr.NotRun(), apierr.RetryAfter(unavailableRetryAfter))
@@ -243,6 +248,9 @@
 			err = errors.New("service: status 503")
 		}
 		lastErr = err
+		if errors.Is(err, tcpstate.ErrPeerClosed) {
+			break
+		}
 		info.Exclude = append(info.Exclude, target.Name)
 		if ctx.Err() != nil {
 			return service.Response{}, apierr.Wrap(lastErr, apierr.DeadlineExceeded, "the service did not answer in time", apierr.RetryAfter(unavailableRetryAfter))
@@ -257,6 +265,9 @@
 // send sends a call to one server and releases the target.
 func (h *Handler) send(ctx context.Context, s *session, target Target, call service.Call) (service.Response, error) {
 	defer target.Release()
+	if err := tcpstate.CheckPeer(ctx); err != nil {
+		return service.Response{}, fmt.Errorf("%w: %w", service.ErrNotSent, err)
+	}
 	h.Metrics.AttemptsTotal.Add(1)
 	answer, err := h.Services.Call(ctx, target.Address, call)
 	if err != nil {
--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -15,6 +15,7 @@
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/quarantine"
+	"github.com/figweir/figweir/tcpstate"
 )
 
 const (
@@ -77,6 +78,10 @@
 		if errors.Is(lastErr, engine.ErrRefused) {
 			c.waitAfterRefusal(ctx, n-1)
 		}
+		if err := tcpstate.CheckPeer(ctx); err != nil {
+			lastErr = err
+			break
+		}
 		if err := c.checkQuarantine(); err != nil {
 			lastErr = err
 			break
@@ -133,7 +138,7 @@
 
 // retryable reports whether another engine may be tried.
 func retryable(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || errors.Is(err, errDiverged) {
+	if ctx.Err() != nil || errors.Is(err, errDiverged) || errors.Is(err, tcpstate.ErrPeerClosed) {
 		return false
 	}
 	var refused *engine.RefusedError
--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,9 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/figweir/figweir/tcpstate"
+	"github.com/figweir/figweir/upstream"
 )
 
 // Attempt describes one try to run a request on one engine. A request that is
@@ -56,23 +59,24 @@
 	// longer than any queueing delay that admission control permits.
 	headerTimeout    = 2 * time.Minute
 	maxResponseBytes = 1 << 20
-	maxIdleConns     = 64
+	// maxCallHeaderBytes is the maximum size of the header of a response to a short call.
+	maxCallHeaderBytes = 64 << 10
+	maxIdleConns       = 64
 )
 
 // NewClient returns a client with its own connection pools.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		streamClient: &http.Client{Transport: &http.Transport{
-			DialContext:           dialer.DialContext,
+		streamClient: &http.Client{Transport: upstream.NewCallerTransport(&http.Transport{
 			MaxIdleConnsPerHost:   maxIdleConns,
 			IdleConnTimeout:       time.Minute,
 			ResponseHeaderTimeout: headerTimeout,
 			DisableCompression:    true,
-		}},
+		}, dialer)},
 		callClient: &http.Client{
 			Timeout:   callTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute},
+			Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxCallHeaderBytes},
 		},
 	}
 }
@@ -262,13 +266,16 @@
 	}
 }
 
-// wrapSendError wraps ErrNotSent for a failure to connect, after which the engine
-// can't have received anything, and maybeSent for any other failure. It returns
+// wrapSendError wraps ErrNotSent for a caller who has left and for a failure to connect, after which
+// the engine can't have received anything, and maybeSent for any other failure. It returns
 // context.Canceled unchanged.
 func wrapSendError(err, maybeSent error) error {
 	if ctxErr := errors.Unwrap(err); errors.Is(ctxErr, context.Canceled) {
 		return ctxErr
 	}
+	if errors.Is(err, tcpstate.ErrPeerClosed) {
+		return fmt.Errorf("%w: %w", ErrNotSent, tcpstate.ErrPeerClosed)
+	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return fmt.Errorf("%w: %s", ErrNotSent, err.Error())
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -12,12 +12,15 @@
 
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/settings"
+	"github.com/figweir/figweir/tcpstate"
 )
 
 // listeners holds the three listeners of a node and their servers.
 type listeners struct {
 	callers, peers, operators net.Listener
-	limits                    settings.Limits
+	// callerConns are the connections of callers.
+	callerConns *tcpstate.Listener
+	limits      settings.Limits
 
 	callerServer, peerServer, operatorServer *http.Server
 }
@@ -35,6 +38,10 @@
 			l.close()
 			return nil, fmt.Errorf("listen on %s: %w", entry.address, err)
 		}
+		if entry.to == &l.callers {
+			l.callerConns = tcpstate.NewListener(listener)
+			listener = l.callerConns
+		}
 		*entry.to = netutil.LimitListener(listener, s.Limits.MaxConnections)
 	}
 	return l, nil
@@ -43,6 +50,7 @@
 // setHandlers creates the servers with their handlers.
 func (l *listeners) setHandlers(callers, peers, operators http.Handler) {
 	l.callerServer = l.newServer(callers)
+	l.callerServer.ConnContext = l.callerConns.ConnContext
 	l.peerServer = l.newServer(peers)
 	l.peerServer.Protocols = peer.Protocols()
 	// In HTTP/2, ReadTimeout applies to the body of each request, not to the
--- a/service/client.go
+++ b/service/client.go
@@ -10,6 +10,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/figweir/figweir/tcpstate"
+	"github.com/figweir/figweir/upstream"
 )
 
 // Errors of Client.Call.
@@ -60,22 +63,22 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		idempotent: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}),
+		idempotent: newHTTPClient(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}, dialer),
 		// If a kept-alive connection breaks, net/http sends a request with an
 		// Idempotency-Key header again, and any other request fails although
 		// part of it may have been sent. With a new connection for each call
 		// nothing is sent twice, and if the service is down, connecting fails,
 		// so that it is correct to report "not run".
-		nonIdempotent: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
+		nonIdempotent: newHTTPClient(&http.Transport{DisableKeepAlives: true}, dialer),
 	}
 }
 
 // newHTTPClient returns a client that passes responses on unmodified: it neither
 // decompresses bodies nor follows redirects.
-func newHTTPClient(t *http.Transport) *http.Client {
+func newHTTPClient(t *http.Transport, dialer *net.Dialer) *http.Client {
 	t.DisableCompression = true
 	return &http.Client{
-		Transport: t,
+		Transport: upstream.NewCallerTransport(t, dialer),
 		// A redirect is a response like any other. Following it would send the
 		// call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -116,9 +119,12 @@
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
 }
 
-// classifySendError wraps an error of the HTTP client in ErrNotSent if no
+// classifySendError wraps an error of the HTTP client in ErrNotSent if the caller has left or no
 // connection was established, and otherwise in ErrOutcomeUnknown.
 func classifySendError(err error) error {
+	if errors.Is(err, tcpstate.ErrPeerClosed) {
+		return fmt.Errorf("%w: %w", ErrNotSent, tcpstate.ErrPeerClosed)
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("%w: %s", ErrNotSent, err.Error())
