figweir node bounds the memory of answers that are read whole

Change: the rule of the gateway (a buffer may hold at most as much as it leaves free, 16 KB in any case) is package membudget, used by both; figweir node gives it 64 MB. For the gateway it is a move without a change of behaviour.

--- a/caller/answerwriter.go
+++ b/caller/answerwriter.go
@@ -11,6 +11,7 @@
 
 	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/membudget"
 )
 
 // answerWriter writes an answer to the caller. Its parts must be passed in order.
@@ -29,10 +30,10 @@
 
 // newAnswerWriter returns a writer for the kind of answer that is requested: a
 // stream or a single JSON object.
-func newAnswerWriter(w http.ResponseWriter, id string, req *chatRequest, timeout time.Duration) answerWriter {
+func newAnswerWriter(w http.ResponseWriter, id string, req *chatRequest, timeout time.Duration, memory *membudget.Budget) answerWriter {
 	r := responder{w: w, controller: http.NewResponseController(w), answerID: "chatcmpl-" + id, timeout: timeout}
 	if !req.Stream {
-		return &bufferedWriter{responder: r, model: req.Model}
+		return &bufferedWriter{responder: r, model: req.Model, memory: membudget.Buffer{Budget: memory}}
 	}
 	return &streamWriter{responder: r, requestID: id, includeUsage: req.StreamOptions != nil && req.StreamOptions.IncludeUsage}
 }
@@ -130,6 +131,7 @@
 	responder
 	model        string
 	content      strings.Builder
+	memory       membudget.Buffer
 	finishReason string
 	written      bool
 }
@@ -153,13 +155,19 @@
 func (s *bufferedWriter) started() bool { return s.written }
 
 func (s *bufferedWriter) writeChunk(c engine.Chunk) error {
-	s.content.WriteString(c.Text())
+	text := c.Text()
+	// The builder doubles its buffer.
+	if err := s.memory.Grow(2 * (s.content.Len() + len(text))); err != nil {
+		return err
+	}
+	s.content.WriteString(text)
 	return nil
 }
 
 func (s *bufferedWriter) setFinish(c engine.Chunk) { s.finishReason = *c.Body.Choices[0].FinishReason }
 
 func (s *bufferedWriter) end(usage engine.Usage) error {
+	defer s.memory.Release()
 	s.written = true
 	s.limitWrite()
 	s.w.Header().Set("Content-Type", "application/json")
@@ -170,6 +178,7 @@
 }
 
 func (s *bufferedWriter) fail(err error) {
+	s.memory.Release()
 	if !s.written {
 		apierr.Write(s.w, err)
 	}
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -85,7 +85,7 @@
 	}
 	run := &chatRun{
 		handler: h, session: s, pool: pool, info: info, body: body, admission: admission,
-		writer: newAnswerWriter(w, s.id, req, h.options.WriteTimeout), parts: sharedParts(req),
+		writer: newAnswerWriter(w, s.id, req, h.options.WriteTimeout, h.AnswerMemory), parts: sharedParts(req),
 	}
 	defer func() { admission.Done(info.PromptTokens, len(run.sentHashes)) }()
 	if err := h.recheckKey(s); err != nil {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -18,6 +18,7 @@
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/logging"
+	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/quarantine"
 	"github.com/figweir/figweir/service"
@@ -58,12 +59,14 @@
 	KeySecret []byte
 	Engines   *engine.Client
 	Services  *service.Client
-	Router    Router
-	Admitter  Admitter
-	Claimer   Claimer
-	Meter     Meter
-	Observer  Observer
-	Gate      Gate
+	// AnswerMemory limits what is collected of all answers together that are not streamed.
+	AnswerMemory *membudget.Budget
+	Router       Router
+	Admitter     Admitter
+	Claimer      Claimer
+	Meter        Meter
+	Observer     Observer
+	Gate         Gate
 	// Quarantine blocks requests whose messages crash engines.
 	Quarantine *quarantine.Tracker
 	Metrics    *metrics.Set
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/figweir/figweir/discovery"
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/logging"
+	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/metering"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
@@ -165,7 +166,7 @@
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
-		Pool: g.pool, Answers: platform.NewResponseMemory(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
+		Pool: g.pool, Answers: membudget.New(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
 		OnNotice: g.onNotice,
 	}
 	g.backend = backend
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/figweir/figweir/fleet"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/membership"
+	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/operator"
 	"github.com/figweir/figweir/peer"
@@ -32,6 +33,9 @@
 const (
 	// maxConfigBytes limits the size of a configuration that an operator sends.
 	maxConfigBytes = 64 << 20
+	// answerMemoryBytes is the memory for answers of engines and services that are read whole
+	// before they are sent. It has room for several of the largest ones.
+	answerMemoryBytes = 64 << 20
 	// refusingGrace is how long running streams continue on a node that refuses new
 	// requests. A partitioned node refuses after 2 s, so a withdrawn key stops
 	// working there within 5 s.
@@ -48,12 +52,14 @@
 	metrics *metrics.Set
 	store   store.Store
 	// eras holds the newest era of the store.
-	eras         *store.EraTracker
-	fleet        *fleet.Client
-	config       *config.CurrentSnapshot
-	repository   *config.Repository
-	engines      *engine.Client
-	services     *service.Client
+	eras       *store.EraTracker
+	fleet      *fleet.Client
+	config     *config.CurrentSnapshot
+	repository *config.Repository
+	engines    *engine.Client
+	services   *service.Client
+	// answers limits the memory of answers that are read whole before they are sent.
+	answers      *membudget.Budget
 	peerHTTP     *http.Client
 	auth         *peer.Auth
 	bus          *bus.Bus
@@ -91,9 +97,11 @@
 		config:   config.NewCurrentSnapshot(),
 		engines:  engine.NewClient(),
 		services: service.NewClient(),
+		answers:  membudget.New(answerMemoryBytes),
 		peerHTTP: peer.NewHTTPClient(),
 		auth:     peer.NewAuth(s.Secrets.Peer),
 	}
+	n.services.Memory = n.answers
 	client := platform.NewStore(s.Platform.Address, timeout)
 	client.Eras.OnChange(func(era store.Era) { n.log.Info("era of the store", "era", uint64(era)) })
 	n.eras, n.store = client.Eras, countCalls(client, n.metrics.StoreCallsTotal)
@@ -137,7 +145,7 @@
 func (n *Node) callerDependencies() caller.Dependencies {
 	return caller.Dependencies{
 		Config: n.config, KeySecret: []byte(n.settings.Secrets.KeyDigest),
-		Engines: n.engines, Services: n.services,
+		Engines: n.engines, Services: n.services, AnswerMemory: n.answers,
 		Router: n.backends, Admitter: demandAdmitter{n.admission, n.orders.demand}, Claimer: n.claims, Meter: n.meter,
 		Observer: n.observer, Gate: freshnessGate{n.sync}, Metrics: n.metrics, Quarantine: n.quarantine.tracker, Log: n.log,
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -6,11 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/tcpstate"
 	"github.com/figweir/figweir/upstream"
 )
@@ -55,6 +55,10 @@
 
 // Client calls services over HTTP. It is safe for concurrent use.
 type Client struct {
+	// Memory limits what is buffered of all responses together while they are read; nil
+	// limits only each of them.
+	Memory *membudget.Budget
+
 	idempotent    *http.Client
 	nonIdempotent *http.Client
 }
@@ -109,7 +113,10 @@
 		return Response{}, classifySendError(err)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	raw, err := c.Memory.ReadAll(resp.Body, MaxResponseBytes)
+	if errors.Is(err, membudget.ErrExhausted) {
+		return Response{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ErrResponseTooLarge)
+	}
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %s", ErrOutcomeUnknown, err.Error())
 	}
