--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -79,6 +79,11 @@
 	if _, err := io.WriteString(c, strings.ReplaceAll(a.start, "ID", r.Header.Get("Attempt-Id"))); err != nil {
 		return
 	}
+	a.repeat(c)
+}
+
+// repeat sends the part over and over until the node closes the connection.
+func (a endlessAnswer) repeat(c net.Conn) {
 	for n := 0; ; n++ {
 		var block strings.Builder
 		for block.Len() < 16<<10 {
@@ -127,7 +132,7 @@
 			for i := range endlessServers {
 				servers = append(servers, gatewayServer{fmt.Sprintf("m%d", i), "models", startEndless(t, answer)})
 			}
-			p := startGatewayBefore(t, smallestMemoryMB, servers...)
+			p := startGatewayWith(t, gatewayOptions{memoryMB: smallestMemoryMB, servers: servers})
 			atStart := peakMemoryMB(t, p)
 			var callers sync.WaitGroup
 			for i := range endlessCallers {
@@ -152,6 +157,52 @@
 	}
 }
 
+// TestEndlessAnswersOfStoreLeaveMemory guards against a process that runs out of memory, or fails
+// requests, because the store sends bytes without end in answer to each call, for five seconds.
+func TestEndlessAnswersOfStoreLeaveMemory(t *testing.T) {
+	for _, part := range []string{"x", "{\"items\":[", "X########:\r\n"} {
+		t.Run(part, func(t *testing.T) {
+			is := is.New(t)
+			sound, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100}, "127.0.0.1")
+			is.NoErr(err)
+			t.Cleanup(sound.Close)
+			var endless atomic.Bool
+			var calls atomic.Int64
+			p := startGatewayWith(t, gatewayOptions{
+				memoryMB: smallestMemoryMB, servers: []gatewayServer{{"p0", "plain", sound.Address()}},
+				wrapStore: func(h http.Handler) http.Handler {
+					return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if !endless.Load() {
+							h.ServeHTTP(w, r)
+							return
+						}
+						calls.Add(1)
+						c, _, err := http.NewResponseController(w).Hijack()
+						if err == nil {
+							_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+							if !strings.HasPrefix(part, "X") {
+								_, _ = io.WriteString(c, "Content-Type: application/json\r\n\r\n")
+							}
+							endlessAnswer{part: part}.repeat(c)
+							_ = c.Close()
+						}
+					})
+				},
+			})
+			endless.Store(true)
+			until := time.Now().Add(5 * time.Second)
+			for i := 0; time.Now().Before(until); i++ {
+				is.Equal(callSound(t, i), http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			peak := peakMemoryMB(t, p)
+			t.Logf("peak memory %d MB of %d MB, %d calls", peak, smallestMemoryMB, calls.Load())
+			is.True(calls.Load() > 0)
+			is.True(peak < smallestMemoryMB)
+		})
+	}
+}
+
 // callEndless sends a request for which the server sends bytes without end. A caller with an odd
 // number doesn't read its answer.
 func callEndless(t *testing.T, number int) {
--- a/e2e/gatewaystop_test.go
+++ b/e2e/gatewaystop_test.go
@@ -40,20 +40,31 @@
 	server, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100, WorkTime: gatewayWorkTime, OnRun: onRun}, "127.0.0.1")
 	is.NoErr(err)
 	t.Cleanup(server.Close)
-	return startGatewayBefore(t, 200, gatewayServer{"p0", "plain", server.Address()})
+	return startGatewayWith(t, gatewayOptions{memoryMB: 200, servers: []gatewayServer{{"p0", "plain", server.Address()}}})
 }
 
 // gatewayServer is a backend server that is registered with the gateway.
 type gatewayServer struct{ id, service, address string }
 
-// startGatewayBefore starts a node with a memory limit before the given backend servers, and waits
-// until it is ready.
-func startGatewayBefore(t *testing.T, memoryMB int, servers ...gatewayServer) *process {
+// gatewayOptions are the options of startGatewayWith.
+type gatewayOptions struct {
+	memoryMB int
+	servers  []gatewayServer
+	// wrapStore, if set, changes what the store answers.
+	wrapStore func(http.Handler) http.Handler
+}
+
+// startGatewayWith starts a node and waits until it is ready.
+func startGatewayWith(t *testing.T, o gatewayOptions) *process {
 	is := is.New(t)
 	st := memstore.New()
 	router := chi.NewRouter()
 	kvserver.Register(router, st)
-	platform := httptest.NewServer(router)
+	handler := http.Handler(router)
+	if o.wrapStore != nil {
+		handler = o.wrapStore(handler)
+	}
+	platform := httptest.NewServer(handler)
 	t.Cleanup(platform.Close)
 	put := func(key string, raw []byte, err error) {
 		is.NoErr(err)
@@ -62,14 +73,14 @@
 	}
 	raw, err := backendsim.Config(1, map[string]string{"a": callerKey})
 	put(backendsim.ConfigKey, raw, err)
-	for _, s := range servers {
+	for _, s := range o.servers {
 		raw, err = backendsim.Registration(s.service, s.address, "", false)
 		put(backendsim.ServersPrefix+s.id, raw, err)
 	}
 	raw, err = json.Marshal(map[string]any{
 		"name": "n0", "ip_address": gatewayAddress, "failure_domain": "z",
 		"listen": map[string]any{"callers": gatewayAddress + ":8100", "readiness": gatewayAddress + ":8101", "peers": gatewayAddress + ":8102"},
-		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": memoryMB},
+		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": o.memoryMB},
 		"bounds": map[string]any{"grace_period_s": gatewayGrace.Seconds(), "retry_ratio": 0.2, "retry_extra": 50.0},
 		"store":  map[string]any{"address": platform.Listener.Addr().String()},
 	})
