--- a/caller/endless_test.go
+++ b/caller/endless_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestEndlessAnswerIsNotCollected guards against a process that runs out of memory because an engine
-// generates without end for a caller who wants one whole answer, and against other answers that find
+// generates without end for a caller that does not stream, and against other answers that find
 // no memory then.
 func TestEndlessAnswerIsNotCollected(t *testing.T) {
 	is := is.New(t)
--- a/e2e/endless_test.go
+++ b/e2e/endless_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -27,29 +26,8 @@
 	endlessCallers = 200
 )
 
-// endlessAnswer is what a server sends as an answer: a start, and then a part over and over. Number
-// signs in the part are replaced by digits that differ.
-type endlessAnswer struct{ start, part string }
-
-var endlessAnswers = map[string]endlessAnswer{
-	"status line":       {"", "x"},
-	"header line":       {"HTTP/1.1 200 OK\r\nX-Fill: ", "x"},
-	"header lines":      {"HTTP/1.1 200 OK\r\n", "X########:\r\n"},
-	"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
-	"body":              {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Length: 999999999999\r\n\r\n", "x"},
-	"body to the close": {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n\r\n", "x"},
-	"chunks":            {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
-	"chunk extension":   {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
-	"trailer":           {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: x\r\n"},
-	"event":             {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata: x\r\n", "4\r\nxxxx\r\n"},
-	"events":            {"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "9\r\ndata: x\n\n\r\n"},
-	"failure":           {"HTTP/1.1 500 Failed\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n\r\n", "x"},
-	"refusal":           {"HTTP/1.1 503 Full\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\n\r\n", "x"},
-	"other answer":      {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
-}
-
 // startEndless starts a server that gives each request an endless answer.
-func startEndless(t *testing.T, answer endlessAnswer) (address string) {
+func startEndless(t *testing.T, answer backendsim.EndlessAnswer) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,44 +40,12 @@
 			if err != nil {
 				return
 			}
-			go answer.send(c)
+			go answer.Send(c)
 		}
 	}()
 	return l.Addr().String()
 }
 
-// send reads a request and sends the answer until the node closes the connection.
-func (a endlessAnswer) send(c net.Conn) {
-	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	if _, err := io.WriteString(c, strings.ReplaceAll(a.start, "ID", r.Header.Get("Attempt-Id"))); err != nil {
-		return
-	}
-	a.repeat(c)
-}
-
-// repeat sends the part over and over until the node closes the connection.
-func (a endlessAnswer) repeat(c net.Conn) {
-	for n := 0; ; n++ {
-		var block strings.Builder
-		for block.Len() < 16<<10 {
-			part := a.part
-			if strings.Contains(part, "########") {
-				part = strings.Replace(part, "########", fmt.Sprintf("%08d", n), 1)
-				n++
-			}
-			block.WriteString(part)
-		}
-		if _, err := io.WriteString(c, block.String()); err != nil {
-			return
-		}
-	}
-}
-
 // peakMemoryMB returns the most memory that a process has used so far.
 func peakMemoryMB(t *testing.T, p *process) int {
 	t.Helper()
@@ -122,7 +68,7 @@
 // time for each way of sending them, half of their callers don't read, beside requests to a
 // sound server. The memory is that of the smallest machine.
 func TestEndlessAnswersLeaveMemory(t *testing.T) {
-	for name, answer := range endlessAnswers {
+	for name, answer := range backendsim.EndlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			sound, err := backendsim.StartProcess(backendsim.Options{ID: "p0", Slots: 100}, "127.0.0.1")
@@ -183,7 +129,7 @@
 							if !strings.HasPrefix(part, "X") {
 								_, _ = io.WriteString(c, "Content-Type: application/json\r\n\r\n")
 							}
-							endlessAnswer{part: part}.repeat(c)
+							backendsim.EndlessAnswer{Part: part}.Repeat(c)
 							_ = c.Close()
 						}
 					})
