Soak: requests must not begin to run for callers who have left

Change: a finding if more than three requests of a run begin half a second after their callers had left.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -74,7 +74,10 @@
 	defer cancel()
 	if rng.IntN(20) == 0 {
 		// Some callers disconnect before the response.
-		time.AfterFunc(time.Duration(rng.IntN(60))*time.Millisecond, cancel)
+		time.AfterFunc(time.Duration(rng.IntN(60))*time.Millisecond, func() {
+			cancel()
+			d.recorder.callerLeft(req)
+		})
 	}
 	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
 	if req.kind == "safe" {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -31,6 +31,8 @@
 	// it after reactBy, when all nodes must refuse such requests.
 	crashes, lateCrashing int
 	reactBy               time.Time
+	// lateRuns counts the requests that began to run long after their callers had left.
+	lateRuns int
 }
 
 // sentRequest is one request of a caller with its result.
@@ -39,9 +41,11 @@
 	// crashPart is the part on which engines crash; empty for other requests.
 	crashPart string
 	sentAt    time.Time
-	status    int
-	complete  bool
-	problem   string
+	// leftAt is when the caller disconnected before the response; zero if it did not.
+	leftAt   time.Time
+	status   int
+	complete bool
+	problem  string
 }
 
 // NewRecorder returns an empty recorder.
@@ -73,14 +77,42 @@
 		return
 	}
 	rec.runs[r.Attempt] = append(rec.runs[r.Attempt], r)
-	if req := rec.requests[r.Attempt]; req != nil && req.crashPart != "" {
-		rec.checkCrashing(r, b)
+	if req := rec.requests[r.Attempt]; req != nil {
+		rec.checkCallerLeft(r, req)
+		if req.crashPart != "" {
+			rec.checkCrashing(r, b)
+		}
 	}
 	if at, ok := rec.drainingSince[b.id]; ok && rec.drainCheckSuspensions == 0 && time.Since(at) > maxDrainDelay && at.After(rec.drainCheckFrom) {
 		rec.findings = append(rec.findings, fmt.Sprintf("request %s reached backend server %s %v after the server started to drain", r.Attempt, b.id, time.Since(at)))
 	}
 }
 
+const (
+	// maxRunDelay is the time after its caller has disconnected in which a request may still
+	// begin to run, maxLateRuns the number of requests that may begin later.
+	maxRunDelay = 500 * time.Millisecond
+	maxLateRuns = 3
+)
+
+// callerLeft records that the caller of a request disconnects.
+func (rec *Recorder) callerLeft(req *sentRequest) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	req.leftAt = time.Now()
+}
+
+// checkCallerLeft records a finding if requests run whose callers disconnected long before. rec.mu
+// must be held.
+func (rec *Recorder) checkCallerLeft(r backendsim.Run, req *sentRequest) {
+	if req.leftAt.IsZero() || time.Since(req.leftAt) <= maxRunDelay {
+		return
+	}
+	if rec.lateRuns++; rec.lateRuns == maxLateRuns+1 {
+		rec.findings = append(rec.findings, fmt.Sprintf("request %s began to run on %s %v after its caller had left; %d before", r.Attempt, r.Server, time.Since(req.leftAt), maxLateRuns))
+	}
+}
+
 const (
 	// knownCrashes is the number of crashes on a part after which nodes must refuse requests
 	// with it, within reactionTime.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,7 +34,7 @@
 // TestSoak runs nodes as processes under random faults. It guards against
 // violations of the guarantees of docs/proofs.md: duplicate runs, refused
 // requests that ran, incomplete responses, responses to another request, requests
-// that run for another workspace, requests to leaving servers, changed usage figures,
+// that run for another workspace or for callers who have left, requests to leaving servers, changed usage figures,
 // and nodes that don't recover.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "figweir")
