--- a/soak/clients.go
+++ b/soak/clients.go
@@ -42,11 +42,41 @@
 			req.crashPart = *d.crashPart.Load()
 		}
 		d.recorder.addRequest(id, req)
-		d.sendRequest(transport, n, id, req, rng)
+		leaveAfter := noLeave
+		if rng.IntN(20) == 0 {
+			// Some callers disconnect before the response.
+			leaveAfter = time.Duration(rng.IntN(60)) * time.Millisecond
+		}
+		d.sendRequest(transport, n, id, req, leaveAfter, rng)
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 }
 
+// noLeave is the time after which a caller leaves that waits for its response.
+const noLeave = time.Hour
+
+const (
+	// suspendedCallers is how many callers send to a node while its process is suspended, and
+	// suspendedLeave when they leave.
+	suspendedCallers = 20
+	suspendedLeave   = 200 * time.Millisecond
+)
+
+// leaveSuspended sends requests to a node whose process is suspended. Their callers leave soon.
+func (d *Deployment) leaveSuspended(n *node) {
+	pause := d.pauses.Add(1)
+	for i := range suspendedCallers {
+		go func() {
+			rng := rand.New(rand.NewPCG(d.Seed, uint64(i)))
+			transport := &http.Transport{DisableKeepAlives: true}
+			id := fmt.Sprintf("%x-left%d-%x", d.Seed, pause, i)
+			req := &sentRequest{kind: kinds[i%len(kinds)], key: "key-a", sentAt: time.Now()}
+			d.recorder.addRequest(id, req)
+			d.sendRequest(transport, n, id, req, suspendedLeave, rng)
+		}()
+	}
+}
+
 // sendSingle sends one request over a new connection and returns the status of
 // the response. The recorder checks whether the request was allowed to run.
 func (d *Deployment) sendSingle(n *node, key string) (status int, err error) {
@@ -68,17 +98,16 @@
 	return resp.StatusCode, resp.Body.Close()
 }
 
-// sendRequest sends one request, without retries, and records the response.
-func (d *Deployment) sendRequest(t *http.Transport, n *node, id string, req *sentRequest, rng *rand.Rand) {
+// sendRequest sends one request, without retries, and records the response. The caller disconnects
+// after leaveAfter.
+func (d *Deployment) sendRequest(t *http.Transport, n *node, id string, req *sentRequest, leaveAfter time.Duration, rng *rand.Rand) {
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
-	if rng.IntN(20) == 0 {
-		// Some callers disconnect before the response.
-		time.AfterFunc(time.Duration(rng.IntN(60))*time.Millisecond, func() {
-			cancel()
-			d.recorder.callerLeft(req)
-		})
-	}
+	leaving := time.AfterFunc(leaveAfter, func() {
+		cancel()
+		d.recorder.callerLeft(req)
+	})
+	defer leaving.Stop()
 	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
 	if req.kind == "safe" {
 		method, body = http.MethodGet, nil
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -61,6 +61,8 @@
 	// crashPart is the prompt part on which engines crash; empty if there is none.
 	crashPart    atomic.Pointer[string]
 	replacements atomic.Int64
+	// pauses counts the processes that were suspended.
+	pauses atomic.Int64
 }
 
 // node is one node, which runs as a process of the program under test.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,10 +69,11 @@
 }
 
 // pauseNode suspends the process of a random node with SIGSTOP until the end of the
-// fault.
+// fault. Some callers send requests to it meanwhile and leave.
 func pauseNode(d *Deployment, r *rand.Rand) func() {
 	n := d.randomNode(r)
 	n.signal(syscall.SIGSTOP)
+	d.leaveSuspended(n)
 	return func() { n.signal(syscall.SIGCONT) }
 }
 
