Logs and metrics tell why an attempt counts as not run

Cause: the line of a refused request counted its refused attempts without the fact that made them refusals; an answer with the status of a promise looked like any other answer; ids that arrive twice were not noticed. Change: for each attempt that counts as not run its ground, status, and on which connection the response came (used before, age, bytes written, responses skipped) in the line of the request (bounded by the bounds on attempts) and in not_run_total; attempts_total counts answers that promise 'not run' without a statement (unstated_refusal), requests_total ids that are served already (repeated_id). No decision changes. Measured: tests of core, upstream, platform, gateway and e2e pass.

--- a/core/abandoned_test.go
+++ b/core/abandoned_test.go
@@ -38,7 +38,7 @@
 		"first, safe":       {Safe, []Outcome{answer(200, "x")}, 1, 0, NotRun},
 		"first, stream":     {Streaming, []Outcome{answer(200, "x")}, 1, 0, NotRun},
 		"after a refusal":   {Unsafe, []Outcome{Refused{Status: 503}, answer(200, "x")}, 2, 0, NotRun},
-		"after no contact":  {Unsafe, []Outcome{NotSent{errors.New("dial")}, answer(200, "x")}, 2, 0, NotRun},
+		"after no contact":  {Unsafe, []Outcome{NotSent{Cause: errors.New("dial")}, answer(200, "x")}, 2, 0, NotRun},
 		"after a lost one":  {Safe, []Outcome{lost, answer(200, "x")}, 2, 1, MayHaveRun},
 		"after a bad one":   {Safe, []Outcome{answer(500, "x"), answer(200, "x")}, 2, 1, MayHaveRun},
 		"second of streams": {Streaming, []Outcome{Refused{Status: 503}, answer(200, "x")}, 2, 0, NotRun},
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -39,7 +39,7 @@
 	a.TimeLeft = time.Until(e.deadline)
 	a.KVSource = e.handle
 	o := e.Upstream.Send(attemptCtx, a)
-	e.counts.record(o)
+	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.updateHandle(o)
 	switch o := o.(type) {
@@ -65,6 +65,14 @@
 	return true
 }
 
+// recordOutcome counts the outcome of an attempt, and keeps why it counts as not run.
+func (e *exchange) recordOutcome(server *backends.Server, o Outcome) {
+	e.counts.record(o)
+	if proof, ok := notRunProof(server.ID, o); ok {
+		e.record.NotRunProofs = append(e.record.NotRunProofs, proof)
+	}
+}
+
 // newAttempt returns an attempt on a backend server, with a trace that the record refers to.
 func (e *exchange) newAttempt(server *backends.Server) *Attempt {
 	e.record.LastSend = newSendTrace(e.request)
--- a/core/core.go
+++ b/core/core.go
@@ -92,6 +92,10 @@
 	UnsentAttempts  int
 	RefusedAttempts int
 	Resumes         int
+	// NotRunProofs tells for each attempt that has not run why it counts as such.
+	NotRunProofs []NotRunProof
+	// Repeated is set if this node has a request with the same id that may run only once.
+	Repeated bool
 	// Status is the status code of the answer; 0 if the caller received none.
 	Status int
 	// Reason is empty if an answer of a backend server was sent completely.
@@ -127,6 +131,8 @@
 	Quarantine *quarantine.Tracker
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
+
+	repeats RepeatGuard
 }
 
 // exchange is the state of one request while it is served.
@@ -179,6 +185,7 @@
 	if refusal, ok := e.authenticate(); !ok {
 		e.refuse(refusal)
 	} else {
+		defer e.trackRepeats()()
 		e.run()
 	}
 	e.record.SentAttempts, e.record.UnsentAttempts, e.record.RefusedAttempts = e.counts.sent, e.counts.unsent, e.counts.refused
@@ -186,6 +193,24 @@
 	c.Observer.RequestDone(&e.record)
 }
 
+// trackRepeats notes whether a request that may run only once is being served already. The
+// returned function must be called at the end of the request.
+func (e *exchange) trackRepeats() (end func()) {
+	if e.route.Idempotent() {
+		return func() {}
+	}
+	key := e.record.Workspace + "/" + e.request.ID
+	if !e.repeats.Enter(key, e.deadline, time.Now()) {
+		e.record.Repeated = true
+		return func() {}
+	}
+	return func() {
+		if e.counts.mayHaveRun == 0 {
+			e.repeats.Forget(key)
+		}
+	}
+}
+
 // retryWithoutConfiguration is the time after which a caller should retry at a node
 // that has not loaded its configuration yet.
 const retryWithoutConfiguration = 500 * time.Millisecond
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -47,7 +47,7 @@
 		u.runs++
 		return Lost{context.Cause(ctx)}
 	}
-	var o Outcome = NotSent{errors.New("no scripted outcome left")}
+	var o Outcome = NotSent{Cause: errors.New("no scripted outcome left")}
 	if len(u.outcomes) > 0 {
 		o = u.outcomes[0]
 		u.outcomes = u.outcomes[1:]
@@ -271,7 +271,7 @@
 // backend server can run.
 func TestRefusedAttemptIsRetriedElsewhere(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(Unsafe, false, Refused{Status: 503}, NotSent{errors.New("refused")}, answer(200, "ok"))
+	f := newFixture(Unsafe, false, Refused{Status: 503}, NotSent{Cause: errors.New("refused")}, answer(200, "ok"))
 	s := f.serve(nil)
 	is.Equal(s.body, "ok")
 	is.Equal(len(f.upstream.attempts), 3)
@@ -286,7 +286,7 @@
 // retry budget allows. An attempt that could not be sent is not charged.
 func TestRetryBudgetLimitsAttempts(t *testing.T) {
 	is := is.New(t)
-	f := newFixture(Unsafe, false, Refused{}, NotSent{errors.New("x")}, Refused{}, Refused{}, answer(200, "late"))
+	f := newFixture(Unsafe, false, Refused{}, NotSent{Cause: errors.New("x")}, Refused{}, Refused{}, answer(200, "late"))
 	f.budget.retries = 2
 	s := f.serve(nil)
 	is.Equal(f.budget.firstAttempts, 1)
@@ -420,7 +420,7 @@
 func drawOutcome(t *rapid.T) Outcome {
 	switch rapid.IntRange(0, 5).Draw(t, "outcome") {
 	case 0:
-		return NotSent{errors.New("unreachable")}
+		return NotSent{Cause: errors.New("unreachable")}
 	case 1:
 		return Refused{Status: 503}
 	case 2:
--- a/core/prefill_test.go
+++ b/core/prefill_test.go
@@ -69,7 +69,7 @@
 // the first prefill that an engine accepts is free.
 func TestSecondAcceptedPrefillIsCharged(t *testing.T) {
 	is := is.New(t)
-	unreachable := NotSent{errors.New("connection refused")}
+	unreachable := NotSent{Cause: errors.New("connection refused")}
 	f := newFixtureWith(engineRegistry(), Streaming, false, unreachable, unreachable, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}})
 	f.budget.retries = 0
 	s := f.serve(longPromptRequest())
--- a/core/relay.go
+++ b/core/relay.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return e.onLost(ctx, choice, err, a.sentAt, a.watch)
 	}
+	if promisesNotRun(head.Status) {
+		e.Observer.AttemptFailed(&e.record, choice.Server, "unstated_refusal", nil)
+	}
 	if isServerError(head.Status) {
 		choice.Failed()
 		if e.mayRunAgain() && e.RetryBudget.Retry(e.record.Service) {
@@ -168,7 +171,7 @@
 	a := e.newAttempt(choice.Server)
 	a.LastEventID = lastID
 	o := e.Upstream.Send(ctx, a)
-	e.counts.record(o)
+	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	if answered, ok := o.(Answered); ok {
--- a/core/request.go
+++ b/core/request.go
@@ -108,7 +108,11 @@
 type Outcome interface{ outcome() }
 
 // NotSent means that the backend server can't have received the request.
-type NotSent struct{ Cause error }
+type NotSent struct {
+	Cause error
+	// Connected is set if there was a connection, to which nothing was written.
+	Connected bool
+}
 
 // Abandoned means that the attempt was not sent because the caller has left, see ErrCallerLeft.
 type Abandoned struct{}
@@ -118,6 +122,8 @@
 	Status int
 	// WrongServer means that a different backend server now uses the address.
 	WrongServer bool
+	// Response tells how the statement came.
+	Response ResponseTrace
 }
 
 // Lost means that the request may have run but no answer was received.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,8 +22,9 @@
 	net.Conn
 	address string
 	// reader buffers data that it reads through header.
-	reader *bufio.Reader
-	header *headerReader
+	reader        *bufio.Reader
+	header        *headerReader
+	establishedAt time.Time
 	// idleUntil is when the connection expires if it stays idle.
 	idleUntil time.Time
 	// reused is set if the connection has carried an earlier exchange.
@@ -32,7 +33,7 @@
 
 func newConn(nc net.Conn, address string) *conn {
 	header := &headerReader{source: nc}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(header, readBufferSize), header: header}
+	return &conn{Conn: nc, address: address, establishedAt: time.Now(), reader: bufio.NewReaderSize(header, readBufferSize), header: header}
 }
 
 // headerReader reads from a connection and limits the size of a header.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -14,7 +14,9 @@
 // NotSentError means that the backend server cannot have received the request.
 type NotSentError struct {
 	Address string
-	Cause   error
+	// Connected is set if there was a connection, to which nothing was written.
+	Connected bool
+	Cause     error
 }
 
 func (e *NotSentError) Error() string {
@@ -108,6 +110,14 @@
 	// Reused is true if the connection had carried an earlier exchange, whose response the
 	// backend server may have sent again.
 	Reused bool
+	// Skipped is set if responses to other requests came before this one.
+	Skipped bool
+	// ConnectionAge is the time since the connection was established, when the request was
+	// written.
+	ConnectionAge time.Duration
+	// WrittenBytes counts the bytes of the request that were written before the response was
+	// read; a long body is written later.
+	WrittenBytes int
 	// ContentLength is the length of the body, or -1 if the header does not state it.
 	ContentLength int64
 
@@ -123,8 +133,6 @@
 	bodyRead bool
 	// bodyWrite receives the result of writing a long request body; nil for others.
 	bodyWrite <-chan error
-	// mismatched is set if responses to other requests were skipped.
-	mismatched bool
 }
 
 // Do writes a request and reads the header of the response. The error is a *NotSentError
@@ -133,15 +141,15 @@
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.getConn(ctx, r.Address)
 	if err != nil {
-		return nil, &NotSentError{r.Address, err}
+		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
-	resp := &Response{pool: p, conn: c, ctx: ctx, Reused: c.reused, trace: r.Trace}
+	resp := &Response{pool: p, conn: c, ctx: ctx, Reused: c.reused, ConnectionAge: time.Since(c.establishedAt), trace: r.Trace}
 	if resp.trace == nil {
 		resp.trace = noTrace{}
 	}
 	if err := resp.checkBeforeWrite(ctx); err != nil {
 		p.putBack(c)
-		return nil, &NotSentError{r.Address, err}
+		return nil, &NotSentError{Address: r.Address, Connected: true, Cause: err}
 	}
 	resp.stopWatchingCtx = context.AfterFunc(ctx, resp.giveUp)
 	sent, err := resp.writeRequest(r)
@@ -149,7 +157,7 @@
 	if err != nil {
 		resp.closeConn()
 		if !sent {
-			return nil, &NotSentError{r.Address, err}
+			return nil, &NotSentError{Address: r.Address, Connected: true, Cause: err}
 		}
 		return nil, p.lostError(ctx, c, err)
 	}
@@ -182,11 +190,11 @@
 func (resp *Response) writeRequest(r *Request) (sent bool, err error) {
 	header := appendHeader(make([]byte, 0, 1024+min(len(r.Body), maxInlineBodyBytes)), r)
 	if len(r.Body) <= maxInlineBodyBytes {
-		n, err := resp.conn.Write(append(header, r.Body...))
-		return n > 0, err
+		resp.WrittenBytes, err = resp.conn.Write(append(header, r.Body...))
+		return resp.WrittenBytes > 0, err
 	}
-	if n, err := resp.conn.Write(header); err != nil {
-		return n > 0, err
+	if resp.WrittenBytes, err = resp.conn.Write(header); err != nil {
+		return resp.WrittenBytes > 0, err
 	}
 	done := make(chan error, 1)
 	go func() {
@@ -232,7 +240,7 @@
 			resp.setResponse(httpResp)
 			return nil
 		}
-		resp.mismatched = true
+		resp.Skipped = true
 		if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
 			return ErrResponseMismatch
 		}
@@ -276,7 +284,7 @@
 	resp.Status, resp.Header, resp.ContentLength = httpResp.StatusCode, httpResp.Header, httpResp.ContentLength
 	resp.Delimited = httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0
 	resp.Body = &bodyReader{response: resp, body: httpResp.Body}
-	if resp.Delimited && !httpResp.Close && !resp.mismatched {
+	if resp.Delimited && !httpResp.Close && !resp.Skipped {
 		resp.keepIdle = resp.pool.keepIdleFor(httpResp.Header)
 	}
 }
