--- a/caller/chatrun_test.go
+++ b/caller/chatrun_test.go
@@ -207,3 +207,30 @@
 	is.Equal(refreshes, 2) // one after each refusal
 	is.Equal(f.picked, []string{"a", "b", "a"})
 }
+
+// TestRefusalWithoutStatementIsNotReportedAsNotRun guards against telling callers "not run" because
+// an engine answered with a status that engines also use for refusals: it may have run the request
+// and then failed.
+func TestRefusalWithoutStatementIsNotReportedAsNotRun(t *testing.T) {
+	for _, status := range []int{400, 404, 408, 409, 413, 421, 422, 425, 429, 499, 500, 502, 503, 504} {
+		for _, states := range []bool{false, true} {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if states {
+					w.Header().Set("X-Not-Run", "1")
+				}
+				w.WriteHeader(status)
+			}))
+			f := &fakeDependencies{address: server.Listener.Addr().String()}
+			h, key := newHandler(t, f, time.Second)
+			body := `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+			r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+			r.Header.Set("Authorization", "Bearer "+key)
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			server.Close()
+			is.Equal(strings.Contains(w.Body.String(), `"not_run":true`), states)
+		}
+	}
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -177,6 +177,12 @@
 // Is makes errors.Is(err, ErrRefused) return true.
 func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
 
+// ProvesNotRun reports whether an error of Stream or Resume proves that the engine has not run the
+// request.
+func ProvesNotRun(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused)
+}
+
 func newRefusedError(resp *http.Response) error {
 	const maxReasonBytes = 1024
 	reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
--- /dev/null
+++ b/upstream/reset_test.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+// TestServerThatOnlyWritesLearnsThatRequestIsGivenUp guards against a stream that goes on elsewhere
+// while the server before works on it: a server that doesn't read its connection, or that takes a
+// closed sending side for the end of the request, learns of the end only if a write fails. Its
+// first write after the end must not succeed.
+func TestServerThatOnlyWritesLearnsThatRequestIsGivenUp(t *testing.T) {
+	for name, end := range map[string]func(resp *Response, cancel func()){
+		"by its context": func(_ *Response, cancel func()) { cancel() },
+		"by its relay":   func(resp *Response, _ func()) { resp.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			accepted := make(chan *net.TCPConn, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n")
+				accepted <- c.(*net.TCPConn)
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			resp, err := NewPool(DefaultOptions).Do(ctx, newGet(l.Addr().String()))
+			is.NoErr(err)
+			_, err = io.ReadFull(resp.Body, make([]byte, 5))
+			is.NoErr(err)
+			c := <-accepted
+			defer c.Close()
+			end(resp, cancel)
+			is.True(becomesReset(t, c))
+			_, err = c.Write([]byte("5\r\nmore.\r\n"))
+			is.True(err != nil)
+		})
+	}
+}
+
+// becomesReset waits until a connection, from which nothing is read, has been reset by its peer.
+func becomesReset(t *testing.T, c *net.TCPConn) bool {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(giveUpTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		events := []unix.PollFd{{}}
+		_ = raw.Control(func(fd uintptr) {
+			events[0].Fd = int32(fd)
+			_, _ = unix.Poll(events, 0)
+		})
+		if events[0].Revents&unix.POLLERR != 0 {
+			return true
+		}
+	}
+	return false
+}
