A server's own 408, 421, 429 or 503 is not relayed

What callers saw: 503 (429, 408), which promises 'not run, and never will be', for a request that a backend server had run. Cause: core.relay wrote each complete answer with its status. Towards the caller these statuses are this node's promise whoever made them, and only a stated refusal gives it. Evidence: the table of responses had 4 such statuses on each kind of route; core tests with answers 408, 421, 429 and 503 failed on 3 kinds of route, TestRefusalMatchesExecution with such answers drawn failed after 7 cases ("status 503 of a server relayed"). Change: such an answer is a failure of its server, which may be retried elsewhere where the route allows it, and ends as 502 of this node's own with reason server_refused_without_statement. Why it works: a promise now leaves the core only as a Refusal, whose verdict follows from the outcomes of the attempts. The server's failure counts as before for its choice, in attempts_total as unstated_refusal, and in the burn report.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -410,6 +410,9 @@
 		if s.refusal != nil && s.refusal.Verdict() == NotRun && f.upstream.runs > 0 {
 			t.Fatalf("verdict not run for a request that ran %d times", f.upstream.runs)
 		}
+		if promisesNotRun(s.status) {
+			t.Fatalf("status %d of a server relayed", s.status)
+		}
 		if s.refusal == nil && s.status == 0 && !s.aborted {
 			t.Fatalf("no answer")
 		}
@@ -426,7 +429,7 @@
 	case 2:
 		return Lost{errors.New("reset")}
 	case 3:
-		return answer(500, "failed")
+		return answer(rapid.SampledFrom([]int{500, 503, 429, 408, 421}).Draw(t, "status"), "failed")
 	case 4:
 		return Answered{&fakeAnswer{status: 200, stream: true, events: events("1"), interrupted: rapid.Bool().Draw(t, "cut")}}
 	default:
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -43,6 +43,9 @@
 	// ReasonAnswerLost means that the request may have run but its answer is missing or
 	// incomplete.
 	ReasonAnswerLost Reason = "answer_lost"
+	// ReasonUnstatedRefusal means that a backend server answered with a status that promises
+	// that the request has not run, and did not state so itself.
+	ReasonUnstatedRefusal Reason = "server_refused_without_statement"
 	// ReasonDeadline means that the deadline has passed.
 	ReasonDeadline Reason = "deadline"
 	// ReasonDeadlineUnreachable means that no backend server is expected to answer
--- a/core/relay.go
+++ b/core/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -9,8 +10,17 @@
 )
 
 // isServerError reports whether a status code is a failure of the backend server that
-// another server may not have.
-func isServerError(status int) bool { return status >= 500 }
+// another server may not have. A request that ran has no reason to be answered with a status
+// that promises the opposite, so that is one too.
+func isServerError(status int) bool { return status >= 500 || promisesNotRun(status) }
+
+// serverErrorEvent returns the event of an attempt that failed with the given status.
+func serverErrorEvent(status int) string {
+	if promisesNotRun(status) {
+		return "unstated_refusal"
+	}
+	return "server_error"
+}
 
 // relay sends the answer of a backend server to the caller. It reports whether the
 // request is settled.
@@ -29,22 +39,25 @@
 	if err != nil {
 		return e.onLost(ctx, choice, err, a.sentAt, a.watch)
 	}
-	if promisesNotRun(head.Status) {
-		e.Observer.AttemptFailed(&e.record, choice.Server, "unstated_refusal", nil)
-	}
 	if isServerError(head.Status) {
 		choice.Failed()
 		if e.mayRunAgain() && e.RetryBudget.Retry(e.record.Service) {
 			// The retry is acquired here and not when the next attempt is sent: if the
 			// budget denies it, this failure is relayed as the answer.
 			e.retryAcquired = true
-			e.Observer.AttemptFailed(&e.record, choice.Server, "server_error", nil)
+			e.Observer.AttemptFailed(&e.record, choice.Server, serverErrorEvent(head.Status), fmt.Errorf("status %d", head.Status))
 			e.excluded = append(e.excluded, choice.Server.ID)
 			return false
 		}
 	} else {
 		choice.Succeeded()
 	}
+	if promisesNotRun(head.Status) {
+		// Towards the caller the status would be this node's promise.
+		e.Observer.AttemptFailed(&e.record, choice.Server, serverErrorEvent(head.Status), fmt.Errorf("status %d", head.Status))
+		e.fail(ReasonUnstatedRefusal)
+		return true
+	}
 	e.record.TimeToFirstEvent = time.Since(e.request.ArrivedAt)
 	e.record.Status = head.Status
 	if err := e.sink.WriteAnswer(head, body); err != nil {
