A request that returns to an address uses a new connection

What callers could see: a repeat of an engine's first response taken for the next one of the same request, a refusal among them; the id is the same. Cause: the id tells requests apart, not attempts. A request reaches one address twice when an engine that processed its prompt becomes the one that decodes. Other ways were looked for and not found: each server that refused, failed or interrupted is excluded by its id, and a server that comes back at its address has lost its connections. Change: such an attempt takes no idle connection. Why it works: a response can be repeated only on a connection that has carried it. Price: one connection for each such attempt.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/figweir/figweir/backends"
@@ -76,9 +77,11 @@
 // newAttempt returns an attempt on a backend server, with a trace that the record refers to.
 func (e *exchange) newAttempt(server *backends.Server) *Attempt {
 	e.record.LastSend = newSendTrace(e.request)
+	repeated := slices.Contains(e.addresses, server.Address)
+	e.addresses = append(e.addresses, server.Address)
 	return &Attempt{
 		Request: e.request, Server: server, Workspace: e.record.Workspace,
-		Priority: e.priority(), TimeLeft: time.Until(e.deadline), Trace: e.record.LastSend,
+		Priority: e.priority(), TimeLeft: time.Until(e.deadline), NewConnection: repeated, Trace: e.record.LastSend,
 	}
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -147,6 +147,8 @@
 	deadline  time.Time
 	counts    attemptCounts
 	excluded  []string
+	// addresses are those to which the request was sent.
+	addresses []string
 	// chargedAttempts counts the attempts that count against the retry budget.
 	chargedAttempts int
 	// handle refers to KV cache from a separate prefill that no attempt has used
--- a/core/prefill_test.go
+++ b/core/prefill_test.go
@@ -116,3 +116,23 @@
 	is.True(s.ended)
 	is.Equal(f.upstream.attempts[0].Server.ID, "d3")
 }
+
+// TestRequestReturnsToServerOnNewConnection guards against a late copy of an engine's first response
+// that is taken for the next one, because both have the id of the request: the engine that
+// processed the prompt becomes the only one that decodes.
+func TestRequestReturnsToServerOnNewConnection(t *testing.T) {
+	is := is.New(t)
+	engine := backends.Registration{ID: "e", Service: "s", Address: "e:1", Slots: 4, Role: backends.RolePrefill}
+	registry := backends.NewRegistry()
+	registry.Replace([]backends.Registration{engine, {ID: "d", Service: "s", Address: "d:1", Slots: 4, Role: backends.RoleDecode}})
+	f := newFixtureWith(registry, Streaming, false, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}})
+	f.upstream.afterPrefill = func() {
+		engine.Role = backends.RoleDecode
+		registry.Replace([]backends.Registration{engine})
+	}
+	s := f.serve(longPromptRequest())
+	is.True(s.ended)
+	is.Equal(len(f.upstream.attempts), 1)
+	is.Equal(f.upstream.attempts[0].Server.ID, "e")
+	is.True(f.upstream.attempts[0].NewConnection)
+}
--- a/core/request.go
+++ b/core/request.go
@@ -59,6 +59,9 @@
 	LastEventID string
 	// KVSource refers to the KV cache of a separate prefill; nil if there is none.
 	KVSource *KVHandle
+	// NewConnection is set if the request has been sent to this address before: on a connection
+	// that carried it, a repeat of the earlier response would have the right id.
+	NewConnection bool
 	// Trace records how far the attempt was sent.
 	Trace *SendTrace
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -59,6 +59,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// NewConnection is set if no idle connection may be used.
+	NewConnection bool
 	// Matches reports whether a response with the given header answers this request.
 	// If nil, every response does.
 	Matches func(http.Header) bool
@@ -139,7 +141,7 @@
 // or a *LostError. If ctx ends before Close, the exchange fails and the connection is
 // closed at once, see conn.abort.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.getConn(ctx, r.Address)
+	c, err := p.getConn(ctx, r)
 	if err != nil {
 		return nil, &NotSentError{Address: r.Address, Cause: err}
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -102,11 +102,13 @@
 
 // getConn returns a reusable idle connection or dials a new one. After an error nothing
 // has been sent.
-func (p *Pool) getConn(ctx context.Context, address string) (*conn, error) {
-	if c := p.getIdle(address); c != nil {
-		return c, nil
+func (p *Pool) getConn(ctx context.Context, r *Request) (*conn, error) {
+	if !r.NewConnection {
+		if c := p.getIdle(r.Address); c != nil {
+			return c, nil
+		}
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, r.Address)
 }
 
 // dial establishes a new connection.
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -72,3 +72,19 @@
 	}
 	return false
 }
+
+// TestNewConnectionIsMadeOnDemand guards against a request on a connection that carried it before,
+// where a repeat of the earlier response would be taken for its own.
+func TestNewConnectionIsMadeOnDemand(t *testing.T) {
+	is := is.New(t)
+	address, requests, connections := startScriptedServer(t, completeResponse, completeResponse)
+	p := NewPool(DefaultOptions)
+	_, err := do(t, p, newGet(address))
+	is.NoErr(err)
+	again := newGet(address)
+	again.NewConnection = true
+	_, err = do(t, p, again)
+	is.NoErr(err)
+	is.Equal(requests.Load(), int64(2))
+	is.Equal(connections.Load(), int64(2))
+}
