A given up exchange ends with a reset behind the orderly close

What callers and servers could see: a stream that went on at another server while the one before still worked on it, for more than 400 ms. Cause: an exchange whose request was acknowledged ended by an orderly close alone. A server that doesn't read learns of it only from a failed write, and its first write after the close succeeds; one that takes a closed sending side for the end of the request never learns of it. Evidence: TestServerThatOnlyWritesLearnsThatRequestIsGivenUp failed after its 10 s in both cases. Change: the orderly close is followed by a reset as soon as it has been acknowledged, looked at after 2, 4, 8 and so on up to 512 ms; then it is left to the kernel. Why it works: a reset may be lost, so it comes second, and by then a server that reads has already been told. Not run: a path that a proxy delays.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,8 @@
 	idleUntil time.Time
 	// reused is set if the connection has carried an earlier exchange.
 	reused bool
+	// aborted is set once abort was called.
+	aborted atomic.Bool
 }
 
 func newConn(nc net.Conn, address string) *conn {
@@ -71,12 +74,56 @@
 	return n
 }
 
-// abort closes the connection of an exchange that was given up. While the server has not
-// acknowledged the complete request, a reset discards the rest of it: after an orderly close the
-// kernel would deliver it, however late. Otherwise the close is orderly, because the kernel repeats
-// that until it has arrived, and a reset may be lost.
+// abort ends the connection of an exchange that was given up. It may be called more than once,
+// from any goroutine. While the server has not acknowledged the complete request, a reset discards
+// the rest of it: after an orderly close the kernel would deliver it, however late. Otherwise the
+// end is first told in an orderly way, because the kernel repeats that until it has arrived and a
+// reset may be lost. The reset follows: a server that doesn't read, or that takes a closed sending
+// side for the end of a request, learns of the end only from a write that fails.
 func (c *conn) abort(unacknowledged int) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && unacknowledged > 0 {
+	if !c.aborted.CompareAndSwap(false, true) {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || unacknowledged > 0 {
+		c.reset()
+		return
+	}
+	// Whoever reads or writes now fails at once.
+	_ = tcp.SetDeadline(time.Unix(1, 0))
+	if tcp.CloseWrite() != nil {
+		c.close()
+		return
+	}
+	c.resetOnceAcknowledged(firstResetDelay)
+}
+
+const (
+	// firstResetDelay is the time from the orderly end to the first look whether it has arrived;
+	// the delay doubles with each further one.
+	firstResetDelay = 2 * time.Millisecond
+	// maxResetDelay is the longest such delay. Longer ones are left to the kernel.
+	maxResetDelay = 512 * time.Millisecond
+)
+
+// resetOnceAcknowledged resets the connection after a delay if the server has acknowledged its
+// orderly end, and otherwise tries again later.
+func (c *conn) resetOnceAcknowledged(delay time.Duration) {
+	time.AfterFunc(delay, func() {
+		switch {
+		case c.unacknowledged() <= 0:
+			c.reset()
+		case delay >= maxResetDelay:
+			c.close()
+		default:
+			c.resetOnceAcknowledged(2 * delay)
+		}
+	})
+}
+
+// reset closes the connection and makes all further writes of the server fail.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	c.close()
