A request that may run once is not sent again for a repeat of it

What callers saw: a second run. Client libraries send a request again, with its id, when a kept connection ends before an answer. A request that has certainly not run is forgotten at once. Why it works: a library repeats within the time its caller waits, and the balancer sends a client to one node while that is in rotation. Not covered: a repeat that reaches another node; only the store could tell, at a call for each request.

--- a/core/core.go
+++ b/core/core.go
@@ -94,8 +94,6 @@
 	Resumes         int
 	// NotRunProofs tells for each attempt that has not run why it counts as such.
 	NotRunProofs []NotRunProof
-	// Repeated is set if this node has a request with the same id that may run only once.
-	Repeated bool
 	// Status is the status code of the answer; 0 if the caller received none.
 	Status int
 	// Reason is empty if an answer of a backend server was sent completely.
@@ -187,29 +185,28 @@
 	if refusal, ok := e.authenticate(); !ok {
 		e.refuse(refusal)
 	} else {
-		defer e.trackRepeats()()
-		e.run()
+		e.runOnce()
 	}
 	e.record.SentAttempts, e.record.UnsentAttempts, e.record.RefusedAttempts = e.counts.sent, e.counts.unsent, e.counts.refused
 	e.record.TotalTime = time.Since(r.ArrivedAt)
 	c.Observer.RequestDone(&e.record)
 }
 
-// trackRepeats notes whether a request that may run only once is being served already. The
-// returned function must be called at the end of the request.
-func (e *exchange) trackRepeats() (end func()) {
+// runOnce runs the request unless it may run only once and this node has served it before, or
+// serves it now.
+func (e *exchange) runOnce() {
 	if e.route.Idempotent() {
-		return func() {}
+		e.run()
+		return
 	}
-	key := e.record.Workspace + "/" + e.request.ID
+	key := e.record.Workspace + " " + e.request.Path + " " + e.request.ID
 	if !e.repeats.Enter(key, e.deadline, time.Now()) {
-		e.record.Repeated = true
-		return func() {}
+		e.refuse(Refusal{MayHaveRun, ReasonRepeated, 0})
+		return
 	}
-	return func() {
-		if e.counts.mayHaveRun == 0 {
-			e.repeats.Forget(key)
-		}
+	e.run()
+	if e.counts.mayHaveRun == 0 {
+		e.repeats.Forget(key)
 	}
 }
 
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -163,6 +164,8 @@
 
 // fixture is a Core with one route, one service and fakes for its dependencies.
 type fixture struct {
+	// requests counts the requests, each of which has an id of its own.
+	requests int
 	core     *Core
 	upstream *fakeUpstream
 	sink     *fakeSink
@@ -209,7 +212,8 @@
 	if r == nil {
 		r = &Request{}
 	}
-	r.ID, r.Host, r.Path, r.ArrivedAt = "1", "h", "/p/x", time.Now()
+	f.requests++
+	r.ID, r.Host, r.Path, r.ArrivedAt = strconv.Itoa(f.requests), "h", "/p/x", time.Now()
 	if r.Key == "" {
 		r.Key = "key"
 	}
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -46,6 +46,9 @@
 	// ReasonUnstatedRefusal means that a backend server answered with a status that promises
 	// that the request has not run, and did not state so itself.
 	ReasonUnstatedRefusal Reason = "server_refused_without_statement"
+	// ReasonRepeated means that this node has received the request before, and it may run only
+	// once.
+	ReasonRepeated Reason = "repeated"
 	// ReasonDeadline means that the deadline has passed.
 	ReasonDeadline Reason = "deadline"
 	// ReasonDeadlineUnreachable means that no backend server is expected to answer
--- a/gateway/notrun.go
+++ b/gateway/notrun.go
@@ -14,24 +14,17 @@
 			o.notRun.Add("unidentified", 1)
 		}
 	}
-	if r.Repeated {
-		o.requests.Add("repeated_id", 1)
-	}
 }
 
 // notRunFields returns the fields of the log line of a request that tell why its attempts count as
 // not run. The core bounds their number.
 func notRunFields(r *core.Record) []any {
-	var fields []any
-	if r.Repeated {
-		fields = append(fields, "repeated_id", true)
-	}
 	if len(r.NotRunProofs) == 0 {
-		return fields
+		return nil
 	}
 	proofs := make([]string, len(r.NotRunProofs))
 	for i, proof := range r.NotRunProofs {
 		proofs[i] = proof.String()
 	}
-	return append(fields, "not_run", strings.Join(proofs, ";"))
+	return []any{"not_run", strings.Join(proofs, ";")}
 }
