figweir node tells 'not run' only where the engine states it

What callers saw: not_run true in an error although an engine may have run the request. Cause: engine.Client took every status below 500, and 503, for a refusal, and the caller's run took each refusal for a proof. Change: an engine states it in the header X-Not-Run (the stand-in does where it takes no streams and where a body can't be read); engine.ProvesNotRun decides it in one place. Whether another engine is tried goes by the status as before. Why it works: an engine that doesn't send the header gets no promise made in its name. Price: callers of engines without the header are told not_run false after a refusal; their requests are retried at other engines as before.

--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -175,7 +175,7 @@
 			if offset > before {
 				resumes = 0
 			}
-		} else if !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused) {
+		} else if !engine.ProvesNotRun(err) {
 			c.mayHaveRun = true
 		}
 		if err == nil {
--- a/engine/client.go
+++ b/engine/client.go
@@ -133,7 +133,7 @@
 		return newStream(resp.Body, a.ID, offset), nil
 	case resp.StatusCode == http.StatusNotFound && offset > 0:
 		err = ErrStreamUnknown
-	case resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable:
+	case resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "":
 		err = fmt.Errorf("%w: status %d", ErrTruncated, resp.StatusCode)
 	default:
 		err = newRefusedError(resp)
@@ -167,6 +167,8 @@
 type RefusedError struct {
 	Status int
 	Reason string
+	// NotRun is set if the engine states that it has not run the request.
+	NotRun bool
 }
 
 // Error implements error.
@@ -180,13 +182,17 @@
 // ProvesNotRun reports whether an error of Stream or Resume proves that the engine has not run the
 // request.
 func ProvesNotRun(err error) bool {
-	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused)
+	var refused *RefusedError
+	return errors.Is(err, ErrNotSent) || errors.As(err, &refused) && refused.NotRun
 }
 
 func newRefusedError(resp *http.Response) error {
 	const maxReasonBytes = 1024
 	reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
-	return &RefusedError{Status: resp.StatusCode, Reason: string(bytes.TrimSpace(reason))}
+	return &RefusedError{
+		Status: resp.StatusCode, Reason: string(bytes.TrimSpace(reason)),
+		NotRun: resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderNotRun) != "",
+	}
 }
 
 // Cancel ends an attempt on the engine. If it fails, the only consequence is that
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -30,6 +30,10 @@
 	HeaderPrefixBlocks = "X-Prefix-Blocks"
 )
 
+// HeaderNotRun is the header of a response with which an engine states that it has not run the
+// request. A status alone does not state that.
+const HeaderNotRun = "X-Not-Run"
+
 // doneData is the payload of the end marker, which is the last event of a stream.
 const doneData = "[DONE]"
 
@@ -42,8 +46,8 @@
 	// with chunks missing, or when it could not be opened although the engine
 	// may have started the request.
 	ErrTruncated = errors.New("engine: stream truncated")
-	// ErrRefused is returned when the engine refused the request without
-	// running it.
+	// ErrRefused is returned when the engine refused the request. ProvesNotRun
+	// tells whether it is certain that the engine has not run it.
 	ErrRefused = errors.New("engine: request refused")
 	// ErrStreamUnknown is returned when the engine no longer has the stream to
 	// resume.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -226,6 +226,7 @@
 		s.OnRequest(r, raw)
 	}
 	if err := json.Unmarshal(raw, &req); err != nil {
+		w.Header().Set(client.HeaderNotRun, "1")
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return req, nil, false
 	}
@@ -247,6 +248,7 @@
 	s.mu.Lock()
 	if s.faults.RefuseStreams || s.changingRole || s.role == config.RolePrefill {
 		s.mu.Unlock()
+		w.Header().Set(client.HeaderNotRun, "1")
 		http.Error(w, "engine takes no streams now", http.StatusServiceUnavailable)
 		return
 	}
