--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -87,6 +87,8 @@
 	proxy             *tcpproxy.Proxy
 	removed           chan struct{}
 	draining          atomic.Bool
+	// disturbed is set once its connections have been disturbed.
+	disturbed atomic.Bool
 	// noticed is set while the server states something about itself.
 	noticed atomic.Bool
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,6 +34,7 @@
 	{"store restored", true, restoreStore},
 	{"server connection", false, disturbServerConnection},
 	{"server faults", false, injectServerFaults},
+	{"false refusals", false, refuseFalsely},
 	{"release", false, replaceServer},
 	{"notice", false, stateNotice},
 	{"crashing part", false, crashOnPart},
@@ -125,6 +126,7 @@
 // server.
 func disturbServerConnection(d *Deployment, r *rand.Rand) func() {
 	b := d.randomBackend(r)
+	b.disturbed.Store(true)
 	b.proxy.SetMode(tcpproxy.Mode(1 + r.IntN(int(tcpproxy.ModeCount)-1)))
 	return func() { b.proxy.SetMode(tcpproxy.Forward) }
 }
@@ -139,6 +141,24 @@
 	return func() { b.sim.SetFaults(backendsim.Faults{}) }
 }
 
+// refuseFalsely makes all backend servers of a service refuse requests that they have run, repeat
+// refusals, and go on with streams that broke off.
+func refuseFalsely(d *Deployment, r *rand.Rand) func() {
+	servers := d.plainServers
+	if r.IntN(2) == 0 {
+		servers = d.engines
+	}
+	f := backendsim.Faults{OwnRefusals: r.Float64() / 5, Repeats: r.Float64() / 5, Deaf: r.Float64() / 2}
+	for _, b := range servers {
+		b.sim.SetFaults(f)
+	}
+	return func() {
+		for _, b := range servers {
+			b.sim.SetFaults(backendsim.Faults{})
+		}
+	}
+}
+
 // replaceServer starts to drain a random backend server and adds a new one of
 // the same service and role.
 func replaceServer(d *Deployment, r *rand.Rand) func() {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -31,6 +31,8 @@
 	// it after reactBy, when all nodes must refuse such requests.
 	crashes, lateCrashing int
 	reactBy               time.Time
+	// overlaps counts the streams on which a server still worked long after they went on elsewhere.
+	overlaps int
 	// lateRuns counts the requests that began to run long after their callers had left.
 	lateRuns int
 }
@@ -74,6 +76,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	if r.Ended {
+		rec.checkOverlap(r, b)
 		return
 	}
 	rec.runs[r.Attempt] = append(rec.runs[r.Attempt], r)
@@ -151,6 +154,31 @@
 	}
 }
 
+const (
+	// maxOverlap is the time for which a server may work on a stream that has gone on elsewhere,
+	// and maxOverlaps the number of streams with a longer one: the process of the test may be
+	// held up as well.
+	maxOverlap  = 400 * time.Millisecond
+	maxOverlaps = 3
+)
+
+// checkOverlap records a finding if servers work on streams that have long gone on elsewhere. Nodes
+// and servers that may not reach each other are not checked. rec.mu must be held.
+func (rec *Recorder) checkOverlap(ended backendsim.Run, b *backend) {
+	if rec.drainCheckSuspensions > 0 || b.disturbed.Load() {
+		return
+	}
+	for _, other := range rec.runs[ended.Attempt] {
+		overlap := time.Duration(ended.AtMillis-other.AtMillis) * time.Millisecond
+		if other.After <= ended.After || overlap <= maxOverlap {
+			continue
+		}
+		if rec.overlaps++; rec.overlaps == maxOverlaps+1 {
+			rec.findings = append(rec.findings, fmt.Sprintf("stream %s was worked on by %s %v after it went on at %s; %d before", ended.Attempt, ended.Server, overlap, other.Server, maxOverlaps))
+		}
+	}
+}
+
 // addFinding records a finding.
 func (rec *Recorder) addFinding(text string) {
 	rec.mu.Lock()
@@ -204,7 +232,7 @@
 }
 
 // Result is the summary of a run. Asked counts all requests. Whole counts those
-// with a complete response, Refused those answered 429 or 503, Other the rest.
+// with a complete response, Refused those answered 408, 421, 429 or 503, Other the rest.
 // Windows counts the usage windows that were reported.
 type Result struct {
 	Asked, Whole, Refused, Other, Windows int
@@ -226,7 +254,7 @@
 		switch {
 		case req.complete:
 			r.Whole++
-		case req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests:
+		case promisesNotRun(req.status):
 			r.Refused++
 		default:
 			r.Other++
@@ -241,6 +269,15 @@
 	return r
 }
 
+// promisesNotRun reports whether a status promises that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkRequest checks the number of runs, the response, the workspace and the
 // forwarded headers of one request. Safe and resumable requests may run twice.
 func (rec *Recorder) checkRequest(id string, req *sentRequest) (findings []string) {
@@ -255,7 +292,7 @@
 	if len(runs) > maxRuns {
 		addFinding("ran %d times, %d allowed", len(runs), maxRuns)
 	}
-	if (req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests) && len(runs) > 0 {
+	if promisesNotRun(req.status) && len(runs) > 0 {
 		addFinding("status %d means that it has not run, but it ran %d times", req.status, len(runs))
 	}
 	if req.problem != "" {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 	faultDuration = flag.Duration("soak.time", 6*time.Second, "duration of the faults of each seed")
 	nodeCount     = flag.Int("soak.nodes", 3, "number of nodes")
 	clientCount   = flag.Int("soak.clients", 12, "number of clients")
+	builtBinary   = flag.String("soak.binary", "", "program to run instead of a build of this tree, for example of an earlier version")
 	logDir        = flag.String("soak.keep", "", "directory for the logs of seeds with findings")
 )
 
@@ -32,14 +33,17 @@
 }
 
 // TestSoak runs nodes as processes under random faults. It guards against
-// violations of the guarantees of docs/proofs.md: duplicate runs, refused
-// requests that ran, incomplete responses, responses to another request, requests
+// violations of the guarantees of docs/proofs.md: duplicate runs, streams that run on two servers,
+// refused requests that ran, incomplete responses, responses to another request, requests
 // that run for another workspace or for callers who have left, requests to leaving servers, changed usage figures,
 // and nodes that don't recover.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "figweir")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/figweir").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	binary := *builtBinary
+	if binary == "" {
+		binary = filepath.Join(t.TempDir(), "figweir")
+		if out, err := exec.Command("go", "build", "-o", binary, "../cmd/figweir").CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, out)
+		}
 	}
 	seedList := append([]uint64{}, regressions...)
 	for i := range *seeds {
--- a/standin/tcpproxy/tcpproxy.go
+++ b/standin/tcpproxy/tcpproxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/figweir/figweir/tcpstate"
 )
 
 // Mode selects the fault that a proxy injects.
@@ -168,7 +170,10 @@
 	blackholed := p.blackholed
 	p.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { p.copy(server, client, BlackholeToServer, blackholed) })
+	directions.Go(func() {
+		p.copy(server, client, BlackholeToServer, blackholed)
+		go p.forwardReset(server, client)
+	})
 	directions.Go(func() { p.copy(client, server, BlackholeToClient, blackholed) })
 	directions.Wait()
 	p.mu.Lock()
@@ -178,6 +183,24 @@
 	_, _ = client.Close(), server.Close()
 }
 
+// resetCheckInterval is the time between two looks whether an ended connection was reset.
+const resetCheckInterval = 5 * time.Millisecond
+
+// forwardReset resets a connection when the client's side of it, which has ended in an orderly way,
+// is reset. It returns when the connection is closed.
+func (p *Proxy) forwardReset(to, from net.Conn) {
+	for range time.Tick(resetCheckInterval) {
+		wasReset, err := tcpstate.WasReset(from)
+		if err != nil {
+			return
+		}
+		if mode := Mode(p.mode.Load()); wasReset && mode != Blackhole && mode != BlackholeToServer {
+			reset(to)
+			return
+		}
+	}
+}
+
 // copy forwards the data of one direction until the connection ends. It discards the
 // data that arrives in discardMode, in the mode that discards both directions, or
 // while blackholed is set.
--- a/tcpstate/tcpstate.go
+++ b/tcpstate/tcpstate.go
@@ -70,6 +70,20 @@
 	return n <= 0, nil
 }
 
+// WasReset reports whether the connection has ended with an error, as after a reset by the peer.
+func WasReset(c net.Conn) (wasReset bool, err error) {
+	err = control(c, func(fd int) error {
+		events := []unix.PollFd{{Fd: int32(fd)}}
+		_, err := unix.Poll(events, 0)
+		wasReset = events[0].Revents&unix.POLLERR != 0
+		if err == unix.EINTR {
+			return nil
+		}
+		return err
+	})
+	return wasReset, err
+}
+
 // SinceLastData returns how long ago the kernel received data on the connection, with a
 // resolution of some milliseconds.
 func SinceLastData(c net.Conn) (time.Duration, error) {
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
+
+	"github.com/figweir/figweir/tcpstate"
 )
 
 // TestServerThatOnlyWritesLearnsThatRequestIsGivenUp guards against a stream that goes on elsewhere
@@ -54,19 +55,14 @@
 }
 
 // becomesReset waits until a connection, from which nothing is read, has been reset by its peer.
-func becomesReset(t *testing.T, c *net.TCPConn) bool {
+func becomesReset(t *testing.T, c net.Conn) bool {
 	t.Helper()
-	raw, err := c.SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
 	for deadline := time.Now().Add(giveUpTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		events := []unix.PollFd{{}}
-		_ = raw.Control(func(fd uintptr) {
-			events[0].Fd = int32(fd)
-			_, _ = unix.Poll(events, 0)
-		})
-		if events[0].Revents&unix.POLLERR != 0 {
+		wasReset, err := tcpstate.WasReset(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if wasReset {
 			return true
 		}
 	}
