Test of partly written requests; bodies of three sizes in the soak

Change: a test over bodies of 0 to 8 MB, of which servers take 1 byte to 20 KB and reset, on new and used connections; bodies of 4 bytes, 600 bytes and 40 KB in the soak.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -77,6 +77,10 @@
 	}
 }
 
+// bodySizesBytes are the sizes of requests' bodies: one packet, and more than a node writes in one
+// piece with the head.
+var bodySizesBytes = []int{4, 600, 40 << 10}
+
 // sendSingle sends one request over a new connection and returns the status of
 // the response. The recorder checks whether the request was allowed to run.
 func (d *Deployment) sendSingle(n *node, key string) (status int, err error) {
@@ -108,7 +112,7 @@
 		d.recorder.callerLeft(req)
 	})
 	defer leaving.Stop()
-	method, body := http.MethodPost, io.Reader(strings.NewReader("body"))
+	method, body := http.MethodPost, io.Reader(strings.NewReader(strings.Repeat("b", bodySizesBytes[rng.IntN(len(bodySizesBytes))])))
 	if req.kind == "safe" {
 		method, body = http.MethodGet, nil
 	}
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -84,3 +85,43 @@
 	is.Equal(requests.Load(), int64(2))
 	is.Equal(connections.Load(), int64(2))
 }
+
+// TestPartlyWrittenRequestIsNotTakenForUnsent guards against "not run" for a request of which a server
+// has got a part: it reads the first bytes and resets the connection, new or used, for bodies that
+// are written with the head, behind it, and beyond what the sockets hold.
+func TestPartlyWrittenRequestIsNotTakenForUnsent(t *testing.T) {
+	for _, bodyBytes := range []int{0, 600, 40 << 10, 8 << 20} {
+		for _, readBytes := range []int{1, 100, 20 << 10} {
+			for _, used := range []bool{false, true} {
+				is := is.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				setReceiveBuffer(t, l)
+				go func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if used {
+						_, _ = http.ReadRequest(bufio.NewReader(c))
+						_, _ = io.WriteString(c, completeResponse)
+					}
+					_, _ = io.ReadFull(c, make([]byte, min(readBytes, 20+bodyBytes)))
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+				}()
+				p := NewPool(DefaultOptions)
+				if used {
+					_, err := do(t, p, newGet(l.Addr().String()))
+					is.NoErr(err)
+				}
+				r := newGet(l.Addr().String())
+				r.Method, r.Body = http.MethodPost, make([]byte, bodyBytes)
+				_, err = p.Do(t.Context(), r)
+				var lost *LostError
+				is.True(errors.As(err, &lost))
+				is.NoErr(l.Close())
+			}
+		}
+	}
+}
