Refusals without proof have their own event; unknown acknowledgements end in an orderly close

Cause: read as a newcomer: a refusal that proves nothing showed as 'lost' in the metrics, the trace of a response had a field that was always true, and a connection of which the kernel doesn't tell what is acknowledged was reset although its orderly end might not have arrived. Change: attempts_total counts unproven_refusal; the field is gone; such a connection is closed in an orderly way only. Measured: tests of core, upstream and platform pass.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -281,7 +281,7 @@
 	if ctx.Err() == nil && !watch.HasBegun() {
 		e.reportLoss(choice.Server, cause)
 	}
-	e.Observer.AttemptFailed(&e.record, choice.Server, "lost", cause)
+	e.Observer.AttemptFailed(&e.record, choice.Server, lostEvent(cause), cause)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	if e.mayRunAgain() {
 		return false
--- a/core/core.go
+++ b/core/core.go
@@ -130,7 +130,7 @@
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
 
-	repeats RepeatGuard
+	repeats repeatGuard
 }
 
 // exchange is the state of one request while it is served.
@@ -200,13 +200,13 @@
 		return
 	}
 	key := e.record.Workspace + " " + e.request.Path + " " + e.request.ID
-	if !e.repeats.Enter(key, e.deadline, time.Now()) {
+	if !e.repeats.enter(key, e.deadline, time.Now()) {
 		e.refuse(Refusal{MayHaveRun, ReasonRepeated, 0})
 		return
 	}
 	e.run()
 	if e.counts.mayHaveRun == 0 {
-		e.repeats.Forget(key)
+		e.repeats.forget(key)
 	}
 }
 
--- a/core/notrun.go
+++ b/core/notrun.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -23,10 +24,20 @@
 	GroundWrongServer NotRunGround = "wrong_server"
 )
 
+// ErrUnprovenRefusal is the cause of a Lost outcome if a response says that the request has not run,
+// and that can't be relied on.
+var ErrUnprovenRefusal = errors.New("statement that the request has not run, without its id or in a success")
+
+// lostEvent returns the event of an attempt that was lost.
+func lostEvent(cause error) string {
+	if errors.Is(cause, ErrUnprovenRefusal) {
+		return "unproven_refusal"
+	}
+	return "lost"
+}
+
 // ResponseTrace tells how a response came, for logs.
 type ResponseTrace struct {
-	// Identified is set if the response names the request that it answers.
-	Identified bool
 	// Reused is set if the connection had carried an exchange before, Skipped if responses to
 	// other requests came first in this one.
 	Reused, Skipped bool
@@ -57,7 +68,7 @@
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{!p.Response.Identified, ",unidentified"}, {p.Response.Reused, ",reused"}, {p.Response.Skipped, ",skipped"}} {
+	}{{p.Response.Reused, ",reused"}, {p.Response.Skipped, ",skipped"}} {
 		if flag.set {
 			b.WriteString(flag.name)
 		}
--- a/core/notrun_test.go
+++ b/core/notrun_test.go
@@ -52,7 +52,7 @@
 // afterwards.
 func TestRecordTellsWhyAttemptsCountAsNotRun(t *testing.T) {
 	is := is.New(t)
-	stated := Refused{Status: 503, Response: ResponseTrace{Identified: true, Reused: true, ConnectionAge: 1200 * time.Millisecond, WrittenBytes: 311}}
+	stated := Refused{Status: 503, Response: ResponseTrace{Reused: true, ConnectionAge: 1200 * time.Millisecond, WrittenBytes: 311}}
 	f := newFixture(Unsafe, false, NotSent{}, stated, NotSent{Connected: true}, Refused{Status: 421, WrongServer: true}, answer(200, "ok"))
 	observer := &reasonObserver{}
 	f.core.Observer = observer
@@ -64,6 +64,6 @@
 	}
 	is.Equal(texts, []string{
 		"s:not_connected", "s:not_executed,status=503,age_ms=1200,written=311,reused", "s:nothing_written",
-		"s:wrong_server,status=421,age_ms=0,written=0,unidentified",
+		"s:wrong_server,status=421,age_ms=0,written=0",
 	})
 }
--- a/core/repeats.go
+++ b/core/repeats.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// maxTrackedRequests is the maximum number of requests in a RepeatGuard.
+// maxTrackedRequests is the maximum number of requests in a repeatGuard.
 const maxTrackedRequests = 1 << 14
 
 // repeatSweepInterval is the time between two removals of expired requests.
 const repeatSweepInterval = time.Second
 
-// RepeatGuard remembers requests that may run only once, until their deadlines. Client libraries
+// repeatGuard remembers requests that may run only once, until their deadlines. Client libraries
 // send a request again, with its id, if their connection ends before the answer. The zero value is
 // empty. Its methods may be called from any goroutine.
-type RepeatGuard struct {
+type repeatGuard struct {
 	mu sync.Mutex
 	// until holds the deadlines by request.
 	until   map[string]time.Time
 	sweptAt time.Time
 }
 
-// Enter adds a request and reports whether it is none that was added before. It also returns true
+// enter adds a request and reports whether it is none that was added before. It also returns true
 // if the guard is full: then the request is not tracked.
-func (g *RepeatGuard) Enter(request string, until, now time.Time) bool {
+func (g *repeatGuard) enter(request string, until, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.sweptAt) >= repeatSweepInterval {
@@ -41,15 +41,15 @@
 	return true
 }
 
-// Forget removes a request that has certainly not run.
-func (g *RepeatGuard) Forget(request string) {
+// forget removes a request that has certainly not run.
+func (g *repeatGuard) forget(request string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.until, request)
 }
 
 // sweep removes the requests whose deadlines have passed. g.mu must be held.
-func (g *RepeatGuard) sweep(now time.Time) {
+func (g *repeatGuard) sweep(now time.Time) {
 	g.sweptAt = now
 	for request, until := range g.until {
 		if !now.Before(until) {
--- a/core/repeats_test.go
+++ b/core/repeats_test.go
@@ -12,19 +12,19 @@
 // can't answer any more, and against memory that grows with each request.
 func TestRepeatGuardForgetsInTime(t *testing.T) {
 	is := is.New(t)
-	var g RepeatGuard
+	var g repeatGuard
 	start := time.Now()
-	is.True(g.Enter("a", start.Add(time.Second), start))
-	is.True(!g.Enter("a", start.Add(time.Minute), start.Add(999*time.Millisecond)))
-	is.True(g.Enter("a", start.Add(2*time.Second), start.Add(time.Second)))
-	g.Forget("a")
-	is.True(g.Enter("a", start.Add(2*time.Second), start.Add(time.Second)))
+	is.True(g.enter("a", start.Add(time.Second), start))
+	is.True(!g.enter("a", start.Add(time.Minute), start.Add(999*time.Millisecond)))
+	is.True(g.enter("a", start.Add(2*time.Second), start.Add(time.Second)))
+	g.forget("a")
+	is.True(g.enter("a", start.Add(2*time.Second), start.Add(time.Second)))
 	for i := range 2 * maxTrackedRequests {
-		is.True(g.Enter(strconv.Itoa(i), start.Add(3*time.Second), start.Add(time.Second))) // also beyond the maximum
+		is.True(g.enter(strconv.Itoa(i), start.Add(3*time.Second), start.Add(time.Second))) // also beyond the maximum
 	}
 	is.Equal(len(g.until), maxTrackedRequests)
-	is.True(!g.Enter("0", start.Add(4*time.Second), start.Add(2*time.Second)))
-	is.True(g.Enter("b", start.Add(5*time.Second), start.Add(4*time.Second)))
+	is.True(!g.enter("0", start.Add(4*time.Second), start.Add(2*time.Second)))
+	is.True(g.enter("b", start.Add(5*time.Second), start.Add(4*time.Second)))
 	is.Equal(len(g.until), 1)
 }
 
--- a/gateway/notrun.go
+++ b/gateway/notrun.go
@@ -10,9 +10,6 @@
 func (o *observer) countNotRun(r *core.Record) {
 	for _, proof := range r.NotRunProofs {
 		o.notRun.Add(string(proof.Ground), 1)
-		if proof.Status != 0 && !proof.Response.Identified {
-			o.notRun.Add("unidentified", 1)
-		}
 	}
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -84,11 +84,15 @@
 	if !c.aborted.CompareAndSwap(false, true) {
 		return
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || unacknowledged > 0 {
+	if unacknowledged > 0 {
 		c.reset()
 		return
 	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		c.close()
+		return
+	}
 	// Whoever reads or writes now fails at once.
 	_ = tcp.SetDeadline(time.Unix(1, 0))
 	if tcp.CloseWrite() != nil {
@@ -110,10 +114,10 @@
 // orderly end, and otherwise tries again later.
 func (c *conn) resetOnceAcknowledged(delay time.Duration) {
 	time.AfterFunc(delay, func() {
-		switch {
-		case c.unacknowledged() <= 0:
+		switch n := c.unacknowledged(); {
+		case n == 0:
 			c.reset()
-		case delay >= maxResetDelay:
+		case n < 0 || delay >= maxResetDelay:
 			c.close()
 		default:
 			c.resetOnceAcknowledged(2 * delay)
