What arrives after an exchange was given up is no part of its response

What callers could see: a response that was given up, ended by its server in an orderly way and relayed as complete. Cause: since the orderly close precedes the reset, the connection can still be read for a moment. A server that learns of the close may end its response properly; a reading goroutine that had passed the check of the deadline, and was then held up, read that end. TestResponseThatEndsBecauseItIsGivenUpIsIncomplete failed before. Change: a read that returns after the end of the exchange fails, whatever it has read. Why it works: the end is marked before the close is sent, so nothing that the server sends because of it can be read before the mark.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -35,8 +36,22 @@
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	header := &headerReader{source: nc}
-	return &conn{Conn: nc, address: address, establishedAt: time.Now(), reader: bufio.NewReaderSize(header, readBufferSize), header: header}
+	c := &conn{Conn: nc, address: address, establishedAt: time.Now(), header: &headerReader{}}
+	c.header.source = c
+	c.reader = bufio.NewReaderSize(c.header, readBufferSize)
+	return c
+}
+
+var errGivenUp = errors.New("the exchange was given up")
+
+// Read implements net.Conn. What arrives after abort is discarded: a server that has been told of
+// the end may end its response in an orderly way, and it would look complete.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.aborted.Load() {
+		return 0, errGivenUp
+	}
+	return n, err
 }
 
 // headerReader reads from a connection and limits the size of a header.
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -125,3 +125,29 @@
 		}
 	}
 }
+
+// endingConn is a connection whose exchange is given up while a read is in progress, and that then
+// receives the end of the response.
+type endingConn struct {
+	net.Conn
+	end func()
+}
+
+func (c *endingConn) Read(p []byte) (int, error) {
+	c.end()
+	return copy(p, "0\r\n\r\n"), nil
+}
+
+func (c *endingConn) Close() error { return nil }
+
+// TestResponseThatEndsBecauseItIsGivenUpIsIncomplete guards against a response that looks complete
+// because its server, told of the end of the exchange, ended it in an orderly way.
+func TestResponseThatEndsBecauseItIsGivenUpIsIncomplete(t *testing.T) {
+	is := is.New(t)
+	ending := &endingConn{}
+	c := newConn(ending, "server")
+	ending.end = func() { c.abort(0) }
+	n, err := c.reader.Read(make([]byte, 10))
+	is.Equal(n, 0)
+	is.True(errors.Is(err, errGivenUp))
+}
