Failing decode engines are used if there are no others

What callers saw: 503 servers_full for each model request of a node, without end, while other nodes served them. Cause: a failure rate changes by requests only. With all decode engines above the bound and a healthy prefill engine, the choice among the healthy servers found no decode engine and ended; the last resort was asked for rate limits only. So nothing was sent any more that could lower the rate. TestFailingEnginesOfOneRoleAreLastResort failed (all backend servers are full or excluded). Change: decode engines that have only failed too often count as healthy if there is no other. Engines out of reach and in a role change stay the last resort: time ends those states. Why it works: the next success lowers the rate, as it does for plain services.

--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -123,6 +123,31 @@
 	is.Equal(c.Server.ID, "s1")
 }
 
+// TestFailingEnginesOfOneRoleAreLastResort guards against refusing every prompt, without end, because
+// all engines of one role have had failures while those of the other role have not: nothing
+// would be sent to them any more, so nothing could show that they work again.
+func TestFailingEnginesOfOneRoleAreLastResort(t *testing.T) {
+	for _, failing := range []Role{RolePrefill, RoleDecode} {
+		is := is.New(t)
+		b, registry := newBalancer([]Registration{
+			{ID: "p", Service: "s", Role: RolePrefill, Slots: 4}, {ID: "d0", Service: "s", Role: RoleDecode, Slots: 4}, {ID: "d1", Service: "s", Role: RoleDecode, Slots: 4},
+		}, nil)
+		now := time.Now()
+		for _, s := range registry.View().Servers("s") {
+			for range 20 {
+				if s.Role == failing {
+					(&Choice{Server: s, balancer: b}).Failed()
+				}
+			}
+		}
+		for _, tokens := range []int{100, 20000} {
+			c, err := b.Choose(now, &Criteria{Service: "s", Prompt: &Prompt{Tokens: tokens, MaxOutputTokens: 10}, TimeLeft: time.Minute, TargetLatency: 10 * time.Second})
+			is.NoErr(err)
+			c.Done()
+		}
+	}
+}
+
 // TestSuspendedServerIsLastResort guards against refusing requests because all servers
 // had failures.
 func TestSuspendedServerIsLastResort(t *testing.T) {
--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -112,23 +113,36 @@
 }
 
 // selectCandidates returns the servers that may get a request. The unhealthy ones should get it
-// only if no other server can.
+// only if no other server can. Decode engines that have only failed too often count as healthy if
+// there are no others: no request runs without one, and a failure rate changes by requests only.
 func selectCandidates(servers []*Server, criteria *Criteria, now time.Time) (healthy, unhealthy []*Server) {
 	healthy = make([]*Server, 0, len(servers))
+	// failing are the decode engines that have failed too often.
+	var failing []*Server
 	for _, s := range servers {
 		if criteria.excluded(s.ID) || s.declines(now) {
 			continue
 		}
 		suspended, failureRate := s.stats.health(now)
-		if suspended || failureRate > maxHealthyFailureRate || s.isChangingRole(now) {
+		switch {
+		case suspended || s.isChangingRole(now):
 			unhealthy = append(unhealthy, s)
-		} else {
+		case failureRate <= maxHealthyFailureRate:
 			healthy = append(healthy, s)
+		case isDecodeEngine(s):
+			failing = append(failing, s)
+		default:
+			unhealthy = append(unhealthy, s)
 		}
 	}
-	return healthy, unhealthy
+	if len(healthy) > 0 && !slices.ContainsFunc(healthy, isDecodeEngine) {
+		return append(healthy, failing...), unhealthy
+	}
+	return healthy, append(unhealthy, failing...)
 }
 
+func isDecodeEngine(s *Server) bool { return s.Role == RoleDecode }
+
 // pick is the best server for a request according to its cost.
 type pick struct {
 	server *Server
