--- a/soak/faults.go
+++ b/soak/faults.go
@@ -148,7 +148,7 @@
 	if r.IntN(2) == 0 {
 		servers = d.engines
 	}
-	f := backendsim.Faults{OwnRefusals: r.Float64() / 5, Repeats: r.Float64() / 5, Deaf: r.Float64() / 2}
+	f := backendsim.Faults{OwnRefusals: r.Float64() / 5, Repeats: r.Float64() / 5, WriteOnly: r.Float64() / 2}
 	for _, b := range servers {
 		b.sim.SetFaults(f)
 	}
