--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -141,6 +141,7 @@
 	return healthy, append(unhealthy, failing...)
 }
 
+// isDecodeEngine reports whether a server is an engine that decodes.
 func isDecodeEngine(s *Server) bool { return s.Role == RoleDecode }
 
 // pick is the best server for a request according to its cost.
--- a/core/core.go
+++ b/core/core.go
@@ -130,6 +130,7 @@
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
 
+	// repeats keeps requests that may run only once from running again.
 	repeats repeatGuard
 }
 
@@ -145,7 +146,7 @@
 	deadline  time.Time
 	counts    attemptCounts
 	excluded  []string
-	// addresses are those to which the request was sent.
+	// addresses are those to which attempts were made.
 	addresses []string
 	// chargedAttempts counts the attempts that count against the retry budget.
 	chargedAttempts int
--- a/core/relay.go
+++ b/core/relay.go
@@ -10,8 +10,8 @@
 )
 
 // isServerError reports whether a status code is a failure of the backend server that
-// another server may not have. A request that ran has no reason to be answered with a status
-// that promises the opposite, so that is one too.
+// another server may not have. A status that promises that the request has not run is one too:
+// the refusals that prove it are no answers.
 func isServerError(status int) bool { return status >= 500 || promisesNotRun(status) }
 
 // serverErrorEvent returns the event of an attempt that failed with the given status.
@@ -43,7 +43,7 @@
 		choice.Failed()
 		if e.mayRunAgain() && e.RetryBudget.Retry(e.record.Service) {
 			// The retry is acquired here and not when the next attempt is sent: if the
-			// budget denies it, this failure is relayed as the answer.
+			// budget denies it, this failure is the last one.
 			e.retryAcquired = true
 			e.Observer.AttemptFailed(&e.record, choice.Server, serverErrorEvent(head.Status), fmt.Errorf("status %d", head.Status))
 			e.excluded = append(e.excluded, choice.Server.ID)
@@ -53,7 +53,7 @@
 		choice.Succeeded()
 	}
 	if promisesNotRun(head.Status) {
-		// Towards the caller the status would be this node's promise.
+		// The caller would take the status for a promise of this node.
 		e.Observer.AttemptFailed(&e.record, choice.Server, serverErrorEvent(head.Status), fmt.Errorf("status %d", head.Status))
 		e.fail(ReasonUnstatedRefusal)
 		return true
--- a/core/repeats.go
+++ b/core/repeats.go
@@ -21,8 +21,8 @@
 	sweptAt time.Time
 }
 
-// enter adds a request and reports whether it is none that was added before. It also returns true
-// if the guard is full: then the request is not tracked.
+// enter adds a request until the given deadline. It returns false if the request is there already.
+// If the guard is full, the request is not added, and the result is true.
 func (g *repeatGuard) enter(request string, until, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/request.go
+++ b/core/request.go
@@ -59,8 +59,8 @@
 	LastEventID string
 	// KVSource refers to the KV cache of a separate prefill; nil if there is none.
 	KVSource *KVHandle
-	// NewConnection is set if the request has been sent to this address before: on a connection
-	// that carried it, a repeat of the earlier response would have the right id.
+	// NewConnection is set if an earlier attempt was made to this address: on a connection that
+	// carried it, a repeat of its response would have the right id.
 	NewConnection bool
 	// Trace records how far the attempt was sent.
 	Trace *SendTrace
