--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review2 ./review/harness2
+go build -tags review -o target/review2 ./review/harness2
--- a/review/harness2/bodies.go
+++ b/review/harness2/bodies.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -120,7 +122,7 @@
 }
 
 func (t *burstTraffic) send() {
-	r := t.d.send(t.node, clientRequest{method: "POST", path: streamPath, parts: []string{callerPart}, ownTokens: shortOwnTokens, deadline: patience, body: t.body})
+	r := t.d.send(t.node, clientRequest{method: "POST", path: streamPath, parts: []string{callerPart}, deadline: patience, body: t.body})
 	switch {
 	case r.status == 0:
 		t.lost.Add(1)
--- a/review/harness2/frozen.go
+++ b/review/harness2/frozen.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -61,7 +63,7 @@
 	var wait sync.WaitGroup
 	for i := range results {
 		wait.Go(func() {
-			results[i] = d.send(n, clientRequest{method: "POST", path: streamPath, parts: []string{callerPart}, ownTokens: shortOwnTokens, deadline: patience, body: []byte("{}")})
+			results[i] = d.send(n, clientRequest{method: "POST", path: streamPath, parts: []string{callerPart}, deadline: patience, body: []byte("{}")})
 		})
 	}
 	time.Sleep(5*frozenGap + frozenGap/2)
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command harness2 plays the cases review/6 to review/10: it starts gateways as processes, with
 // stand-ins for the store, the backend servers and the clients, and checks one rule from what
 // clients and backend servers see.
