--- a/review/harness2/poison.go
+++ b/review/harness2/poison.go
@@ -42,7 +42,7 @@
 	// traffic.
 	poisonFrom, until time.Duration
 	// killAt is when all gateways are killed at once; 0 if they are not. No request with the part
-	// is sent from then on until they have run for poisonRest.
+	// is sent from poisonRest before that until poisonRest after it.
 	killAt time.Duration
 }
 
@@ -63,7 +63,7 @@
 const (
 	soundEvents = 15
 	slots       = 64
-	// poisonRest is how long after a kill no request with the part is sent.
+	// poisonRest is how long before and after a kill no request with the part is sent.
 	poisonRest  = 5 * time.Second
 	eventGap    = 60 * time.Millisecond
 	prefillTime = 20 * time.Millisecond
@@ -220,7 +220,7 @@
 		len(p.crashes), len(late), budget, before.begun, before.count, during.begun, during.count, lost, cut)}
 }
 
-// share is how many of some requests began.
+// beginShare is how many of some requests began.
 type beginShare struct{ begun, count int }
 
 func (b beginShare) share() float64 { return float64(b.begun) / float64(max(1, b.count)) }
