--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -5,7 +5,7 @@
 // clients and backend servers see.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With the
-// environment variable TROUBLE=0 it does the same without the disruption.
+// flag -trouble=0 it does the same without the disruption; run.sh sets it from TROUBLE.
 package main
 
 import (
@@ -43,8 +43,9 @@
 	dir := flag.String("dir", ".", "folder that receives record.txt")
 	binary := flag.String("binary", "target/figweir", "the program under test")
 	name := flag.String("case", "", "name of the case")
+	trouble := flag.String("trouble", "1", "0 leaves the disruption out")
 	flag.Parse()
-	os.Exit(play(*name, *dir, *binary, os.Getenv("TROUBLE") != "0"))
+	os.Exit(play(*name, *dir, *binary, *trouble != "0"))
 }
 
 // play plays a case and returns the exit code.
