quarantine: all parts of a header are watched, evidence of any size is exchanged

Cause: boundParts cut a request to its first 16 parts, for checks and for evidence. A part behind them was in no evidence, and those before it were cleared by each sound answer. The bound existed because the cost of a part was not bounded elsewhere: evidence had to fit a datagram as a whole, begunParts forgot everything above 4,096 parts, publish walked all evidence at each message, and beyond 256 losses the oldest evidence was dropped whatever it said.

Change: the bound is MaxPartsBytes, 72 KiB of ids, which the largest header that nodes accept (64 KiB) does not reach (TestPartsOfLargestHeaderCount). What grew with the parts: - evidence is kept by part and forgotten when it puts no part in doubt any more; beyond the bounds one loss of the largest crash goes, not the oldest; - only parts in doubt are sent, in messages of 1,200 bytes; a loss whose pieces have not all arrived doesn't count; - the last starts of answers are in a table of fixed size (256 kB, no lock); - the parts to watch are a filter, and the suspected ones a set, so that no message and no request walks all evidence.

--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,30 +37,48 @@
 // load: one request in two has the part, at all nodes in turn; the others share their
 // route, their key and their first part with it and must be served as before.
 func TestRequestsThatCrashEnginesAreRefused(t *testing.T) {
+	testCrashingPart(t, "first")
+}
+
+// TestCrashingPartBehindManyOthersIsRefused guards against a part that crashes engine after engine
+// because it stands behind many others in the prompt. The load is that of one such part, with 100
+// parts that all requests begin with.
+func TestCrashingPartBehindManyOthersIsRefused(t *testing.T) {
+	lead := make([]string, 100)
+	for i := range lead {
+		lead[i] = fmt.Sprintf("1ead%04x", i)
+	}
+	testCrashingPart(t, lead...)
+}
+
+// testCrashingPart sends requests that begin with the same parts, half of them with the part that
+// crashes engines.
+func testCrashingPart(t *testing.T, lead ...string) {
 	is := is.New(t)
 	d := startDeployment(t, crashNodes, crashEngines)
 	for _, e := range d.engines {
 		e.Server.SetCrashPart(crashPart)
 	}
+	withLead := func(parts ...string) []string { return append(slices.Clone(lead), parts...) }
 	crashes := 0
 	refusedBy := make(map[int]bool)
 	for i := 0; len(refusedBy) < crashNodes; i++ {
 		node := i % crashNodes
-		status, ran := d.send(node, "first", crashPart)
+		status, ran := d.send(node, withLead(crashPart)...)
 		if status == http.StatusServiceUnavailable && !ran {
 			refusedBy[node] = true
 		}
-		d.send(node, "first", fmt.Sprintf("sound%d", i))
+		d.send(node, withLead(fmt.Sprintf("sound%d", i))...)
 		time.Sleep(restartDelay)
 		crashes = d.restartEngines()
 		is.True(crashes <= maxCrashes) // the nodes have seen enough
 	}
 	for i := range 20 {
 		node := i % crashNodes
-		status, ran := d.send(node, "first", fmt.Sprintf("other%d", i), crashPart)
+		status, ran := d.send(node, withLead(fmt.Sprintf("other%d", i), crashPart)...)
 		is.Equal(status, http.StatusServiceUnavailable) // refused, and true:
 		is.True(!ran)
-		status, _ = d.send(node, "first", fmt.Sprintf("sound%d", i))
+		status, _ = d.send(node, withLead(fmt.Sprintf("sound%d", i))...)
 		is.Equal(status, http.StatusOK) // sound requests are served
 	}
 	is.Equal(d.restartEngines(), crashes)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -19,9 +19,9 @@
 	"github.com/figweir/figweir/quarantine"
 )
 
-// maxQuarantineEntries is the number of entries of each kind in one datagram. The largest
-// entries of all kinds together fit.
-const maxQuarantineEntries = 2
+// maxQuarantineBytes is the size of an update from which a second datagram is sent: what networks
+// carry in one piece. A single suspicion may be larger.
+const maxQuarantineBytes = 1200
 
 // quarantineSharing exchanges the evidence and the suspicions of this node with the others.
 type quarantineSharing struct {
@@ -77,11 +77,7 @@
 // messages divides an update into messages that fit into a datagram.
 func (q *quarantineSharing) messages(now time.Time, u quarantine.Update) []*figweirv1.LoadUpdate {
 	var list []*figweirv1.LoadUpdate
-	for !u.Empty() {
-		var part quarantine.Update
-		part.Evidence, u.Evidence = takeFirst(u.Evidence)
-		part.Clearances, u.Clearances = takeFirst(u.Clearances)
-		part.Suspicions, u.Suspicions = takeFirst(u.Suspicions)
+	for _, part := range u.Split(maxQuarantineBytes) {
 		list = append(list, &figweirv1.LoadUpdate{
 			Scope: figweirv1.Scope_SCOPE_QUARANTINE, Incarnation: q.incarnation, Quarantine: peer.EncodeQuarantine(now, &part),
 		})
@@ -89,12 +85,6 @@
 	return list
 }
 
-// takeFirst splits off the entries of one datagram.
-func takeFirst[T any](list []T) (first, rest []T) {
-	n := min(len(list), maxQuarantineEntries)
-	return list[:n], list[n:]
-}
-
 // receive applies a message of another node, unless it is repeated or later ones have
 // arrived: ages in it would be wrong.
 func (q *quarantineSharing) receive(now time.Time, u *figweirv1.LoadUpdate) {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"strings"
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,31 +13,69 @@
 	"github.com/figweir/figweir/quarantine"
 )
 
+// largestHeaderParts returns the ids of the parts that fill the largest header which nodes accept.
+func largestHeaderParts(idBytes int) []string {
+	var parts []string
+	for bytes := 0; bytes < callerMaxHeaderBytes; bytes += idBytes + len(":1,") {
+		parts = append(parts, fmt.Sprintf("%0*x", idBytes, len(parts)))
+	}
+	return parts
+}
+
 // TestQuarantineMessagesFitDatagrams guards against updates that are dropped because they are
-// larger than what a node can receive.
+// larger than what a node can receive, and against parts of a long prompt that do not arrive.
 func TestQuarantineMessagesFitDatagrams(t *testing.T) {
 	is := is.New(t)
 	const receivable = 8 << 10
-	var parts []string
-	for range 16 {
-		parts = append(parts, strings.Repeat("x", 64))
-	}
 	now := time.Now()
 	var u quarantine.Update
-	for range 9 {
-		u.Evidence = append(u.Evidence, quarantine.Evidence{Request: 1, Server: 1, Parts: parts, At: now})
-		u.Clearances = append(u.Clearances, quarantine.Clearance{Part: parts[0], At: now})
-		u.Suspicions = append(u.Suspicions, quarantine.Suspicion{Parts: parts, Since: now, HeldUntil: now.Add(time.Hour), Servers: make([]uint64, 16)})
+	for i := range uint64(9) {
+		for _, idBytes := range []int{4, 8, 64} {
+			parts := largestHeaderParts(idBytes)
+			u.Evidence = append(u.Evidence, quarantine.Evidence{Request: i, Server: uint64(idBytes), Parts: parts, At: now})
+			u.Suspicions = append(u.Suspicions, quarantine.Suspicion{Parts: parts[:4096/idBytes], Since: now, HeldUntil: now.Add(time.Hour), Servers: make([]uint64, 16)})
+		}
+		u.Clearances = append(u.Clearances, quarantine.Clearance{Part: "p", At: now})
 	}
 	q := &quarantineSharing{incarnation: 1}
-	evidence, suspicions := 0, 0
+	arrived := make(map[[2]uint64]int)
+	suspicions, clearances := 0, 0
 	for _, m := range q.messages(now, u) {
 		is.True(proto.Size(m) < receivable)
-		evidence += len(m.Quarantine.Lost)
+		for _, e := range peer.DecodeQuarantine(now, m.Quarantine).Evidence {
+			is.True(len(e.Parts) == e.PartCount || e.PartCount > 1)
+			arrived[[2]uint64{e.Request, e.Server}] += len(e.Parts)
+		}
 		suspicions += len(m.Quarantine.Suspected)
+		clearances += len(m.Quarantine.Cleared)
+	}
+	for _, e := range u.Evidence {
+		is.Equal(arrived[[2]uint64{e.Request, e.Server}], len(e.Parts))
 	}
-	is.Equal(evidence, len(u.Evidence))
+	is.Equal(len(arrived), len(u.Evidence))
 	is.Equal(suspicions, len(u.Suspicions))
+	is.Equal(clearances, len(u.Clearances))
+}
+
+// TestPartsOfLargestHeaderCount guards against a part that crashes servers and stands behind the
+// parts that a node looks at, and against evidence with many parts that no other node understands.
+func TestPartsOfLargestHeaderCount(t *testing.T) {
+	is := is.New(t)
+	parts := append(largestHeaderParts(8), "bad")
+	now := time.Now()
+	tracker, other := quarantine.NewTracker(1), quarantine.NewTracker(2)
+	q := &quarantineSharing{incarnation: 1}
+	for i := range uint64(4) {
+		now = now.Add(time.Second)
+		tracker.Crash(now, quarantine.Evidence{Request: i, Server: i, Parts: parts, At: now})
+		for _, m := range q.messages(now, tracker.DueUpdate(now, false)) {
+			other.Apply(now, peer.DecodeQuarantine(now, m.Quarantine))
+		}
+	}
+	tracker.Tick(now)
+	other.Tick(now)
+	is.True(tracker.Check(now, parts).Blocked)
+	is.True(other.Check(now, parts).Blocked)
 }
 
 // TestLateQuarantineMessagesAreIgnored guards against a datagram that arrives twice or late
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -13,7 +13,9 @@
 func EncodeQuarantine(now time.Time, u *quarantine.Update) *figweirv1.QuarantineUpdate {
 	m := &figweirv1.QuarantineUpdate{}
 	for _, e := range u.Evidence {
-		m.Lost = append(m.Lost, &figweirv1.LostRequest{Request: e.Request, Server: e.Server, Parts: e.Parts, AgeMs: positiveMillis(now.Sub(e.At))})
+		m.Lost = append(m.Lost, &figweirv1.LostRequest{
+			Request: e.Request, Server: e.Server, Parts: e.Parts, PartCount: uint32(e.PartCount), AgeMs: positiveMillis(now.Sub(e.At)),
+		})
 	}
 	for _, c := range u.Clearances {
 		m.Cleared = append(m.Cleared, &figweirv1.ClearedPart{Part: c.Part, AgeMs: positiveMillis(now.Sub(c.At))})
@@ -33,7 +35,9 @@
 func DecodeQuarantine(now time.Time, m *figweirv1.QuarantineUpdate) quarantine.Update {
 	var u quarantine.Update
 	for _, e := range m.GetLost() {
-		u.Evidence = append(u.Evidence, quarantine.Evidence{Request: e.Request, Server: e.Server, Parts: e.Parts, At: now.Add(-millis(e.AgeMs))})
+		u.Evidence = append(u.Evidence, quarantine.Evidence{
+			Request: e.Request, Server: e.Server, Parts: e.Parts, PartCount: int(min(e.PartCount, math.MaxInt32)), At: now.Add(-millis(e.AgeMs)),
+		})
 	}
 	for _, c := range m.GetCleared() {
 		u.Clearances = append(u.Clearances, quarantine.Clearance{Part: c.Part, At: now.Add(-millis(c.AgeMs))})
--- a/quarantine/announce.go
+++ b/quarantine/announce.go
@@ -57,7 +57,9 @@
 		if e.mustSend() && (e.sends == 0 || now.Sub(e.sentAt) >= evidenceRepeat) {
 			e.sends++
 			e.sentAt = now
-			u.Evidence = append(u.Evidence, *e)
+			sent := *e
+			sent.Parts = t.inDoubt(e)
+			u.Evidence = append(u.Evidence, sent)
 		}
 	}
 	for part, c := range t.cleared {
@@ -85,11 +87,12 @@
 
 // Apply merges an update of another node.
 func (t *Tracker) Apply(now time.Time, u Update) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, e := range u.Evidence {
+		e.Parts = slices.Clone(e.Parts)
 		t.addEvidence(now, &e)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	for _, c := range u.Clearances {
 		if t.isRelevant(c.Part) {
 			t.clear(c.Part, c.At, now, Peer)
@@ -104,9 +107,7 @@
 // isRelevant reports whether a clearance of the part may matter. It bounds what other nodes
 // can store here.
 func (t *Tracker) isRelevant(part string) bool {
-	hasPart := func(parts []string) bool { return slices.Contains(parts, part) }
-	return len(part) <= maxPartBytes && (slices.ContainsFunc(t.evidence, func(e *Evidence) bool { return hasPart(e.Parts) }) ||
-		slices.ContainsFunc(t.list, func(s *Suspicion) bool { return hasPart(s.Parts) }))
+	return len(t.doubts[part]) > 0 || t.suspectedParts[part]
 }
 
 // merge merges a suspicion of another node. Parts that are known to be cleared since are
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -38,32 +38,28 @@
 	a.began = true
 	a.End()
 	t := a.tracker
-	t.begun.record(a.parts, now)
-	watched := t.watched.Load()
-	if watched == nil {
-		return
-	}
+	watched := false
 	for _, part := range a.parts {
-		if (*watched)[part] {
-			t.clearAll(a.parts, now)
-			return
-		}
+		hash := hashOf(part)
+		t.begun.record(hash, now)
+		// The filter is read after the record: evidence that comes between the two finds the
+		// record.
+		watched = t.watched.Load().has(hash) || watched
+	}
+	if watched {
+		t.clearAll(a.parts, now)
 	}
 }
 
 // HasBegun reports whether Began was called. It must be called from the same goroutine.
 func (a *Attempt) HasBegun() bool { return a != nil && a.began }
 
-// clearAll clears the watched ones of the given parts.
+// clearAll clears those of the given parts that are in doubt or suspected.
 func (t *Tracker) clearAll(parts []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	watched := t.watched.Load()
-	if watched == nil {
-		return
-	}
 	for _, part := range parts {
-		if (*watched)[part] {
+		if t.isRelevant(part) {
 			t.clear(part, now, now, Own)
 		}
 	}
--- a/quarantine/clear.go
+++ b/quarantine/clear.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,6 +23,8 @@
 	// announceAfter is when this node announces it, unless another node does so first; zero
 	// if it need not.
 	announceAfter time.Time
+	// lost counts the losses since the last announcement that the part was cleared of.
+	lost int
 }
 
 // clear records that an answer to a request with the part began at a time: the part does not
@@ -31,8 +34,10 @@
 	if at.After(c.at) {
 		c.at = at
 	}
+	t.cleared[part] = c
+	c.lost += t.acquit(part)
 	if source == Peer {
-		c.announcedAt, c.announceAfter = c.at, time.Time{}
+		c.announcedAt, c.announceAfter, c.lost = c.at, time.Time{}, 0
 	} else if c.announceAfter.IsZero() && t.mustAnnounce(part, c) {
 		c.announceAfter = now.Add(time.Duration(t.rng.Int64N(int64(announceJitter))))
 	}
@@ -43,20 +48,7 @@
 
 // mustAnnounce reports whether other nodes may suspect the part without the announcement.
 func (t *Tracker) mustAnnounce(part string, c clearance) bool {
-	count := 0
-	latest := c.announcedAt
-	for _, e := range t.evidence {
-		if slices.Contains(e.Parts, part) {
-			count++
-			latest = maxTime(latest, e.At)
-		}
-	}
-	for _, s := range t.list {
-		if slices.Contains(s.Parts, part) {
-			return true
-		}
-	}
-	return count >= minAnnouncedEvidence && latest.After(c.announcedAt)
+	return c.lost >= minAnnouncedEvidence || t.suspectedParts[part]
 }
 
 // narrow removes a cleared part from all suspicions. A suspicion without parts is lifted.
@@ -72,6 +64,7 @@
 			change = Lifted
 			t.list = slices.DeleteFunc(t.list, func(old *Suspicion) bool { return old == s })
 		}
+		t.listChanged()
 		t.OnChange(change, source, *s)
 	}
 }
@@ -83,14 +76,29 @@
 			delete(t.cleared, part)
 		}
 	}
-	for part := range t.cleared {
-		if len(t.cleared) <= maxCleared {
-			return
-		}
+	if len(t.cleared) <= maxCleared {
+		return
+	}
+	parts := slices.SortedFunc(maps.Keys(t.cleared), func(a, b string) int { return t.cleared[a].at.Compare(t.cleared[b].at) })
+	for _, part := range parts[:len(parts)-maxCleared] {
 		delete(t.cleared, part)
 	}
 }
 
+// recall clears parts whose answers this node saw start before it learned of evidence against
+// them. t.mu must be held.
+func (t *Tracker) recall(parts []string) {
+	for _, part := range parts {
+		if at := t.begun.last(hashOf(part)); at.After(t.cleared[part].at) {
+			c := t.cleared[part]
+			c.at = at
+			t.cleared[part] = c
+			c.lost += t.acquit(part)
+			t.cleared[part] = c
+		}
+	}
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -17,6 +17,8 @@
 
 const (
 	simStep = 10 * time.Millisecond
+	// simMessageBytes is the size of one message.
+	simMessageBytes = 1200
 	// reactionTime is the time that nodes have to react to the fifth crash.
 	reactionTime   = 3 * time.Second
 	knownCrashes   = 5
@@ -52,6 +54,8 @@
 	// parts.
 	bad              []string
 	firsts, subjects int
+	// lead is the number of parts that all requests begin with.
+	lead int
 	// crashesPerSecond is the rate of crashes that no request causes. Each takes crashedShare
 	// of the servers.
 	crashesPerSecond, crashedShare float64
@@ -133,7 +137,10 @@
 func (f *fleet) send() {
 	f.nextID++
 	r := &simRequest{id: f.nextID, node: f.nodes[f.rng.IntN(len(f.nodes))]}
-	r.parts = []string{fmt.Sprintf("first%d", f.rng.IntN(f.load.firsts)), fmt.Sprintf("subject%d", f.rng.IntN(f.load.subjects))}
+	for i := range f.load.lead {
+		r.parts = append(r.parts, fmt.Sprintf("lead%d", i))
+	}
+	r.parts = append(r.parts, fmt.Sprintf("first%d", f.rng.IntN(f.load.firsts)), fmt.Sprintf("subject%d", f.rng.IntN(f.load.subjects)))
 	if len(f.load.bad) > 0 && f.rng.Float64() < f.load.badShare {
 		r.bad = true
 		r.parts = append(r.parts, f.load.bad[f.rng.IntN(len(f.load.bad))])
@@ -218,20 +225,27 @@
 	for i, n := range f.nodes {
 		n.tracker.Tick(f.now)
 		update := n.tracker.DueUpdate(f.now, i < 2)
-		if update.Empty() || n.cut {
+		if n.cut {
 			continue
 		}
-		for _, to := range f.nodes {
-			copies := 1
-			if f.rng.Float64() < f.load.loss {
-				copies = 0
-			} else if f.rng.Float64() < f.load.repeat {
-				copies = 2
-			}
-			for range copies {
-				if to != n {
-					f.messages = append(f.messages, simMessage{to, f.now.Add(time.Duration(f.rng.Int64N(int64(f.load.delay + simStep)))), update})
-				}
+		for _, message := range update.Split(simMessageBytes) {
+			f.broadcast(n, message)
+		}
+	}
+}
+
+// broadcast sends a message to all other nodes.
+func (f *fleet) broadcast(n *simNode, update Update) {
+	for _, to := range f.nodes {
+		copies := 1
+		if f.rng.Float64() < f.load.loss {
+			copies = 0
+		} else if f.rng.Float64() < f.load.repeat {
+			copies = 2
+		}
+		for range copies {
+			if to != n {
+				f.messages = append(f.messages, simMessage{to, f.now.Add(time.Duration(f.rng.Int64N(int64(f.load.delay + simStep)))), update})
 			}
 		}
 	}
@@ -276,6 +290,23 @@
 	}
 }
 
+// TestBadPartBehindManyOthers guards against a part that crashes server after server because it
+// stands behind so many parts that it is not looked at. The load: all requests begin with the
+// same 40 or 300 parts.
+func TestBadPartBehindManyOthers(t *testing.T) {
+	is := is.New(t)
+	for seed, lead := range []int{40, 40, 300} {
+		l := sitesLoad()
+		l.lead = lead
+		f := newFleet(uint64(seed), l)
+		f.run(30 * time.Second)
+		is.True(f.badCrashes >= minCrashes)
+		is.True(f.badCrashes <= 2*knownCrashes)
+		is.True(f.lateBad <= maxLateBad)
+		is.Equal(f.soundBlocked, 0)
+	}
+}
+
 // TestTwoBadPartsAtOnce guards against one bad part hiding another. The load: two parts crash
 // servers at the same time, beside crashes that no request causes.
 func TestTwoBadPartsAtOnce(t *testing.T) {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -17,29 +17,23 @@
 	proven bool
 }
 
-// collect groups the evidence by part. It leaves out parts that were cleared after the loss
-// and losses that an existing suspicion explains.
+// collect returns the parts with evidence of enough losses. It leaves out losses that an existing
+// suspicion explains.
 func (t *Tracker) collect() map[string]*partEvidence {
 	byPart := make(map[string]*partEvidence)
 	explained := t.explainedCrashes()
-	for _, e := range t.evidence {
-		if slices.ContainsFunc(explained, e.isSameCrash) {
+	for part, list := range t.doubts {
+		if len(list) < minCrashes {
 			continue
 		}
-		for _, part := range e.Parts {
-			if !t.cleared[part].at.Before(e.At) {
-				continue
-			}
-			p := byPart[part]
-			if p == nil {
-				p = &partEvidence{part: part}
-				byPart[part] = p
+		p := &partEvidence{part: part}
+		for _, e := range list {
+			if !slices.ContainsFunc(explained, e.isSameCrash) {
+				p.items = append(p.items, e)
 			}
-			p.items = append(p.items, e)
 		}
-	}
-	for _, p := range byPart {
 		p.count()
+		byPart[part] = p
 	}
 	return byPart
 }
@@ -131,12 +125,7 @@
 // that every lost request with it had and that were not cleared.
 func (t *Tracker) suspicion(p *partEvidence, now time.Time) *Suspicion {
 	s := &Suspicion{Since: p.items[0].At, LastCrash: p.items[len(p.items)-1].At, Crashes: p.crashes, usedAt: now}
-	for _, part := range p.items[0].Parts {
-		shared := !slices.ContainsFunc(p.items, func(e *Evidence) bool { return !slices.Contains(e.Parts, part) })
-		if shared && t.cleared[part].at.Before(s.Since) && !slices.Contains(s.Parts, part) {
-			s.Parts = append(s.Parts, part)
-		}
-	}
+	s.Parts = t.sharedDoubts(p)
 	slices.Sort(s.Parts)
 	for _, e := range p.items {
 		if len(s.Servers) < maxServers && !slices.Contains(s.Servers, e.Server) {
@@ -149,3 +138,20 @@
 	s.HeldUntil = now.Add(hold(0))
 	return s
 }
+
+// sharedDoubts returns the part and the others that all losses with it put in doubt. If these are too
+// long for a message, the last ones of the prompt stay: what many requests share comes first.
+func (t *Tracker) sharedDoubts(p *partEvidence) []string {
+	list := []string{p.part}
+	bytes := len(p.part)
+	for _, part := range slices.Backward(p.items[0].Parts) {
+		if part == p.part || slices.ContainsFunc(p.items, func(e *Evidence) bool { return !slices.Contains(t.doubts[part], e) }) {
+			continue
+		}
+		if bytes += len(part); bytes > maxSuspectedBytes {
+			break
+		}
+		list = append(list, part)
+	}
+	return list
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -11,7 +11,10 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -43,15 +46,23 @@
 	// without a blocked request.
 	forgetAfter = time.Hour
 
-	// Bounds of the memory. When one is reached, the oldest entry is dropped.
-	maxEvidence   = 256
-	maxSuspicions = 64
-	maxCleared    = 1024
-	// Requests with more or longer parts are cut to these bounds.
-	maxParts     = 16
+	// MaxPartsBytes bounds the parts of a request that are watched, by the bytes of their ids.
+	// It must not be less than the largest request header that nodes accept, so that no part
+	// of a header is left out.
+	MaxPartsBytes = 72 << 10
+	// maxPartBytes is the length of an id above which a hash stands for its end.
 	maxPartBytes = 64
+	// maxSuspectedBytes bounds the parts of a suspicion, which have to fit into one datagram.
+	maxSuspectedBytes = 4 << 10
 	// maxServers is the number of crashed servers that a suspicion names.
 	maxServers = 16
+
+	// Bounds of the memory.
+	maxEvidence      = 1024
+	maxEvidenceParts = 32 << 10
+	maxIncomplete    = 64
+	maxSuspicions    = 64
+	maxCleared       = 4096
 )
 
 // Evidence is one request that a crashed backend server had not begun to answer.
@@ -60,11 +71,16 @@
 	Request, Server uint64
 	// Parts are the shared parts of the prompt, in order.
 	Parts []string
+	// PartCount is the number of parts of which Parts holds some; 0 if it holds all. Evidence
+	// that is too large for one message is sent in pieces, see Split.
+	PartCount int
 	// At is when the loss was noticed.
 	At time.Time
 
 	// receivedAt is when this node learned of it.
 	receivedAt time.Time
+	// doubted is the number of parts that are in doubt because of this loss.
+	doubted int
 	// own is set if this node noticed it; sends counts how often it was sent to others.
 	own    bool
 	sends  int
@@ -126,15 +142,24 @@
 	return true
 }
 
-// boundParts returns the parts within the bounds of the memory. The result may share its
-// array with the argument.
+// boundParts returns the parts within MaxPartsBytes, with ids of at most maxPartBytes. The
+// result may share its array with the argument.
 func boundParts(parts []string) []string {
-	parts = parts[:min(len(parts), maxParts)]
+	total := 0
 	for i, part := range parts {
 		if len(part) > maxPartBytes {
 			parts = slices.Clone(parts)
-			parts[i] = part[:maxPartBytes]
+			parts[i] = shortID(part)
+		}
+		if total += len(parts[i]) + 1; total > MaxPartsBytes {
+			return parts[:i]
 		}
 	}
 	return parts
 }
+
+// shortID returns an id that stands for a long one.
+func shortID(part string) string {
+	hash := strconv.FormatUint(xxhash.Sum64String(part), 16)
+	return part[:maxPartBytes-1-len(hash)] + "~" + hash
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -48,10 +49,11 @@
 	// not block or call the tracker.
 	OnChange func(c Change, source Source, s Suspicion)
 
-	// suspected holds the current suspicions; watched the parts for which the start of an
-	// answer matters. Both are replaced, never changed.
-	suspected atomic.Pointer[[]*Suspicion]
-	watched   atomic.Pointer[map[string]bool]
+	// suspected holds the current suspicions and is replaced, never changed. watched holds the
+	// parts for which the start of an answer matters; parts are only added to it. Both are nil if
+	// there are none.
+	suspected atomic.Pointer[suspectedSet]
+	watched   atomic.Pointer[partFilter]
 	// active is set while Tick or DueUpdate have something to do.
 	active atomic.Bool
 	// activated receives a value when the tracker becomes active.
@@ -60,12 +62,23 @@
 	attempts sync.Map
 	begun    begunParts
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	evidence  []*Evidence
-	cleared   map[string]clearance
-	list      []*Suspicion
-	announcer announcer
+	mu  sync.Mutex
+	rng *rand.Rand
+	// evidence holds the losses that put a part in doubt, evidenceParts is the number of their
+	// parts, and doubts holds them by the parts that are in doubt. incomplete holds those of which
+	// pieces are missing.
+	evidence      []*Evidence
+	evidenceParts int
+	doubts        map[string][]*Evidence
+	incomplete    map[evidenceID]*Evidence
+	cleared       map[string]clearance
+	list          []*Suspicion
+	// suspectedParts holds the parts of all suspicions.
+	suspectedParts map[string]bool
+	announcer      announcer
+	// listStale is set while suspected doesn't match list, filterStale while watched holds
+	// parts that don't matter any more.
+	listStale, filterStale bool
 	// judged is set while no part can become a suspect without new evidence.
 	judged bool
 }
@@ -73,7 +86,11 @@
 // NewTracker returns a tracker without suspicions. The seed spreads what several nodes send;
 // it should differ between nodes.
 func NewTracker(seed uint64) *Tracker {
-	return &Tracker{rng: rand.New(rand.NewPCG(seed, 0)), activated: make(chan struct{}, 1), cleared: make(map[string]clearance), OnChange: func(Change, Source, Suspicion) {}}
+	return &Tracker{
+		rng: rand.New(rand.NewPCG(seed, 0)), activated: make(chan struct{}, 1), begun: begunParts{start: time.Now()},
+		doubts: make(map[string][]*Evidence), incomplete: make(map[evidenceID]*Evidence), cleared: make(map[string]clearance),
+		suspectedParts: make(map[string]bool), OnChange: func(Change, Source, Suspicion) {},
+	}
 }
 
 // Verdict states whether a request may be sent.
@@ -119,56 +136,7 @@
 
 // isSuspected reports whether a suspicion matches the parts. It takes no lock.
 func (t *Tracker) isSuspected(parts []string) bool {
-	suspected := t.suspected.Load()
-	if suspected == nil || len(parts) == 0 {
-		return false
-	}
-	parts = boundParts(parts)
-	return slices.ContainsFunc(*suspected, func(s *Suspicion) bool { return s.matches(parts) })
-}
-
-// Crash records that a server crashed before it had begun to answer a request.
-func (t *Tracker) Crash(now time.Time, e Evidence) {
-	e.own = true
-	t.addEvidence(now, &e)
-}
-
-// addEvidence stores evidence that is not known yet.
-func (t *Tracker) addEvidence(now time.Time, e *Evidence) {
-	if len(e.Parts) == 0 {
-		return
-	}
-	e.Parts, e.receivedAt = slices.Clone(boundParts(e.Parts)), now
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if slices.ContainsFunc(t.evidence, e.isCopyOf) || now.Sub(e.At) > evidenceTTL {
-		return
-	}
-	if len(t.evidence) >= maxEvidence {
-		t.evidence = slices.Delete(t.evidence, 0, 1)
-	}
-	t.evidence = append(t.evidence, e)
-	t.recall(e.Parts)
-	t.judged = false
-	t.announcer.due = t.announcer.due || e.own
-	if s := t.suspicionOf(e.Parts); s != nil {
-		s.recordCrash(now, e)
-		t.announcer.due = true
-		t.OnChange(Crashed, sourceOf(e), *s)
-	}
-	t.publish()
-}
-
-// isCopyOf reports whether other is the same loss, received again.
-func (e *Evidence) isCopyOf(other *Evidence) bool {
-	return e.Request == other.Request && e.Server == other.Server
-}
-
-func sourceOf(e *Evidence) Source {
-	if e.own {
-		return Own
-	}
-	return Peer
+	return t.suspected.Load().matches(boundParts(parts))
 }
 
 // recordCrash extends the suspicion after another crash. A crash in a trial doubles the
@@ -201,7 +169,7 @@
 // needsTicks reports whether there is evidence that was not cleared, a suspicion, or something
 // to send. t.mu must be held.
 func (t *Tracker) needsTicks() bool {
-	if t.watched.Load() != nil || len(t.list) > 0 {
+	if len(t.evidence) > 0 || len(t.list) > 0 {
 		return true
 	}
 	for _, c := range t.cleared {
@@ -209,7 +177,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(t.evidence, (*Evidence).mustSend)
+	return false
 }
 
 // Tick suspects parts whose evidence has settled and drops what is outdated. It should be
@@ -220,7 +188,18 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evidence = slices.DeleteFunc(t.evidence, func(e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
+	t.removeEvidence(func(e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
+	maps.DeleteFunc(t.incomplete, func(_ evidenceID, e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
+	t.forgetUnused(now)
+	t.pruneCleared(now)
+	t.judge(now)
+	t.publish()
+	t.refreshFilter()
+}
+
+// forgetUnused drops suspicions that no request has had for long. t.mu must be held.
+func (t *Tracker) forgetUnused(now time.Time) {
+	count := len(t.list)
 	t.list = slices.DeleteFunc(t.list, func(s *Suspicion) bool {
 		outdated := now.Sub(s.HeldUntil) > forgetAfter && now.Sub(s.usedAt) > forgetAfter
 		if outdated {
@@ -228,9 +207,9 @@
 		}
 		return outdated
 	})
-	t.pruneCleared(now)
-	t.judge(now)
-	t.publish()
+	if len(t.list) != count {
+		t.listChanged()
+	}
 }
 
 // judge adds the suspicions that follow from the evidence. t.mu must be held.
@@ -261,31 +240,14 @@
 		t.OnChange(Dropped, Own, *oldest)
 	}
 	t.list = append(t.list, s)
+	t.listChanged()
 	t.announcer.due = true
 	t.OnChange(Suspected, source, *s)
 }
 
-// publish replaces what requests read, and ends the attempts that are blocked now. t.mu must
-// be held.
+// publish replaces what requests read. If there are other suspicions, it ends the attempts that are
+// blocked now. t.mu must be held.
 func (t *Tracker) publish() {
-	watched := make(map[string]bool)
-	for _, e := range t.evidence {
-		for _, part := range e.Parts {
-			if t.cleared[part].at.Before(e.At) {
-				watched[part] = true
-			}
-		}
-	}
-	suspected := make([]*Suspicion, 0, len(t.list))
-	for _, s := range t.list {
-		// Only the parts are read without the lock.
-		suspected = append(suspected, &Suspicion{Parts: s.Parts})
-		for _, part := range s.Parts {
-			watched[part] = true
-		}
-	}
-	storeIfAny(&t.watched, watched, len(watched))
-	storeIfAny(&t.suspected, suspected, len(suspected))
 	t.active.Store(t.needsTicks())
 	if t.Active() {
 		select {
@@ -293,7 +255,12 @@
 		default:
 		}
 	}
-	if len(suspected) == 0 {
+	if !t.listStale {
+		return
+	}
+	t.listStale = false
+	t.suspected.Store(newSuspectedSet(t.list, t.suspectedParts))
+	if len(t.list) == 0 {
 		return
 	}
 	t.attempts.Range(func(key, _ any) bool {
@@ -304,13 +271,46 @@
 	})
 }
 
-// storeIfAny stores a value, or nil if it is empty.
-func storeIfAny[T any](p *atomic.Pointer[T], value T, length int) {
-	if length == 0 {
-		p.Store(nil)
+// listChanged records that a suspicion was added, changed or removed.
+func (t *Tracker) listChanged() {
+	t.listStale, t.filterStale = true, true
+	t.suspectedParts = make(map[string]bool)
+	for _, s := range t.list {
+		for _, part := range s.Parts {
+			t.suspectedParts[part] = true
+			t.watch(part)
+		}
+	}
+}
+
+// watch makes the start of an answer to a request with the part known to the tracker.
+func (t *Tracker) watch(part string) {
+	f := t.watched.Load()
+	if f == nil {
+		f = &partFilter{}
+		t.watched.Store(f)
+	}
+	f.add(hashOf(part))
+}
+
+// refreshFilter removes the parts from the filter that don't matter any more. t.mu must be held.
+func (t *Tracker) refreshFilter() {
+	if !t.filterStale {
+		return
+	}
+	t.filterStale = false
+	if len(t.doubts) == 0 && len(t.suspectedParts) == 0 {
+		t.watched.Store(nil)
 		return
 	}
-	p.Store(&value)
+	f := &partFilter{}
+	for part := range t.doubts {
+		f.add(hashOf(part))
+	}
+	for part := range t.suspectedParts {
+		f.add(hashOf(part))
+	}
+	t.watched.Store(f)
 }
 
 // Suspicions returns the current suspicions, the oldest first.
@@ -324,10 +324,3 @@
 	slices.SortFunc(list, func(a, b Suspicion) int { return a.Since.Compare(b.Since) })
 	return list
 }
-
-// EvidenceCount returns the number of lost requests that count as evidence.
-func (t *Tracker) EvidenceCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.evidence)
-}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -173,35 +173,65 @@
 	is.Equal(len(b.Suspicions()), 0)
 }
 
+// TestOneCrashKeepsEarlierEvidence guards against a crash with many waiting requests that pushes out
+// the evidence of the crashes before it.
+func TestOneCrashKeepsEarlierEvidence(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(1)
+	now := time.Now()
+	request := uint64(0)
+	for crash := range uint64(minCrashes) {
+		request++
+		tracker.Crash(now, Evidence{Request: request, Server: crash, Parts: []string{"bad"}, At: now})
+		for range 2 * maxEvidence {
+			request++
+			tracker.Crash(now, Evidence{Request: request, Server: crash, Parts: []string{fmt.Sprint("rare", request)}, At: now})
+		}
+		now = now.Add(settleDelay)
+	}
+	tracker.Tick(now)
+	is.True(blocked(tracker, now, "bad"))
+}
+
 // TestMemoryIsBounded guards against callers, or other nodes, that fill the memory with parts.
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker(1)
 	now := time.Now()
-	long := make([]string, 10*maxParts)
-	for i := range long {
-		long[i] = strings.Repeat("x", 10*maxPartBytes) + fmt.Sprint(i)
-	}
-	for i := range uint64(4 * maxEvidence) {
-		now = now.Add(time.Millisecond)
-		tracker.Crash(now, Evidence{Request: i, Server: i, Parts: append([]string{fmt.Sprint(i)}, long...), At: now})
-		tracker.Apply(now, Update{
-			Clearances: []Clearance{{fmt.Sprint("c", i), now}},
-			Suspicions: []Suspicion{{Parts: []string{fmt.Sprint("s", i)}, Since: now, LastCrash: now, HeldUntil: now.Add(time.Hour)}},
-		})
+	fill := func(parts []string) {
+		for i := range uint64(4 * maxEvidence) {
+			now = now.Add(time.Millisecond)
+			tracker.Crash(now, Evidence{Request: i, Server: i, Parts: append([]string{fmt.Sprint(i)}, parts...), At: now})
+			tracker.Apply(now, Update{
+				Evidence:   []Evidence{{Request: i, Server: i + 1, Parts: []string{"piece"}, PartCount: 2, At: now}},
+				Clearances: []Clearance{{fmt.Sprint("c", i), now}},
+				Suspicions: []Suspicion{{Parts: []string{fmt.Sprint("s", i)}, Since: now, LastCrash: now, HeldUntil: now.Add(time.Hour)}},
+			})
+		}
+		tracker.Tick(now)
 	}
-	tracker.Tick(now)
+	fill(nil)
 	is.Equal(tracker.EvidenceCount(), maxEvidence)
 	is.Equal(len(tracker.Suspicions()), maxSuspicions)
 	is.True(len(tracker.cleared) <= maxCleared)
+	is.True(len(tracker.incomplete) <= maxIncomplete)
+	long := make([]string, 160)
+	for i := range long {
+		long[i] = strings.Repeat("x", 10*maxPartBytes) + fmt.Sprint(i)
+	}
+	fill(long)
+	is.True(tracker.EvidenceCount() <= maxEvidence)
+	parts := 0
 	for _, e := range tracker.evidence {
-		is.True(len(e.Parts) <= maxParts)
+		parts += len(e.Parts)
 		for _, part := range e.Parts {
 			is.True(len(part) <= maxPartBytes)
 		}
 	}
+	is.Equal(parts, tracker.evidenceParts)
+	is.True(parts <= maxEvidenceParts)
 	// Without evidence and requests everything is forgotten.
 	tracker.Tick(now.Add(3 * time.Hour))
-	is.Equal(tracker.EvidenceCount()+len(tracker.Suspicions())+len(tracker.cleared), 0)
+	is.Equal(tracker.EvidenceCount()+len(tracker.Suspicions())+len(tracker.cleared)+len(tracker.doubts)+len(tracker.incomplete), 0)
 	is.True(!tracker.Active())
 }
