quarantine: an answer proves its parts sound once it has outlived its beginning

Cause: the first event cleared all parts of a request, on all nodes, although the server that wrote it could end the next moment, and a loss after it was never evidence. The same cause on related paths: a body that breaks off, a stream that is resumed on one server after the other, an engine that processes the prompt.

Change: what has outlived the danger clears, not what has begun: a complete answer, or a piece that arrives provenAfter (1 s) after the first one. An attempt that its server's crash ends before is evidence, also when it resumed a stream, broke off in a body or processed a prompt. Requests that a server loses together share one check whether it has crashed.

More sound requests are lost in each crash now and are cleared later, so - a proof holds for losses until a second after it, and a node that can refute evidence says so at once; clearances are sent twice like evidence; - where servers crash for other reasons too, and for parts that have proved sound in the last two minutes, one or two crashes more are required (six at most).

TestOnlyLossesBeforeTheAnswerAreEvidence said that a loss after an event or in a body is none: that was the fault; the first of these tests replaces it, with the same cases and four more. The fleet's simulation has streams of up to 10 s, crashes up to 0.75 s after the first event and callers that repeat, and a fixed start, so that a seed always plays the same time.

--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -63,7 +63,7 @@
 	parts []string
 	// trial is set if the request may be sent once although its parts are suspected.
 	trial bool
-	// watch is told when the answer of the current attempt begins.
+	// watch is told what arrives of the answer of the current attempt.
 	watch *quarantine.Attempt
 }
 
@@ -196,6 +196,7 @@
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
+			c.watch.Completed(time.Now())
 			return c.finishAnswer(ctx, stream.Usage())
 		}
 		if err != nil {
@@ -208,7 +209,7 @@
 			c.writer.setFinish(chunk)
 			continue
 		}
-		c.watch.Began(time.Now())
+		c.watch.Arrived(time.Now())
 		if err := c.deliverChunk(chunk); err != nil {
 			return err
 		}
--- a/caller/quarantine.go
+++ b/caller/quarantine.go
@@ -65,14 +65,14 @@
 	if err != nil && errors.Is(context.Cause(ctx), errQuarantined) {
 		return errQuarantined
 	}
-	if errors.Is(err, engine.ErrTruncated) && ctx.Err() == nil && !watch.HasBegun() {
+	if errors.Is(err, engine.ErrTruncated) && ctx.Err() == nil && !watch.IsProven() {
 		c.reportLoss(target)
 	}
 	return err
 }
 
 // reportLoss finds out, in the background, whether the engine of an attempt that was lost
-// before its answer began has crashed. That is evidence against the messages.
+// before its answer had proved the messages sound has crashed. That is evidence against them.
 func (c *chatRun) reportLoss(target Target) {
 	if len(c.parts) == 0 {
 		return
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -92,7 +92,7 @@
 	sentAt time.Time
 	// liftLimit removes the time limit until the first event.
 	liftLimit func()
-	// watch is told when the answer begins.
+	// watch is told what arrives of the answer.
 	watch *quarantine.Attempt
 }
 
@@ -192,8 +192,15 @@
 		return
 	}
 	e.record.PrefillServer, e.record.FirstEventEstimate, e.record.UncachedTokens = choice.Server, choice.FirstEventEstimate, choice.UncachedTokens
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(context.Canceled)
+	watch, ok := e.startQuarantineWatch(cancel)
+	if !ok {
+		return
+	}
+	defer watch.End()
 	a.TimeLeft = time.Until(e.deadline)
-	handle, o := e.Upstream.Prefill(ctx, a)
+	handle, o := e.Upstream.Prefill(attemptCtx, a)
 	if handle != nil {
 		if e.prefilled {
 			e.chargeAttempt(nil)
@@ -225,8 +232,11 @@
 		choice.Refused(time.Now())
 		event = "prefill_refused"
 	case Lost:
-		recordFailure(ctx, choice)
 		cause = o.Cause
+		if !errors.Is(cause, errQuarantined) {
+			recordFailure(ctx, choice)
+			e.reportLoss(ctx, choice.Server, watch, cause)
+		}
 	}
 	e.Observer.AttemptFailed(&e.record, choice.Server, event, cause)
 }
@@ -278,9 +288,7 @@
 		e.meterStart(sentAt)
 	}
 	recordFailure(ctx, choice)
-	if ctx.Err() == nil && !watch.HasBegun() {
-		e.reportLoss(choice.Server, cause)
-	}
+	e.reportLoss(ctx, choice.Server, watch, cause)
 	e.Observer.AttemptFailed(&e.record, choice.Server, lostEvent(cause), cause)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	if e.mayRunAgain() {
--- a/core/core.go
+++ b/core/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/quarantine"
@@ -132,6 +133,8 @@
 
 	// repeats keeps requests that may run only once from running again.
 	repeats repeatGuard
+	// crashChecks lets the requests that a server loses together share one check.
+	crashChecks singleflight.Group
 }
 
 // exchange is the state of one request while it is served.
@@ -158,9 +161,9 @@
 	prefilled bool
 	// demandCounted is set once a choice has added the prompt to the measured demand.
 	demandCounted bool
-	// resumedChoices are the servers that continued a stream. They are released at
-	// the end of the request.
-	resumedChoices []*backends.Choice
+	// onEnd releases what attempts that continued a stream use. It is called at the end of
+	// the request.
+	onEnd []func()
 	// metered is set once the start of the request has been counted as usage.
 	metered bool
 	// lastEventAt is when the last event of a stream was received.
@@ -255,8 +258,8 @@
 	defer e.Draining.onEnd(cancel)()
 	defer e.freeHandle()
 	defer func() {
-		for _, c := range e.resumedChoices {
-			c.Done()
+		for _, end := range e.onEnd {
+			end()
 		}
 	}()
 	service := e.route.Service(xxhash.Sum64String(e.request.ID))
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -92,6 +92,9 @@
 	body   string
 	err    error
 	events []Event
+	// delay is the time before the first event, pause that before each other one.
+	delay, pause time.Duration
+	read         int
 	// interrupted interrupts the stream with an error after its events.
 	interrupted bool
 	// closed counts the calls of Close.
@@ -104,6 +107,11 @@
 func (a *fakeAnswer) Close()                   { a.closed++ }
 func (a *fakeAnswer) Next() (Event, error) {
 	if len(a.events) > 0 {
+		if a.read++; a.read > 1 {
+			time.Sleep(a.pause)
+		} else {
+			time.Sleep(a.delay)
+		}
 		e := a.events[0]
 		a.events = a.events[1:]
 		return e, nil
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -12,7 +12,7 @@
 )
 
 // errQuarantined cancels an attempt whose prompt parts became suspected of crashing backend
-// servers before the answer began.
+// servers before its answer began.
 var errQuarantined = errors.New("the prompt has parts that crash backend servers")
 
 // isQuarantined reports whether the request must not be sent because of its prompt parts,
@@ -43,9 +43,10 @@
 }
 
 // reportLoss finds out, in the background, whether the backend server of an attempt that was
-// lost before its answer began has crashed. That is evidence against the prompt parts.
-func (e *exchange) reportLoss(server *backends.Server, cause error) {
-	if len(e.sharedParts) == 0 || errors.Is(cause, errAttemptTimeout) {
+// lost has crashed. That is evidence against the prompt parts, unless the answer had proved them
+// sound before.
+func (e *exchange) reportLoss(ctx context.Context, server *backends.Server, watch *quarantine.Attempt, cause error) {
+	if len(e.sharedParts) == 0 || ctx.Err() != nil || watch.IsProven() || errors.Is(cause, errAttemptTimeout) || errors.Is(cause, errQuarantined) {
 		return
 	}
 	loss := quarantine.Evidence{
@@ -53,7 +54,7 @@
 	}
 	c, record := e.Core, e.record
 	go func() {
-		if !c.Upstream.Crashed(server) {
+		if !c.hasCrashed(server) {
 			return
 		}
 		now := time.Now()
@@ -62,3 +63,9 @@
 		c.Quarantine.Crash(now, loss)
 	}()
 }
+
+// hasCrashed reports whether a backend server has crashed. Calls at the same time share one check.
+func (c *Core) hasCrashed(server *backends.Server) bool {
+	crashed, _, _ := c.crashChecks.Do(server.ID, func() (any, error) { return c.Upstream.Crashed(server), nil })
+	return crashed.(bool)
+}
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -94,9 +94,15 @@
 
 func (o onFailure) AttemptFailed(*Record, *backends.Server, string, error) { o.call() }
 
-// TestOnlyLossesBeforeTheAnswerAreEvidence guards against blaming prompts whose answers had
-// begun when their server crashed, or whose server still runs.
-func TestOnlyLossesBeforeTheAnswerAreEvidence(t *testing.T) {
+// cutStream returns a stream that is interrupted after events with pauses between them.
+func cutStream(pause time.Duration, ids ...string) Outcome {
+	return Answered{&fakeAnswer{status: 200, stream: true, events: events(ids...), pause: pause, interrupted: true}}
+}
+
+// TestLossesUntilPartsAreProvenAreEvidence guards against a part that crashes servers after the first
+// events of its answers, or within a body, and is never found out, and against blaming prompts whose
+// answers had outlived their beginning when their server crashed, or whose server still runs.
+func TestLossesUntilPartsAreProvenAreEvidence(t *testing.T) {
 	for _, test := range []struct {
 		name     string
 		crashed  bool
@@ -104,10 +110,15 @@
 		evidence int
 	}{
 		{"lost before the head", true, Lost{errors.New("end of the connection")}, 1},
-		{"lost before the first event", true, Answered{&fakeAnswer{status: 200, stream: true, interrupted: true}}, 1},
-		{"lost after an event", true, Answered{&fakeAnswer{status: 200, stream: true, events: events("1"), interrupted: true}}, 0},
-		{"lost in a body", true, Answered{&fakeAnswer{status: 200, body: "part", err: errors.New("end of the connection")}}, 0},
+		{"lost before the first event", true, cutStream(0), 1},
+		{"lost after an event", true, cutStream(0, "1"), 1},
+		{"lost after three events", true, cutStream(250*time.Millisecond, "1", "2", "3"), 1},
+		{"lost after a second of events", true, cutStream(250*time.Millisecond, "1", "2", "3", "4", "5"), 0},
+		{"lost in a body", true, Answered{&fakeAnswer{status: 200, body: "part", err: errors.New("end of the connection")}}, 1},
+		{"a complete body", true, Answered{&fakeAnswer{status: 200, body: "all"}}, 0},
+		{"a complete stream", true, Answered{&fakeAnswer{status: 200, stream: true, events: events("1")}}, 0},
 		{"lost by a running server", false, Lost{errors.New("reset")}, 0},
+		{"cut by a running server", false, cutStream(0, "1"), 0},
 		{"slow", true, Lost{errAttemptTimeout}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -122,3 +133,63 @@
 		})
 	}
 }
+
+// TestEachServerOfResumedStreamIsEvidence guards against a stream that crashes the servers on which it
+// is resumed without evidence against its parts.
+func TestEachServerOfResumedStreamIsEvidence(t *testing.T) {
+	for _, second := range []Outcome{cutStream(0, "2"), Lost{errors.New("end of the connection")}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(Streaming, true, cutStream(0, "1"), second)
+			f.upstream.crashed = true
+			f.budget.retries = 1
+			s := f.serve(longPromptRequest())
+			synctest.Wait()
+			is.True(s.aborted)
+			is.Equal(len(f.upstream.attempts), 2)
+			is.Equal(f.core.Quarantine.EvidenceCount(), 2)
+		})
+	}
+}
+
+// TestResumedStreamIsProvenAnew guards against taking what the first server of a stream wrote for a proof
+// that the next one outlives the part, and against blaming a part that both outlived.
+func TestResumedStreamIsProvenAnew(t *testing.T) {
+	second := time.Second / 2
+	for _, test := range []struct {
+		resumed  []string
+		evidence int
+	}{
+		{[]string{"4"}, 1},
+		{[]string{"4", "5", "6"}, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			// The second server begins when the proof of the first one doesn't hold any more.
+			resumed := &fakeAnswer{status: 200, stream: true, events: events(test.resumed...), delay: 2 * time.Second, pause: second, interrupted: true}
+			f := newFixture(Streaming, true, cutStream(second, "1", "2", "3"), Answered{resumed})
+			f.upstream.crashed = true
+			f.budget.retries = 1
+			f.serve(longPromptRequest())
+			synctest.Wait()
+			is.Equal(len(f.upstream.attempts), 2)
+			is.Equal(f.core.Quarantine.EvidenceCount(), test.evidence)
+		})
+	}
+}
+
+// TestLostPrefillIsEvidence guards against a part that crashes the engines which process the prompt, one
+// after the other.
+func TestLostPrefillIsEvidence(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixtureWith(engineRegistry(), Streaming, false)
+			f.upstream.crashed = crashed
+			f.upstream.prefillOutcomes = []Outcome{Lost{errors.New("end of the connection")}}
+			f.serve(longPromptRequest())
+			synctest.Wait()
+			is.Equal(f.core.Quarantine.EvidenceCount() == 1, crashed)
+		})
+	}
+}
--- a/core/relay.go
+++ b/core/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figweir/figweir/backends"
+	"github.com/figweir/figweir/quarantine"
 )
 
 // isServerError reports whether a status code is a failure of the backend server that
@@ -33,12 +34,14 @@
 	body, err := answer.ReadAll()
 	e.meterStart(a.sentAt)
 	head := answer.Head()
-	if !isServerError(head.Status) && len(body) > 0 {
-		a.watch.Began(time.Now())
-	}
 	if err != nil {
 		return e.onLost(ctx, choice, err, a.sentAt, a.watch)
 	}
+	if !isServerError(head.Status) && len(body) > 0 {
+		now := time.Now()
+		a.watch.Arrived(now)
+		a.watch.Completed(now)
+	}
 	if isServerError(head.Status) {
 		choice.Failed()
 		if e.mayRunAgain() && e.RetryBudget.Retry(e.record.Service) {
@@ -74,16 +77,12 @@
 			answer.Close()
 		}
 	}()
-	choice := a.choice
 	event, err := answer.Next()
 	if err != nil && err != io.EOF {
-		return e.onLost(ctx, choice, err, a.sentAt, a.watch)
+		return e.onLost(ctx, a.choice, err, a.sentAt, a.watch)
 	}
 	a.liftLimit()
-	if err == nil {
-		a.watch.Began(time.Now())
-	}
-	e.recordFirstEvent(choice)
+	e.recordFirstEvent(a.choice)
 	head := answer.Head()
 	e.record.Status = head.Status
 	if e.sink.BeginStream(head) != nil {
@@ -92,16 +91,18 @@
 	}
 	lastID := a.LastEventID
 	for {
-		if !e.forward(answer, event, err, &lastID) {
+		cause := e.forward(answer, a.watch, event, err, &lastID)
+		if cause == nil {
 			if e.record.Reason == "" {
-				choice.Succeeded()
+				a.choice.Succeeded()
 			}
 			return true
 		}
-		recordFailure(ctx, choice)
+		recordFailure(ctx, a.choice)
+		e.reportLoss(ctx, a.choice.Server, a.watch, cause)
 		// The server may still generate, for example if it sent bytes that are no event.
 		answer.Close()
-		answer, choice = e.resume(ctx, choice.Server, lastID)
+		answer, a = e.resume(ctx, a.choice.Server, lastID)
 		if answer == nil {
 			e.sink.Abort()
 			return true
@@ -110,15 +111,17 @@
 	}
 }
 
-// forward relays events until the stream ends. It reports whether the stream was
+// forward relays events until the stream ends. It returns the cause if the stream was
 // interrupted while the caller still waits for the rest.
-func (e *exchange) forward(answer Answer, event Event, err error, lastID *string) (interrupted bool) {
+func (e *exchange) forward(answer Answer, watch *quarantine.Attempt, event Event, err error, lastID *string) (interrupted error) {
 	for err == nil {
-		e.recordEvent(time.Now())
+		now := time.Now()
+		e.recordEvent(now)
+		watch.Arrived(now)
 		if e.sink.WriteEvents(event.Bytes) != nil {
 			e.record.Reason = ReasonCallerGone
 			e.sink.Abort()
-			return false
+			return nil
 		}
 		if event.LastID != "" {
 			*lastID = event.LastID
@@ -126,14 +129,15 @@
 		event, err = answer.Next()
 	}
 	if err == io.EOF {
+		watch.Completed(time.Now())
 		if e.sink.EndStream() != nil {
 			e.record.Reason = ReasonCallerGone
 		}
-		return false
+		return nil
 	}
 	e.record.Reason = e.interruptionReason(ReasonStreamCut)
 	e.Observer.AttemptFailed(&e.record, e.record.Server, "stream_cut", err)
-	return true
+	return err
 }
 
 // recordEvent counts an event and updates the longest pause between events. The
@@ -148,7 +152,7 @@
 
 // resume continues an interrupted stream on another backend server, after the event
 // with the id lastID. The returned answer is nil if the stream can't be resumed.
-func (e *exchange) resume(ctx context.Context, failed *backends.Server, lastID string) (Answer, *backends.Choice) {
+func (e *exchange) resume(ctx context.Context, failed *backends.Server, lastID string) (Answer, *sentAttempt) {
 	if !e.route.Resumable || lastID == "" {
 		return nil, nil
 	}
@@ -166,11 +170,11 @@
 			}
 			return nil, nil
 		}
-		answer := e.resumeOn(ctx, choice, lastID)
+		answer, a := e.resumeOn(ctx, choice, lastID)
 		if answer != nil {
 			e.record.Resumes++
 			e.record.Reason = ""
-			return answer, choice
+			return answer, a
 		}
 		choice.Done()
 	}
@@ -179,28 +183,44 @@
 
 // resumeOn resumes a stream on one backend server. The choice counts as load until
 // the end of the request if there is an answer.
-func (e *exchange) resumeOn(ctx context.Context, choice *backends.Choice, lastID string) Answer {
+func (e *exchange) resumeOn(ctx context.Context, choice *backends.Choice, lastID string) (Answer, *sentAttempt) {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	watch, ok := e.startQuarantineWatch(cancel)
+	if !ok {
+		cancel(errQuarantined)
+		return nil, nil
+	}
+	e.quarantineTrial = false
 	e.record.Server = choice.Server
 	a := e.newAttempt(choice.Server)
 	a.LastEventID = lastID
-	o := e.Upstream.Send(ctx, a)
+	o := e.Upstream.Send(attemptCtx, a)
 	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
-	if answered, ok := o.(Answered); ok {
-		if answered.Answer.Stream() {
-			e.resumedChoices = append(e.resumedChoices, choice)
-			return answered.Answer
-		}
-		answered.Answer.Close()
+	if answered, ok := o.(Answered); ok && answered.Answer.Stream() {
+		e.onEnd = append(e.onEnd, func() { watch.End(); cancel(context.Canceled); choice.Done() })
+		return answered.Answer, &sentAttempt{Attempt: a, choice: choice, watch: watch}
 	}
-	if _, abandoned := o.(Abandoned); abandoned {
+	watch.End()
+	cancel(context.Canceled)
+	e.onResumeFailed(ctx, choice, watch, o)
+	return nil, nil
+}
+
+// onResumeFailed handles the outcome of an attempt that did not resume a stream.
+func (e *exchange) onResumeFailed(ctx context.Context, choice *backends.Choice, watch *quarantine.Attempt, o Outcome) {
+	switch o := o.(type) {
+	case Answered:
+		o.Answer.Close()
+	case Lost:
+		e.reportLoss(ctx, choice.Server, watch, o.Cause)
+	case Abandoned:
 		e.abandon(choice.Server)
 		e.record.Reason = ReasonCallerGone
-		return nil
+		return
 	}
 	e.Observer.AttemptFailed(&e.record, choice.Server, "resume_failed", nil)
-	return nil
 }
 
 // interruptionReason returns the reason why a stream ended early: that the caller
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -37,7 +37,15 @@
 // load: one request in two has the part, at all nodes in turn; the others share their
 // route, their key and their first part with it and must be served as before.
 func TestRequestsThatCrashEnginesAreRefused(t *testing.T) {
-	testCrashingPart(t, "first")
+	testCrashingPart(t, 0, "first")
+}
+
+// TestCrashAfterFirstEventsIsFoundOut guards against a part that is taken for sound, and never found out,
+// because its answers have one or two events before they crash the engine.
+func TestCrashAfterFirstEventsIsFoundOut(t *testing.T) {
+	for _, events := range []int{1, 2} {
+		t.Run(fmt.Sprint(events), func(t *testing.T) { testCrashingPart(t, events, "first") })
+	}
 }
 
 // TestCrashingPartBehindManyOthersIsRefused guards against a part that crashes engine after engine
@@ -48,16 +56,17 @@
 	for i := range lead {
 		lead[i] = fmt.Sprintf("1ead%04x", i)
 	}
-	testCrashingPart(t, lead...)
+	testCrashingPart(t, 0, lead...)
 }
 
 // testCrashingPart sends requests that begin with the same parts, half of them with the part that
-// crashes engines.
-func testCrashingPart(t *testing.T, lead ...string) {
+// crashes engines after some events of the answer.
+func testCrashingPart(t *testing.T, events int, lead ...string) {
 	is := is.New(t)
 	d := startDeployment(t, crashNodes, crashEngines)
 	for _, e := range d.engines {
 		e.Server.SetCrashPart(crashPart)
+		e.Server.SetCrashAfter(events)
 	}
 	withLead := func(parts ...string) []string { return append(slices.Clone(lead), parts...) }
 	crashes := 0
--- a/quarantine/announce.go
+++ b/quarantine/announce.go
@@ -12,10 +12,10 @@
 	// announceInterval is the time between two announcements of the same suspicions, in
 	// case a message was lost or a node has started.
 	announceInterval = 500 * time.Millisecond
-	// evidenceRepeat is the time after which evidence is sent a second time.
-	evidenceRepeat = 300 * time.Millisecond
-	// maxEvidenceSends is how often evidence is sent.
-	maxEvidenceSends = 2
+	// repeatDelay is the time after which evidence and clearances are sent a second time.
+	repeatDelay = 300 * time.Millisecond
+	// maxSends is how often they are sent.
+	maxSends = 2
 )
 
 // announcer holds when the suspicions were last announced.
@@ -25,7 +25,7 @@
 	announcedAt time.Time
 }
 
-// Clearance states that answers to requests with a part have begun.
+// Clearance states that an answer has proved a part sound.
 type Clearance struct {
 	Part string
 	At   time.Time
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.evidence {
-		if e.mustSend() && (e.sends == 0 || now.Sub(e.sentAt) >= evidenceRepeat) {
+		if e.mustSend() && (e.sends == 0 || now.Sub(e.sentAt) >= repeatDelay) {
 			e.sends++
 			e.sentAt = now
 			sent := *e
@@ -65,7 +65,7 @@
 	for part, c := range t.cleared {
 		if !c.announceAfter.IsZero() && !now.Before(c.announceAfter) {
 			u.Clearances = append(u.Clearances, Clearance{part, c.at})
-			t.cleared[part] = clearance{at: c.at, announcedAt: c.at}
+			t.cleared[part] = c.announced(now)
 		}
 	}
 	if t.announcer.due || now.Sub(t.announcer.announcedAt) >= announceInterval {
@@ -80,7 +80,7 @@
 }
 
 // mustSend reports whether the evidence still has to be sent to other nodes.
-func (e *Evidence) mustSend() bool { return e.own && e.sends < maxEvidenceSends }
+func (e *Evidence) mustSend() bool { return e.own && e.sends < maxSends }
 
 // State returns all suspicions, for a node that has just started.
 func (t *Tracker) State() Update { return Update{Suspicions: t.Suspicions()} }
@@ -116,11 +116,11 @@
 	t.recall(boundParts(s.Parts))
 	kept := make([]string, 0, len(s.Parts))
 	for _, part := range boundParts(s.Parts) {
-		c := t.cleared[part]
-		if !c.at.After(s.Since) {
+		if !t.isCleared(part, s.Since) {
 			kept = append(kept, part)
 			continue
 		}
+		c := t.cleared[part]
 		if c.announceAfter.IsZero() {
 			c.announceAfter = now.Add(announceJitter)
 			t.cleared[part] = c
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -2,14 +2,17 @@
 
 import "time"
 
-// Attempt is a request that was sent to a backend server and whose answer has not begun. A
-// nil Attempt stands for a request without shared parts.
+// Attempt is a request that was sent to a backend server. A nil Attempt stands for a request
+// without shared parts. Its methods must be called from one goroutine.
 type Attempt struct {
 	tracker *Tracker
 	parts   []string
 	trial   bool
-	began   bool
-	cancel  func()
+	// begunAt is when the answer began; zero before.
+	begunAt time.Time
+	// proven is set once the answer has shown that its parts crash no server.
+	proven bool
+	cancel func()
 }
 
 // Start registers an attempt before it is sent. cancel is called, at most from one goroutine
@@ -30,18 +33,42 @@
 	return a, true
 }
 
-// Began records that the answer has begun, which clears all parts of the request.
-func (a *Attempt) Began(now time.Time) {
-	if a == nil {
+// Arrived records that a piece of the answer has arrived. From the first one on the attempt is not
+// canceled any more. A piece that comes provenAfter later proves the parts sound.
+func (a *Attempt) Arrived(now time.Time) {
+	switch {
+	case a == nil:
+	case a.begunAt.IsZero():
+		a.begunAt = now
+		a.End()
+	case now.Sub(a.begunAt) >= provenAfter:
+		a.prove(now)
+	}
+}
+
+// Completed records that the answer is complete. If there were pieces of it, that proves the parts
+// sound.
+func (a *Attempt) Completed(now time.Time) {
+	if a != nil && !a.begunAt.IsZero() {
+		a.prove(now)
+	}
+}
+
+// IsProven reports whether the parts have proved sound: that the server crashes now has another
+// reason.
+func (a *Attempt) IsProven() bool { return a != nil && a.proven }
+
+// prove clears all parts of the request.
+func (a *Attempt) prove(now time.Time) {
+	if a.proven {
 		return
 	}
-	a.began = true
-	a.End()
+	a.proven = true
 	t := a.tracker
 	watched := false
 	for _, part := range a.parts {
 		hash := hashOf(part)
-		t.begun.record(hash, now)
+		t.proven.record(hash, now)
 		// The filter is read after the record: evidence that comes between the two finds the
 		// record.
 		watched = t.watched.Load().has(hash) || watched
@@ -51,9 +78,6 @@
 	}
 }
 
-// HasBegun reports whether Began was called. It must be called from the same goroutine.
-func (a *Attempt) HasBegun() bool { return a != nil && a.began }
-
 // clearAll clears those of the given parts that are in doubt or suspected.
 func (t *Tracker) clearAll(parts []string, now time.Time) {
 	t.mu.Lock()
--- a/quarantine/attempt_bench_test.go
+++ b/quarantine/attempt_bench_test.go
@@ -31,7 +31,7 @@
 				for b.Loop() {
 					t.Check(now, parts)
 					a, _ := t.Start(parts, false, func() {})
-					a.Began(now)
+					complete(a, now)
 				}
 			})
 		}
--- a/quarantine/clear.go
+++ b/quarantine/clear.go
@@ -7,28 +7,27 @@
 )
 
 const (
-	// announceJitter spreads the announcements of several nodes that saw answers begin, so
-	// that the first one spares the others.
+	// announceJitter spreads the announcements of several nodes that have proofs, so that the
+	// first one spares the others.
 	announceJitter = 50 * time.Millisecond
 	// minAnnouncedEvidence is the amount of evidence against a part from which the nodes
-	// tell each other that answers begin.
+	// tell each other that it has proved sound.
 	minAnnouncedEvidence = 2
 )
 
-// clearance states when an answer to a request with a part last began.
+// clearance states when an answer last proved a part sound.
 type clearance struct {
 	at time.Time
-	// announcedAt is the latest such time that was announced to all nodes.
-	announcedAt time.Time
 	// announceAfter is when this node announces it, unless another node does so first; zero
 	// if it need not.
 	announceAfter time.Time
+	// sends counts the announcements since announceAfter was set.
+	sends int
 	// lost counts the losses since the last announcement that the part was cleared of.
 	lost int
 }
 
-// clear records that an answer to a request with the part began at a time: the part does not
-// crash servers. t.mu must be held, and t.publish called afterwards.
+// clear records that an answer proved the part sound at a time. t.mu must be held, and t.publish called afterwards.
 func (t *Tracker) clear(part string, at, now time.Time, source Source) {
 	c := t.cleared[part]
 	if at.After(c.at) {
@@ -37,25 +36,48 @@
 	t.cleared[part] = c
 	c.lost += t.acquit(part)
 	if source == Peer {
-		c.announcedAt, c.announceAfter, c.lost = c.at, time.Time{}, 0
-	} else if c.announceAfter.IsZero() && t.mustAnnounce(part, c) {
-		c.announceAfter = now.Add(time.Duration(t.rng.Int64N(int64(announceJitter))))
+		c.announceAfter, c.sends, c.lost = time.Time{}, 0, 0
 	}
 	t.cleared[part] = c
+	if source != Peer {
+		t.announceClearance(part, now)
+	}
 	t.judged = false
-	t.narrow(part, c.at, source)
+	t.narrow(part, source)
+}
+
+// announceClearance makes this node tell the others of a clearance soon if it must.
+func (t *Tracker) announceClearance(part string, now time.Time) {
+	c := t.cleared[part]
+	if (c.announceAfter.IsZero() || c.sends > 0) && t.mustAnnounce(part, c) {
+		c.announceAfter, c.sends = now.Add(time.Duration(t.rng.Int64N(int64(announceJitter)))), 0
+		t.cleared[part] = c
+	}
+}
+
+// announced returns the clearance after it was sent to all nodes.
+func (c clearance) announced(now time.Time) clearance {
+	c.lost = 0
+	if c.sends++; c.sends < maxSends {
+		c.announceAfter = now.Add(repeatDelay)
+	} else {
+		c.announceAfter, c.sends = time.Time{}, 0
+	}
+	return c
 }
 
-// mustAnnounce reports whether other nodes may suspect the part without the announcement.
+// mustAnnounce reports whether other nodes may suspect the part without the announcement. A proof
+// before the losses doesn't clear the part, but more crashes are required then.
 func (t *Tracker) mustAnnounce(part string, c clearance) bool {
-	return c.lost >= minAnnouncedEvidence || t.suspectedParts[part]
+	return c.lost >= minAnnouncedEvidence || t.suspectedParts[part] ||
+		!c.at.IsZero() && len(t.doubts[part]) == minAnnouncedEvidence
 }
 
 // narrow removes a cleared part from all suspicions. A suspicion without parts is lifted.
-func (t *Tracker) narrow(part string, at time.Time, source Source) {
+func (t *Tracker) narrow(part string, source Source) {
 	for _, s := range slices.Clone(t.list) {
 		i := slices.Index(s.Parts, part)
-		if i < 0 || !at.After(s.Since) {
+		if i < 0 || !t.isCleared(part, s.Since) {
 			continue
 		}
 		s.Parts = slices.Delete(slices.Clone(s.Parts), i, i+1)
@@ -85,11 +107,10 @@
 	}
 }
 
-// recall clears parts whose answers this node saw start before it learned of evidence against
-// them. t.mu must be held.
+// recall clears parts that this node saw proved sound before it learned of evidence against them. t.mu must be held.
 func (t *Tracker) recall(parts []string) {
 	for _, part := range parts {
-		if at := t.begun.last(hashOf(part)); at.After(t.cleared[part].at) {
+		if at := t.proven.last(hashOf(part)); at.After(t.cleared[part].at) {
 			c := t.cleared[part]
 			c.at = at
 			t.cleared[part] = c
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -10,7 +10,7 @@
 
 func (e *Evidence) id() evidenceID { return evidenceID{e.Request, e.Server} }
 
-// Crash records that a server crashed before it had begun to answer a request.
+// Crash records that a server crashed before its answer had proved the parts of a request sound.
 func (t *Tracker) Crash(now time.Time, e Evidence) {
 	e.own = true
 	t.mu.Lock()
@@ -30,6 +30,7 @@
 		return
 	}
 	e.Parts, e.receivedAt = unique(e.Parts), now
+	t.crashes.add(e.At)
 	t.recall(e.Parts)
 	t.doubt(e)
 	if s := t.suspicionOf(e.Parts); s != nil {
@@ -101,17 +102,19 @@
 			c := t.cleared[part]
 			c.lost++
 			t.cleared[part] = c
+			t.announceClearance(part, e.receivedAt)
 			continue
 		}
 		e.doubted++
 		t.doubts[part] = append(t.doubts[part], e)
 		t.watch(part)
+		t.announceClearance(part, e.receivedAt)
 	}
 }
 
 // isCleared reports whether a part was cleared of a loss at the given time.
 func (t *Tracker) isCleared(part string, lostAt time.Time) bool {
-	return !t.cleared[part].at.Before(lostAt)
+	return !t.cleared[part].at.Add(proofValidity).Before(lostAt)
 }
 
 // acquit removes the evidence against a part that it was cleared of, and returns how much that was.
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -23,8 +23,15 @@
 	reactionTime   = 3 * time.Second
 	knownCrashes   = 5
 	serverDowntime = 3 * time.Second
+	shortAnswer    = 2 * time.Second
+	longAnswer     = 10 * time.Second
+	// eventInterval is the time between two events of an answer.
+	eventInterval = 5 * simStep
 )
 
+// simStart is when simulations start. It is fixed, so that a seed always gives the same run.
+var simStart = time.Date(2026, 12, 6, 0, 0, 0, 0, time.UTC)
+
 // fleet simulates nodes with a tracker each, before servers that crash. Time is virtual.
 type fleet struct {
 	rng      *rand.Rand
@@ -59,6 +66,13 @@
 	// crashesPerSecond is the rate of crashes that no request causes. Each takes crashedShare
 	// of the servers.
 	crashesPerSecond, crashedShare float64
+	// begunFor is how long a server that crashes on a bad request has begun its answer before, at
+	// most. longShare is the share of the sound answers that take longAnswer; the others take
+	// shortAnswer at most.
+	begunFor  time.Duration
+	longShare float64
+	// callersRepeat is the probability that a caller repeats a request whose answer was cut.
+	callersRepeat float64
 	// loss and repeat are the probabilities that a message is lost or arrives twice; delay
 	// is its longest delay.
 	loss, repeat float64
@@ -81,7 +95,10 @@
 	parts    []string
 	bad      bool
 	beginsAt time.Time
+	// endsAt is when the answer is complete, or crashes the server.
+	endsAt   time.Time
 	attempt  *Attempt
+	begun    bool
 	canceled bool
 }
 
@@ -92,7 +109,7 @@
 }
 
 func newFleet(seed uint64, l simLoad) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Now(), load: l, servers: make([]simServer, l.servers)}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: simStart, load: l, servers: make([]simServer, l.servers)}
 	for range l.nodes {
 		f.addNode()
 	}
@@ -167,41 +184,68 @@
 	if r.bad && !f.reactedAt.IsZero() && f.now.After(f.reactedAt) && !r.node.cut {
 		f.lateBad++
 	}
-	r.canceled = false
+	r.canceled, r.begun = false, false
 	r.attempt, _ = r.node.tracker.Start(r.parts, verdict.Trial, func() { r.canceled = true })
 	r.beginsAt = f.now.Add(time.Duration(50+f.rng.IntN(250)) * time.Millisecond)
+	r.endsAt = r.beginsAt.Add(f.answerTime(r))
 	server.waiting = append(server.waiting, r)
 }
 
-// serve begins the answers that are due on a server.
-func (f *fleet) serve(i int) {
-	for _, r := range f.servers[i].waiting {
-		if r.canceled || f.now.Before(r.beginsAt) {
-			continue
-		}
-		if r.bad {
-			f.badCrashes++
-			if f.badCrashes == knownCrashes {
-				f.reactedAt = f.now.Add(reactionTime)
-			}
-			f.crash(i)
-			return
-		}
-		r.attempt.Began(f.now)
-		r.canceled = true
+// answerTime returns how long an answer goes on, or how long it has begun when it crashes its server.
+func (f *fleet) answerTime(r *simRequest) time.Duration {
+	switch {
+	case r.bad:
+		return time.Duration(f.rng.Int64N(int64(f.load.begunFor) + 1))
+	case f.rng.Float64() < f.load.longShare:
+		return longAnswer
+	default:
+		return time.Duration(f.rng.Int64N(int64(shortAnswer)))
 	}
-	kept := f.servers[i].waiting[:0]
-	for _, r := range f.servers[i].waiting {
+}
+
+// serve goes on with the answers of a server.
+func (f *fleet) serve(i int) {
+	server := &f.servers[i]
+	kept := server.waiting[:0]
+	crashed := false
+	for _, r := range server.waiting {
+		crashed = crashed || f.serveRequest(r)
 		if !r.canceled {
 			kept = append(kept, r)
 		} else {
 			r.attempt.End()
 		}
 	}
-	f.servers[i].waiting = kept
+	server.waiting = kept
+	if crashed {
+		f.badCrashes++
+		if f.badCrashes == knownCrashes {
+			f.reactedAt = f.now.Add(reactionTime)
+		}
+		f.crash(i)
+	}
+}
+
+// serveRequest goes on with one answer and reports whether it crashes the server.
+func (f *fleet) serveRequest(r *simRequest) (crashes bool) {
+	if r.canceled || f.now.Before(r.beginsAt) {
+		return false
+	}
+	if !r.begun || f.now.Sub(r.beginsAt)%eventInterval < simStep {
+		r.begun = true
+		r.attempt.Arrived(f.now)
+	}
+	if f.now.Before(r.endsAt) {
+		return false
+	}
+	if !r.bad {
+		r.attempt.Completed(f.now)
+		r.canceled = true
+	}
+	return r.bad
 }
 
-// crash loses all requests that wait on a server.
+// crash loses all requests of a server.
 func (f *fleet) crash(i int) {
 	server := &f.servers[i]
 	server.downUntil = f.now.Add(serverDowntime)
@@ -209,13 +253,18 @@
 	server.waiting = nil
 	for _, r := range lost {
 		r.attempt.End()
-		if !r.canceled {
+		if !r.canceled && !r.attempt.IsProven() {
 			r.node.tracker.Crash(f.now, Evidence{Request: r.id, Server: uint64(i), Parts: r.parts, At: f.now})
 		}
 	}
 	for _, r := range lost {
-		if !r.canceled && !r.bad {
+		switch {
+		case r.canceled || r.bad:
+		case !r.begun:
 			f.attempt(r) // a retry, as nodes do for requests that may be repeated
+		case f.rng.Float64() < f.load.callersRepeat:
+			f.nextID++
+			f.attempt(&simRequest{id: f.nextID, node: f.nodes[f.rng.IntN(len(f.nodes))], parts: r.parts})
 		}
 	}
 }
@@ -271,6 +320,7 @@
 func sitesLoad() simLoad {
 	return simLoad{
 		nodes: 7, servers: 18, perSecond: 60, badShare: 0.03, bad: []string{"bad"}, firsts: 4, subjects: 40,
+		begunFor: 750 * time.Millisecond, longShare: 0.1, callersRepeat: 0.5,
 		loss: 0.02, repeat: 0.02, delay: 5 * time.Millisecond,
 	}
 }
@@ -344,6 +394,50 @@
 	}
 }
 
+// sizedLoad is a load whose servers and requests grow with the number of nodes. Most of the subjects
+// are rare, and all callers repeat what was cut.
+func sizedLoad(nodes int) simLoad {
+	l := sitesLoad()
+	l.nodes, l.servers, l.perSecond = nodes, max(4, 2*nodes), min(20*float64(nodes), 400)
+	l.subjects, l.callersRepeat = 20*nodes, 1
+	return l
+}
+
+// TestFleetsOfAllSizesBlockNothingSound guards against sound requests being refused because a few of
+// them met crashes. The load: streams that share parts, rare parts, callers that repeat, and a crash a
+// second that takes a tenth of the servers.
+func TestFleetsOfAllSizesBlockNothingSound(t *testing.T) {
+	is := is.New(t)
+	for _, nodes := range []int{2, 8, 74, 195} {
+		l := sizedLoad(nodes)
+		l.bad = nil
+		l.crashesPerSecond, l.crashedShare = 1, 0.1
+		f := newFleet(uint64(nodes), l)
+		f.run(20 * time.Second)
+		for _, n := range f.nodes {
+			is.Equal(len(n.tracker.Suspicions()), 0)
+		}
+		is.Equal(f.soundBlocked, 0)
+	}
+}
+
+// TestFleetsOfAllSizesFindTheBadPart guards against a part that crashes servers after the first events
+// of its answers and is never found out. The load: streams that share parts, rare parts, callers that
+// repeat, and two bad requests a second.
+func TestFleetsOfAllSizesFindTheBadPart(t *testing.T) {
+	is := is.New(t)
+	for _, nodes := range []int{2, 8, 74, 195} {
+		l := sizedLoad(nodes)
+		l.badShare = 2 / l.perSecond
+		f := newFleet(uint64(nodes), l)
+		f.run(20 * time.Second)
+		is.True(f.badCrashes >= minCrashes)
+		is.True(f.badCrashes <= 2*knownCrashes)
+		is.True(f.lateBad <= maxLateBad)
+		is.True(100*f.soundBlocked <= f.sound)
+	}
+}
+
 // TestNodeThatStartsLaterLearnsOfSuspicions guards against a node that starts after the parts
 // became suspected and sends such requests. The load is that of one bad part.
 func TestNodeThatStartsLaterLearnsOfSuspicions(t *testing.T) {
@@ -400,6 +494,8 @@
 			crashesPerSecond: rapid.Float64Range(0, 1).Draw(t, "crashes"), crashedShare: rapid.Float64Range(0, 0.3).Draw(t, "crashed share"),
 			loss: rapid.Float64Range(0, 0.3).Draw(t, "loss"), repeat: rapid.Float64Range(0, 0.3).Draw(t, "repeat"),
 			delay: time.Duration(rapid.IntRange(1, 100).Draw(t, "delay")) * time.Millisecond, bad: []string{"bad"},
+			begunFor:  time.Duration(rapid.IntRange(0, 750).Draw(t, "begun")) * time.Millisecond,
+			longShare: rapid.Float64Range(0, 1).Draw(t, "long answers"), callersRepeat: rapid.Float64Range(0, 1).Draw(t, "repeats"),
 		}
 		// With more, all servers crash within a tenth of a second, again and again, and no
 		// answer begins that could clear the sound parts.
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -13,6 +13,8 @@
 	crashes int
 	// doubtedAt is when this node learned of the crash from which the part was in doubt.
 	doubtedAt time.Time
+	// wasSound is set if the part has proved sound not long before the losses.
+	wasSound bool
 	// proven is set if there were enough crashes and requests.
 	proven bool
 }
@@ -26,18 +28,25 @@
 		if len(list) < minCrashes {
 			continue
 		}
-		p := &partEvidence{part: part}
+		p := &partEvidence{part: part, wasSound: t.wasSound(part, list[0].At)}
 		for _, e := range list {
 			if !slices.ContainsFunc(explained, e.isSameCrash) {
 				p.items = append(p.items, e)
 			}
 		}
-		p.count()
+		p.count(t.crashes)
 		byPart[part] = p
 	}
 	return byPart
 }
 
+// wasSound reports whether the part has proved sound within evidenceTTL before a loss, as far as this
+// node knows.
+func (t *Tracker) wasSound(part string, lostAt time.Time) bool {
+	at := t.cleared[part].at
+	return !at.IsZero() && lostAt.Sub(at) < evidenceTTL
+}
+
 // explainedCrashes returns the losses of suspected requests.
 func (t *Tracker) explainedCrashes() []*Evidence {
 	var list []*Evidence
@@ -54,8 +63,8 @@
 	return e.Server == other.Server && e.At.Sub(other.At).Abs() < sameCrash
 }
 
-// count counts the separate crashes.
-func (p *partEvidence) count() {
+// count counts the separate crashes and compares them with all crashes of that time.
+func (p *partEvidence) count(all crashTimes) {
 	slices.SortStableFunc(p.items, func(a, b *Evidence) int { return a.At.Compare(b.At) })
 	var last, learned time.Time
 	requests := make(map[uint64]bool)
@@ -73,7 +82,14 @@
 			p.doubtedAt = learned
 		}
 	}
-	p.proven = p.crashes >= minCrashes && len(requests) >= minRequests
+	if p.crashes < minCrashes {
+		return
+	}
+	required := minCrashes + max(0, all.between(p.items[0].At, last)-p.crashes)/othersPerCrash
+	if p.wasSound {
+		required++
+	}
+	p.proven = p.crashes >= min(required, maxCrashes) && len(requests) >= minRequests
 }
 
 // specificShare is the share of the most frequent part's crashes that a more specific part
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,12 +1,13 @@
 // Package quarantine finds prompt parts that crash backend servers and states which
 // requests must not be sent because of them. It does no I/O.
 //
-// Requests share parts of their prompts. When a backend server crashes, each request that
-// waited there for the start of its answer is evidence against all its shared parts, and
-// the start of an answer anywhere clears the parts of that request. Parts that are in
-// evidence of several separate crashes and were not cleared since are suspected together:
-// a request is blocked if it has all of them. The begin of an answer removes a part from
-// the suspicion, so that what remains are the parts that never began an answer.
+// Requests share parts of their prompts. A part that crashes servers does so when they begin to
+// write an answer. So when a backend server crashes, each request that waited there, or whose answer
+// had begun just before, is evidence against all its shared parts. An answer that outlives its
+// beginning proves its parts sound and clears them, on all nodes. Parts that are in evidence of
+// several separate crashes and were not cleared since are suspected together: a request is blocked
+// if it has all of them. Each proof removes a part from the suspicion, so that what remains are the
+// parts that no answer outlives.
 package quarantine
 
 import (
@@ -22,6 +23,11 @@
 	// servers crash for other reasons, requests with the same rare part meet two or three of
 	// them by chance.
 	minCrashes = 4
+	// othersPerCrash is the number of crashes without the part, at the same time, for which one
+	// more crash is required: where servers crash often, a sound part meets more of them.
+	// maxCrashes bounds what is required, since the number of crashes by one part is limited.
+	othersPerCrash = 2
+	maxCrashes     = 6
 	// minRequests is the number of different requests that must have met these crashes.
 	minRequests = 2
 	// crashSpacing is the time between two crashes from which they count as separate: the
@@ -30,8 +36,16 @@
 	// sameCrash is the time within which losses at one server belong to the same crash.
 	// Observers learn of a crash at different moments.
 	sameCrash = time.Second
+	// provenAfter is how long after its first piece an answer must go on to prove its parts
+	// sound, unless it is complete before. A server that crashes as it begins to write may get a
+	// few events out: three at the longest pause that streams may make (250 ms), and the time in
+	// which the end of a connection is noticed.
+	provenAfter = time.Second
+	// proofValidity is how long a proof holds: it clears of losses until then. It must be short
+	// against the time in which nodes react, since a part may turn bad.
+	proofValidity = time.Second
 	// settleDelay is how long parts must have been in doubt before they are suspected, so that
-	// answers that begin elsewhere can clear them. They are in doubt after doubtCrashes.
+	// proofs from elsewhere can arrive. They are in doubt after doubtCrashes.
 	doubtCrashes = 2
 	settleDelay  = 250 * time.Millisecond
 	// evidenceTTL is how long evidence counts.
@@ -65,7 +79,7 @@
 	maxCleared       = 4096
 )
 
-// Evidence is one request that a crashed backend server had not begun to answer.
+// Evidence is one request whose server crashed before the answer had proved its parts sound.
 type Evidence struct {
 	// Request and Server are hashes of the ids.
 	Request, Server uint64
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -16,7 +16,7 @@
 const (
 	// Suspected means that a suspicion is new on this node.
 	Suspected Change = "suspected"
-	// Narrowed means that parts were removed because answers to them had begun.
+	// Narrowed means that parts were removed because answers had proved them sound.
 	Narrowed Change = "narrowed"
 	// Lifted means that no part is left or that an operator lifted the suspicion.
 	Lifted Change = "lifted"
@@ -50,7 +50,7 @@
 	OnChange func(c Change, source Source, s Suspicion)
 
 	// suspected holds the current suspicions and is replaced, never changed. watched holds the
-	// parts for which the start of an answer matters; parts are only added to it. Both are nil if
+	// parts for which a proof matters; parts are only added to it. Both are nil if
 	// there are none.
 	suspected atomic.Pointer[suspectedSet]
 	watched   atomic.Pointer[partFilter]
@@ -60,7 +60,7 @@
 	activated chan struct{}
 	// attempts holds the *Attempt whose answers have not begun.
 	attempts sync.Map
-	begun    begunParts
+	proven   provenParts
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -72,6 +72,7 @@
 	doubts        map[string][]*Evidence
 	incomplete    map[evidenceID]*Evidence
 	cleared       map[string]clearance
+	crashes       crashTimes
 	list          []*Suspicion
 	// suspectedParts holds the parts of all suspicions.
 	suspectedParts map[string]bool
@@ -87,7 +88,7 @@
 // it should differ between nodes.
 func NewTracker(seed uint64) *Tracker {
 	return &Tracker{
-		rng: rand.New(rand.NewPCG(seed, 0)), activated: make(chan struct{}, 1), begun: begunParts{start: time.Now()},
+		rng: rand.New(rand.NewPCG(seed, 0)), activated: make(chan struct{}, 1), proven: provenParts{start: time.Now()},
 		doubts: make(map[string][]*Evidence), incomplete: make(map[evidenceID]*Evidence), cleared: make(map[string]clearance),
 		suspectedParts: make(map[string]bool), OnChange: func(Change, Source, Suspicion) {},
 	}
@@ -189,6 +190,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeEvidence(func(e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
+	t.crashes.forgetBefore(now.Add(-evidenceTTL))
 	maps.DeleteFunc(t.incomplete, func(_ evidenceID, e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
 	t.forgetUnused(now)
 	t.pruneCleared(now)
@@ -283,7 +285,7 @@
 	}
 }
 
-// watch makes the start of an answer to a request with the part known to the tracker.
+// watch makes the proof of a part known to the tracker.
 func (t *Tracker) watch(part string) {
 	f := t.watched.Load()
 	if f == nil {
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -22,6 +22,12 @@
 // blocked reports whether a request with the parts is blocked.
 func blocked(t *Tracker, now time.Time, parts ...string) bool { return t.Check(now, parts).Blocked }
 
+// complete records a short and complete answer.
+func complete(a *Attempt, now time.Time) {
+	a.Arrived(now)
+	a.Completed(now)
+}
+
 // TestTrialLiftsOrProlongsSuspicion guards against a suspicion that is never lifted, or whose
 // parts are tried by many requests at once or again and again at the same pace.
 func TestTrialLiftsOrProlongsSuspicion(t *testing.T) {
@@ -42,9 +48,12 @@
 	attempt, ok := tracker.Start([]string{"bad"}, true, func() { t.Error("the trial was canceled") })
 	is.True(ok)
 	tracker.Tick(now)
-	attempt.Began(now.Add(time.Second))
+	now = now.Add(time.Second)
+	attempt.Arrived(now)
+	is.Equal(len(tracker.Suspicions()), 1) // the server may crash yet
+	attempt.Arrived(now.Add(provenAfter))
 	is.Equal(len(tracker.Suspicions()), 0)
-	is.True(!blocked(tracker, now.Add(time.Second), "bad"))
+	is.True(!blocked(tracker, now.Add(provenAfter), "bad"))
 }
 
 // TestTrialWithoutOutcomeIsRepeated guards against a suspicion that stands for ever because
@@ -70,7 +79,7 @@
 	is.True(!blocked(tracker, now, "first", "other", "bad"))
 	attempt, ok := tracker.Start([]string{"first", "subject"}, false, func() {})
 	is.True(ok)
-	attempt.Began(now.Add(time.Millisecond))
+	complete(attempt, now.Add(time.Millisecond))
 	is.Equal(tracker.Suspicions()[0].Parts, []string{"bad"})
 	is.True(blocked(tracker, now, "first", "other", "bad"))
 }
@@ -148,7 +157,7 @@
 	start := time.Now()
 	now := suspect(cut, start, "first")
 	attempt, _ := other.Start([]string{"first", "subject"}, false, func() { t.Error("canceled") })
-	attempt.Began(start.Add(settleDelay)) // nothing was known against the part
+	complete(attempt, start.Add(settleDelay)) // nothing was known against the part
 	other.Apply(now, cut.State())
 	is.Equal(len(other.Suspicions()), 0)
 	now = now.Add(announceJitter)
@@ -167,7 +176,7 @@
 	is.Equal(len(evidence.Evidence), int(minCrashes))
 	b.Apply(now, Update{Evidence: evidence.Evidence[:1]})
 	attempt, _ := b.Start([]string{"part"}, false, func() {})
-	attempt.Began(now.Add(time.Second))
+	complete(attempt, now.Add(time.Second))
 	b.Apply(now.Add(2*time.Second), evidence)
 	b.Tick(now.Add(3 * time.Second))
 	is.Equal(len(b.Suspicions()), 0)
