quarantine: suspicions, evidence and trials are kept in the platform's store

Cause: what nodes know of such parts was in their memory only, and a node that starts gets it from the others.

Change (package quarantine/archive): - a suspicion is an entry without a lease, written by a node that has evidence for it, and by one node of each failure domain if nobody has; changed with its parts and trials, deleted when it ends; 64 at most; - a loss whose part is in doubt because of another crash too is an entry under a lease of two minutes, written by the node that noticed it; - a node reads them before it puts its first configuration in force; - a trial starts once the store has counted it, by compare-and-swap; two in all, then only an operator ends the suspicion. One that no server received is given back; - a store that came back from a copy is read again, what it lost is written and what was lifted is deleted.

Evidence: TestCrashingPartIsKnownAfterLossOfAllNodes fails on (502, the engine crashes) and passes.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -35,7 +35,6 @@
 		return e.refuseIfQuarantined()
 	}
 	defer watch.End()
-	e.quarantineTrial = false
 	sentAt := time.Now()
 	a.TimeLeft = time.Until(e.deadline)
 	a.KVSource = e.handle
@@ -124,13 +123,14 @@
 	return ReasonServersFull
 }
 
-// chargeAttempt counts an attempt against the retry budget unless the outcome shows
-// that it was not sent.
+// chargeAttempt counts an attempt against the retry budget, and uses up the request's trial, unless
+// the outcome shows that it was not sent.
 func (e *exchange) chargeAttempt(o Outcome) {
 	switch o.(type) {
 	case NotSent, Abandoned:
 		return
 	}
+	e.quarantineTrial = false
 	if e.chargedAttempts == 0 {
 		e.RetryBudget.FirstAttempt(e.record.Service)
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -257,6 +257,7 @@
 	defer cancel()
 	defer e.Draining.onEnd(cancel)()
 	defer e.freeHandle()
+	defer e.returnTrial()
 	defer func() {
 		for _, end := range e.onEnd {
 			end()
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -26,6 +26,13 @@
 	return verdict.RetryAfter, verdict.Blocked
 }
 
+// returnTrial gives a trial back that no backend server has received.
+func (e *exchange) returnTrial() {
+	if e.quarantineTrial && !e.prefilled {
+		e.Quarantine.ReturnTrial(e.sharedParts)
+	}
+}
+
 // refuseIfQuarantined refuses the request if it must not be sent because of its prompt parts,
 // and reports whether it did.
 func (e *exchange) refuseIfQuarantined() bool {
--- a/core/relay.go
+++ b/core/relay.go
@@ -190,7 +190,6 @@
 		cancel(errQuarantined)
 		return nil, nil
 	}
-	e.quarantineTrial = false
 	e.record.Server = choice.Server
 	a := e.newAttempt(choice.Server)
 	a.LastEventID = lastID
--- a/discovery/relay.go
+++ b/discovery/relay.go
@@ -46,6 +46,9 @@
 	// firstPullPeers is how many other nodes a node asks for a newer configuration at once
 	// before it puts the first one read from the store in force.
 	firstPullPeers = 3
+	// maxQuarantineWait is how long the first configuration waits for the suspected prompt parts,
+	// which the store may turn down while it answers other calls.
+	maxQuarantineWait = 5 * time.Second
 	// firstPullRounds is how often it asks other ones if none of them answers.
 	firstPullRounds = 2
 )
@@ -60,8 +63,11 @@
 	peerAddresses func() []string
 	// PeersLoaded reports whether the list of nodes has been read; nil if there is none.
 	PeersLoaded func() bool
-	log         logr.Logger
-	quarantine  *quarantine.Tracker
+	// QuarantineLoaded is closed once the suspected prompt parts were read from the store; nil if
+	// they are not kept there.
+	QuarantineLoaded <-chan struct{}
+	log              logr.Logger
+	quarantine       *quarantine.Tracker
 
 	configHint, registrationsHint pendingHint
 	// firstConfigRead is closed when the first configuration was read from the store.
@@ -192,9 +198,24 @@
 		}
 	}
 	r.log.Info("peers asked for the configuration", "answered", answered, "config_version", r.config.Version())
+	r.awaitQuarantine(ctx)
 	r.config.Release()
 }
 
+// awaitQuarantine waits until the suspected prompt parts were read from the store: nodes that have
+// just started too can't tell them, and without them requests that crash backend servers would be sent.
+func (r *Relay) awaitQuarantine(ctx context.Context) {
+	if r.QuarantineLoaded == nil {
+		return
+	}
+	select {
+	case <-r.QuarantineLoaded:
+	case <-ctx.Done():
+	case <-time.After(maxQuarantineWait):
+		r.log.Info("requests are served without the suspected prompt parts of the store", "waited_ms", maxQuarantineWait.Milliseconds())
+	}
+}
+
 // awaitPeers waits until the list of nodes has been read, at most for pullTimeout.
 func (r *Relay) awaitPeers(ctx context.Context) {
 	const interval = 10 * time.Millisecond
@@ -229,10 +250,11 @@
 		r.log.Info("peer did not answer", "address", address, "config_version", known, "cause", err.Error())
 		return false
 	}
+	// What must not be sent is known before requests are served.
+	r.quarantine.Apply(time.Now(), state.Quarantine)
 	if len(state.Config) > 0 {
 		r.config.ApplyIfNewer(state.Config, "peer "+address)
 	}
 	r.servers.Merge(state.Registrations, state.Following, "peer "+address)
-	r.quarantine.Apply(time.Now(), state.Quarantine)
 	return true
 }
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -92,3 +92,36 @@
 	}
 	is.Equal(d.restartEngines(), crashes)
 }
+
+// TestCrashingPartIsKnownAfterLossOfAllNodes guards against a part that crashes engines again, as often as
+// it took to find it out, when all nodes are lost and start again. The load: requests with the part at all
+// nodes in turn, until it is found out and after the nodes have started again.
+func TestCrashingPartIsKnownAfterLossOfAllNodes(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, crashNodes, crashEngines)
+	for _, e := range d.engines {
+		e.Server.SetCrashPart(crashPart)
+	}
+	for i := 0; ; i++ {
+		status, ran := d.send(i%crashNodes, "first", crashPart)
+		if status == http.StatusServiceUnavailable && !ran {
+			break
+		}
+		time.Sleep(restartDelay)
+		is.True(d.restartEngines() <= maxCrashes)
+	}
+	for _, g := range d.gateways {
+		for s := g.quarantine.tracker.Suspicions(); len(s) == 0 || !s[0].Stored; s = g.quarantine.tracker.Suspicions() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	crashes := d.restartEngines()
+	d.stopNodes()
+	d.startNodes(crashNodes)
+	for i := range 10 {
+		status, ran := d.send(i%crashNodes, "first", crashPart, fmt.Sprint("subject", i))
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(!ran)
+	}
+	is.Equal(d.restartEngines(), crashes)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -17,6 +17,8 @@
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/quarantine"
+	"github.com/figweir/figweir/quarantine/archive"
+	"github.com/figweir/figweir/store"
 )
 
 // maxQuarantineBytes is the size of an update from which a second datagram is sent: what networks
@@ -26,6 +28,8 @@
 // quarantineSharing exchanges the evidence and the suspicions of this node with the others.
 type quarantineSharing struct {
 	tracker *quarantine.Tracker
+	// archive keeps the suspicions in the store.
+	archive *archive.Archive
 	// incarnation distinguishes these messages from load updates of this node.
 	incarnation uint64
 	// sequences holds the last sequence of each incarnation. Only the goroutine that
@@ -35,7 +39,10 @@
 
 func (g *Gateway) setUpQuarantine() {
 	g.quarantine = &quarantineSharing{tracker: quarantine.NewTracker(rand.Uint64()), incarnation: rand.Uint64() | 1, sequences: make(map[uint64]uint64)}
-	g.quarantine.tracker.OnChange = func(c quarantine.Change, source quarantine.Source, s quarantine.Suspicion) {
+	tracker := g.quarantine.tracker
+	g.quarantine.archive = &archive.Archive{Tracker: tracker, Store: g.store, TrueTime: g.trueTime.At, Log: g.log}
+	tracker.PermitTrial = g.quarantine.archive.PermitTrial
+	tracker.OnChange = func(c quarantine.Change, source quarantine.Source, s quarantine.Suspicion) {
 		g.observer.quarantineChanges.Add(string(c), 1)
 		if c == quarantine.Crashed && source == quarantine.Peer {
 			return // the node that noticed the crash logs it
@@ -64,9 +71,16 @@
 	return names
 }
 
-// runQuarantine judges the evidence and sends what other nodes have to know, until ctx ends.
+// runQuarantine judges the evidence, sends what other nodes have to know and keeps the suspicions in the
+// store, until ctx ends.
 func (g *Gateway) runQuarantine(ctx context.Context, conn net.PacketConn) {
-	g.quarantine.tracker.Run(ctx, g.nodes.IsFirstOfFailureDomain, func(now time.Time, u quarantine.Update) {
+	g.quarantine.tracker.Run(ctx, func(now time.Time) {
+		announcesAll := g.nodes.IsFirstOfFailureDomain()
+		g.quarantine.archive.Step(now, announcesAll)
+		u := g.quarantine.tracker.DueUpdate(now, announcesAll)
+		if u.Empty() {
+			return
+		}
 		recipients := g.nodes.LoadAddresses()
 		for _, m := range g.quarantine.messages(now, u) {
 			g.sharer.Send(conn, loadshare.Message{Update: m, Recipients: recipients})
@@ -74,6 +88,12 @@
 	})
 }
 
+// loadQuarantine reads the suspicions from the store, again each time it came back from a copy.
+func (g *Gateway) loadQuarantine(ctx context.Context) {
+	g.store.Eras.OnChange(func(store.Era) { g.quarantine.archive.StoreRestored(ctx) })
+	g.quarantine.archive.Load(ctx)
+}
+
 // messages divides an update into messages that fit into a datagram.
 func (q *quarantineSharing) messages(now time.Time, u quarantine.Update) []*figweirv1.LoadUpdate {
 	var list []*figweirv1.LoadUpdate
--- a/gateway/reads.go
+++ b/gateway/reads.go
@@ -90,6 +90,12 @@
 	group.Go(func() { g.servers.Run(ctx, g.reads, onResponse) })
 	group.Go(func() { g.nodes.Follow(ctx, g.reads, onResponse) })
 	group.Go(func() { g.dutyHolder.Run(ctx, g.reads, onResponse) })
+	quarantineLoaded := make(chan struct{})
+	group.Go(func() {
+		g.loadQuarantine(ctx)
+		close(quarantineLoaded)
+	})
+	g.relay.QuarantineLoaded = quarantineLoaded
 	group.Go(func() { g.relay.Run(ctx) })
 }
 
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -37,7 +37,11 @@
 
 // run judges the evidence and sends what other nodes have to know, until ctx is canceled.
 func (q *quarantineSharing) run(ctx context.Context) {
-	q.tracker.Run(ctx, q.announcesAll, q.send)
+	q.tracker.Run(ctx, func(now time.Time) {
+		if u := q.tracker.DueUpdate(now, q.announcesAll()); !u.Empty() {
+			q.send(now, u)
+		}
+	})
 }
 
 // announcesAll reports whether this node has the least name of its failure domain.
--- a/peer/quarantine.go
+++ b/peer/quarantine.go
@@ -24,7 +24,7 @@
 		m.Suspected = append(m.Suspected, &figweirv1.SuspectedParts{
 			Parts: s.Parts, SinceAgeMs: positiveMillis(now.Sub(s.Since)), LastCrashAgeMs: positiveMillis(now.Sub(s.LastCrash)),
 			HeldMs: positiveMillis(s.HeldUntil.Sub(now)), Trials: uint32(s.Trials), TrialMs: positiveMillis(s.TrialUntil.Sub(now)),
-			Crashes: uint32(s.Crashes), Servers: s.Servers,
+			Crashes: uint32(s.Crashes), Servers: s.Servers, Started: uint32(s.Started), Stored: s.Stored,
 		})
 	}
 	return m
@@ -46,7 +46,7 @@
 		decoded := quarantine.Suspicion{
 			Parts: s.Parts, Since: now.Add(-millis(s.SinceAgeMs)), LastCrash: now.Add(-millis(s.LastCrashAgeMs)),
 			HeldUntil: now.Add(millis(s.HeldMs)), Trials: int(min(s.Trials, math.MaxInt32)), Crashes: int(min(s.Crashes, math.MaxInt32)),
-			Servers: s.Servers,
+			Servers: s.Servers, Started: int(min(s.Started, math.MaxInt32)), Stored: s.Stored,
 		}
 		if s.TrialMs > 0 {
 			decoded.TrialUntil = now.Add(millis(s.TrialMs))
--- a/quarantine/announce.go
+++ b/quarantine/announce.go
@@ -71,7 +71,7 @@
 	if t.announcer.due || now.Sub(t.announcer.announcedAt) >= announceInterval {
 		t.announcer = announcer{announcedAt: now}
 		for _, s := range t.list {
-			if announcesAll || now.Before(s.urgentUntil) {
+			if !s.unused && (announcesAll || now.Before(s.urgentUntil)) {
 				u.Suspicions = append(u.Suspicions, *s)
 			}
 		}
@@ -131,22 +131,31 @@
 	}
 	slices.Sort(kept)
 	if known := t.suspicionOf(kept); known != nil {
-		known.extend(s)
+		t.extend(known, s, now)
 		return
 	}
-	t.add(&Suspicion{
-		Parts: kept, Since: s.Since, LastCrash: s.LastCrash, HeldUntil: s.HeldUntil, Trials: s.Trials, TrialUntil: s.TrialUntil,
+	added := &Suspicion{
+		Parts: kept, Since: s.Since, LastCrash: s.LastCrash, HeldUntil: s.HeldUntil, Started: s.Started, Trials: s.Trials, TrialUntil: s.TrialUntil,
 		Crashes: s.Crashes, Servers: s.Servers[:min(len(s.Servers), maxServers)], usedAt: now,
-	}, Peer)
+	}
+	t.markUnstored(added, now, false)
+	added.Stored = s.Stored && len(kept) == len(s.Parts) && !now.Before(t.distrustUntil)
+	t.add(now, added, Peer)
 }
 
-// extend merges the same suspicion of another node.
-func (s *Suspicion) extend(other *Suspicion) {
+// extend merges the same suspicion of another node, or one with more parts.
+func (t *Tracker) extend(s, other *Suspicion, now time.Time) {
 	if other.Since.Before(s.Since) {
 		s.Since = other.Since
 	}
+	if other.Started > s.Started || other.Trials > s.Trials {
+		t.markUnstored(s, now, false)
+	}
 	s.LastCrash = maxTime(s.LastCrash, other.LastCrash)
 	s.HeldUntil = maxTime(s.HeldUntil, other.HeldUntil)
 	s.TrialUntil = maxTime(s.TrialUntil, other.TrialUntil)
-	s.Trials, s.Crashes = max(s.Trials, other.Trials), max(s.Crashes, other.Crashes)
+	s.Started, s.Trials, s.Crashes = max(s.Started, other.Started), max(s.Trials, other.Trials), max(s.Crashes, other.Crashes)
+	if other.Stored && len(other.Parts) == len(s.Parts) && !now.Before(t.distrustUntil) {
+		s.noteStored(other)
+	}
 }
--- a/quarantine/clear.go
+++ b/quarantine/clear.go
@@ -43,7 +43,7 @@
 		t.announceClearance(part, now)
 	}
 	t.judged = false
-	t.narrow(part, source)
+	t.narrow(part, now, source)
 }
 
 // announceClearance makes this node tell the others of a clearance soon if it must.
@@ -74,12 +74,14 @@
 }
 
 // narrow removes a cleared part from all suspicions. A suspicion without parts is lifted.
-func (t *Tracker) narrow(part string, source Source) {
+func (t *Tracker) narrow(part string, now time.Time, source Source) {
 	for _, s := range slices.Clone(t.list) {
 		i := slices.Index(s.Parts, part)
 		if i < 0 || !t.isCleared(part, s.Since) {
 			continue
 		}
+		t.markRemoved(s.Parts, now, source)
+		t.markUnstored(s, now, source != Peer)
 		s.Parts = slices.Delete(slices.Clone(s.Parts), i, i+1)
 		change := Narrowed
 		if len(s.Parts) == 0 {
@@ -94,7 +96,7 @@
 // pruneCleared drops clearances that can no longer matter. t.mu must be held.
 func (t *Tracker) pruneCleared(now time.Time) {
 	for part, c := range t.cleared {
-		if now.Sub(c.at) > evidenceTTL && c.announceAfter.IsZero() {
+		if now.Sub(c.at) > EvidenceTTL && c.announceAfter.IsZero() {
 			delete(t.cleared, part)
 		}
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -23,7 +23,7 @@
 // be held, and t.publish called afterwards.
 func (t *Tracker) addEvidence(now time.Time, e *Evidence) {
 	e.Parts = boundParts(e.Parts)
-	if len(e.Parts) == 0 || now.Sub(e.At) > evidenceTTL || t.knows(e) {
+	if len(e.Parts) == 0 || now.Sub(e.At) > EvidenceTTL || t.knows(e) {
 		return
 	}
 	if e = t.complete(e); e == nil {
@@ -34,7 +34,7 @@
 	t.recall(e.Parts)
 	t.doubt(e)
 	if s := t.suspicionOf(e.Parts); s != nil {
-		s.recordCrash(now, e)
+		t.recordCrash(s, now, e)
 		t.announcer.due = true
 		t.OnChange(Crashed, sourceOf(e), *s)
 	}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -40,11 +40,11 @@
 	return byPart
 }
 
-// wasSound reports whether the part has proved sound within evidenceTTL before a loss, as far as this
+// wasSound reports whether the part has proved sound within EvidenceTTL before a loss, as far as this
 // node knows.
 func (t *Tracker) wasSound(part string, lostAt time.Time) bool {
 	at := t.cleared[part].at
-	return !at.IsZero() && lostAt.Sub(at) < evidenceTTL
+	return !at.IsZero() && lostAt.Sub(at) < EvidenceTTL
 }
 
 // explainedCrashes returns the losses of suspected requests.
@@ -152,6 +152,7 @@
 		}
 	}
 	s.HeldUntil = now.Add(hold(0))
+	t.markUnstored(s, now, !s.urgentUntil.IsZero())
 	return s
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -48,17 +48,9 @@
 	// proofs from elsewhere can arrive. They are in doubt after doubtCrashes.
 	doubtCrashes = 2
 	settleDelay  = 250 * time.Millisecond
-	// evidenceTTL is how long evidence counts.
-	evidenceTTL = 2 * time.Minute
-	// minHold and maxHold bound the time for which suspected parts are blocked before one
-	// request may try them. It doubles each time that the trial crashes a server.
-	minHold = 20 * time.Second
-	maxHold = time.Hour
-	// trialTime is how long the outcome of a trial is awaited before the next one.
-	trialTime = 10 * time.Second
-	// forgetAfter is how long a suspicion is kept after its hold without evidence and
-	// without a blocked request.
-	forgetAfter = time.Hour
+	// unusedAfter is the time after its last blocked request from which a suspicion is not announced
+	// any more. Nodes that start learn of it from the store.
+	unusedAfter = time.Hour
 
 	// MaxPartsBytes bounds the parts of a request that are watched, by the bytes of their ids.
 	// It must not be less than the largest request header that nodes accept, so that no part
@@ -99,6 +91,8 @@
 	own    bool
 	sends  int
 	sentAt time.Time
+	// stored is set once it was passed on to be written to the store.
+	stored bool
 }
 
 // Suspicion is a set of prompt parts. Requests that have all of them crash servers.
@@ -107,10 +101,10 @@
 	Parts []string
 	// Since is the time of the first evidence, LastCrash that of the latest.
 	Since, LastCrash time.Time
-	// HeldUntil is when one request may try the parts, Trials the number of trials that
-	// crashed a server.
-	HeldUntil time.Time
-	Trials    int
+	// HeldUntil is when one request may try the parts, Started the number of trials on all nodes,
+	// and Trials that of trials that crashed a server.
+	HeldUntil       time.Time
+	Started, Trials int
 	// TrialUntil is the end of a running trial.
 	TrialUntil time.Time
 	// Crashes is the number of separate crashes in the evidence, Servers the hashes of some
@@ -120,8 +114,18 @@
 	// Blocked is the number of attempts that this node did not send.
 	Blocked uint64
 
+	// Stored is set if the store holds the suspicion with these parts and trials.
+	Stored bool
+
+	// storeAfter is when this node writes the suspicion, zero if it is not the one to do so, and
+	// backupAfter when nodes do that write what no other has written.
+	storeAfter, backupAfter time.Time
+	// permitted is set if this node may send a trial that is counted already.
+	permitted bool
 	// usedAt is when the suspicion last blocked a request or had evidence.
 	usedAt time.Time
+	// unused is set if the suspicion is neither announced nor watched, see unusedAfter.
+	unused bool
 	// urgentUntil is until when this node announces the suspicion often.
 	urgentUntil time.Time
 }
@@ -129,23 +133,6 @@
 // matches reports whether a request with the given parts has all parts of the suspicion.
 func (s *Suspicion) matches(parts []string) bool { return containsAll(parts, s.Parts) }
 
-// retryAfter returns the time until the next trial, at least a second: another node may try
-// first, and its result arrives a moment later.
-func (s *Suspicion) retryAfter(now time.Time) time.Duration {
-	return max(time.Second, s.HeldUntil.Sub(now), s.TrialUntil.Sub(now))
-}
-
-// hold returns how long parts are blocked after a number of trials that failed.
-func hold(trials int) time.Duration {
-	d := minHold
-	for range trials {
-		if d *= 2; d >= maxHold {
-			return maxHold
-		}
-	}
-	return d
-}
-
 // containsAll reports whether list has all items of subset.
 func containsAll(list, subset []string) bool {
 	for _, item := range subset {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -17,6 +17,10 @@
 	// HeldSeconds is the time until a request with the parts may be tried.
 	HeldSeconds  float64 `json:"held_s"`
 	FailedTrials int     `json:"failed_trials"`
+	// Trials counts the trials of all nodes. After MaxTrials only an operator lifts the suspicion.
+	Trials int `json:"trials"`
+	// Stored is set if the suspicion outlives all nodes.
+	Stored bool `json:"stored"`
 	// Blocked counts the refusals of the node that made the report.
 	Blocked uint64 `json:"blocked"`
 }
@@ -25,17 +29,17 @@
 func NewReport(now time.Time, s *Suspicion, servers []string) Report {
 	return Report{
 		SharedParts: s.Parts, SinceSeconds: now.Sub(s.Since).Seconds(), Crashes: s.Crashes, CrashedServers: servers,
-		HeldSeconds: max(0, s.HeldUntil.Sub(now).Seconds()), FailedTrials: s.Trials, Blocked: s.Blocked,
+		HeldSeconds: max(0, s.HeldUntil.Sub(now).Seconds()), FailedTrials: s.Trials, Trials: s.Started, Stored: s.Stored, Blocked: s.Blocked,
 	}
 }
 
 // WriteReports writes reports as a table.
 func WriteReports(w io.Writer, reports []Report) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SHARED PARTS\tSINCE\tCRASHES\tTRIAL IN\tFAILED TRIALS\tREFUSED HERE\tCRASHED SERVERS")
+	fmt.Fprintln(table, "SHARED PARTS\tSINCE\tCRASHES\tTRIAL IN\tTRIALS\tFAILED TRIALS\tSTORED\tREFUSED HERE\tCRASHED SERVERS")
 	for _, r := range reports {
-		fmt.Fprintf(table, "%s\t%.0fs\t%d\t%.0fs\t%d\t%d\t%s\n", strings.Join(r.SharedParts, ","), r.SinceSeconds, r.Crashes,
-			r.HeldSeconds, r.FailedTrials, r.Blocked, strings.Join(r.CrashedServers, ","))
+		fmt.Fprintf(table, "%s\t%.0fs\t%d\t%.0fs\t%d of %d\t%d\t%t\t%d\t%s\n", strings.Join(r.SharedParts, ","), r.SinceSeconds, r.Crashes,
+			r.HeldSeconds, r.Trials, MaxTrials, r.FailedTrials, r.Stored, r.Blocked, strings.Join(r.CrashedServers, ","))
 	}
 	return table.Flush()
 }
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -8,10 +8,9 @@
 // tickInterval is the time between two looks at the evidence while there is any.
 const tickInterval = 50 * time.Millisecond
 
-// Run judges the evidence and passes what other nodes have to know to send, until ctx ends.
-// announcesAll reports whether this node repeats all suspicions for the others. send must not
-// block for long.
-func (t *Tracker) Run(ctx context.Context, announcesAll func() bool, send func(now time.Time, u Update)) {
+// Run judges the evidence and calls step after each time, until ctx ends. It does so only while
+// there is something to do. step must not block for long.
+func (t *Tracker) Run(ctx context.Context, step func(now time.Time)) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -27,9 +26,7 @@
 			return
 		case now := <-ticker.C:
 			t.Tick(now)
-			if u := t.DueUpdate(now, announcesAll()); !u.Empty() {
-				send(now, u)
-			}
+			step(now)
 		}
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -24,8 +24,7 @@
 	TrialStarted Change = "trial"
 	// Crashed means that another server crashed on the parts.
 	Crashed Change = "crashed"
-	// Dropped means that the suspicion was forgotten: no request had its parts for long, or
-	// there were too many suspicions.
+	// Dropped means that the suspicion was forgotten because there were too many.
 	Dropped Change = "dropped"
 )
 
@@ -48,6 +47,10 @@
 	// OnChange is called after each change. It must be set before the first use and must
 	// not block or call the tracker.
 	OnChange func(c Change, source Source, s Suspicion)
+	// PermitTrial reports whether this node may start a trial of a suspicion: all nodes together
+	// have a limited number of them. It is nil if no store counts them and keeps the suspicions. It
+	// must be set before the first use and must not call Check.
+	PermitTrial func(s Suspicion) bool
 
 	// suspected holds the current suspicions and is replaced, never changed. watched holds the
 	// parts for which a proof matters; parts are only added to it. Both are nil if
@@ -77,6 +80,11 @@
 	// suspectedParts holds the parts of all suspicions.
 	suspectedParts map[string]bool
 	announcer      announcer
+	removals       []removal
+	// evidenceStoredAt is when this node last passed evidence on to be stored.
+	evidenceStoredAt time.Time
+	// distrustUntil is until when other nodes may state that the store holds what it has lost.
+	distrustUntil time.Time
 	// listStale is set while suspected doesn't match list, filterStale while watched holds
 	// parts that don't matter any more.
 	listStale, filterStale bool
@@ -94,47 +102,6 @@
 	}
 }
 
-// Verdict states whether a request may be sent.
-type Verdict struct {
-	// Blocked means that the request must not be sent. RetryAfter is when it may be tried
-	// again at the earliest.
-	Blocked    bool
-	RetryAfter time.Duration
-	// Trial means that the request may be sent once, to find out whether its parts still
-	// crash servers.
-	Trial bool
-}
-
-// Check returns the verdict on a request with the given shared parts. It may start a trial.
-func (t *Tracker) Check(now time.Time, parts []string) Verdict {
-	if !t.isSuspected(parts) {
-		return Verdict{}
-	}
-	parts = boundParts(parts)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var matching []*Suspicion
-	for _, s := range t.list {
-		if s.matches(parts) {
-			matching = append(matching, s)
-		}
-	}
-	for _, s := range matching {
-		s.usedAt = now
-		if now.Before(s.HeldUntil) || now.Before(s.TrialUntil) {
-			s.Blocked++
-			return Verdict{Blocked: true, RetryAfter: s.retryAfter(now)}
-		}
-	}
-	for _, s := range matching {
-		s.TrialUntil = now.Add(trialTime)
-		s.urgentUntil = now.Add(urgentTime)
-		t.announcer.due = true
-		t.OnChange(TrialStarted, Own, *s)
-	}
-	return Verdict{Trial: len(matching) > 0}
-}
-
 // isSuspected reports whether a suspicion matches the parts. It takes no lock.
 func (t *Tracker) isSuspected(parts []string) bool {
 	return t.suspected.Load().matches(boundParts(parts))
@@ -142,13 +109,14 @@
 
 // recordCrash extends the suspicion after another crash. A crash in a trial doubles the
 // hold.
-func (s *Suspicion) recordCrash(now time.Time, e *Evidence) {
+func (t *Tracker) recordCrash(s *Suspicion, now time.Time, e *Evidence) {
 	if !now.Before(s.HeldUntil) {
 		s.Trials++
 	}
 	s.Crashes++
 	s.LastCrash, s.usedAt, s.TrialUntil = e.At, now, time.Time{}
 	s.HeldUntil = now.Add(hold(s.Trials))
+	t.markUnstored(s, now, e.own)
 	if e.own {
 		s.urgentUntil = now.Add(urgentTime)
 	}
@@ -170,7 +138,7 @@
 // needsTicks reports whether there is evidence that was not cleared, a suspicion, or something
 // to send. t.mu must be held.
 func (t *Tracker) needsTicks() bool {
-	if len(t.evidence) > 0 || len(t.list) > 0 {
+	if len(t.evidence)+len(t.removals) > 0 || slices.ContainsFunc(t.list, func(s *Suspicion) bool { return !s.unused }) {
 		return true
 	}
 	for _, c := range t.cleared {
@@ -189,28 +157,20 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.removeEvidence(func(e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
-	t.crashes.forgetBefore(now.Add(-evidenceTTL))
-	maps.DeleteFunc(t.incomplete, func(_ evidenceID, e *Evidence) bool { return now.Sub(e.At) > evidenceTTL })
-	t.forgetUnused(now)
+	t.removeEvidence(func(e *Evidence) bool { return now.Sub(e.At) > EvidenceTTL })
+	t.crashes.forgetBefore(now.Add(-EvidenceTTL))
+	maps.DeleteFunc(t.incomplete, func(_ evidenceID, e *Evidence) bool { return now.Sub(e.At) > EvidenceTTL })
+	t.markUnused(now)
 	t.pruneCleared(now)
 	t.judge(now)
 	t.publish()
 	t.refreshFilter()
 }
 
-// forgetUnused drops suspicions that no request has had for long. t.mu must be held.
-func (t *Tracker) forgetUnused(now time.Time) {
-	count := len(t.list)
-	t.list = slices.DeleteFunc(t.list, func(s *Suspicion) bool {
-		outdated := now.Sub(s.HeldUntil) > forgetAfter && now.Sub(s.usedAt) > forgetAfter
-		if outdated {
-			t.OnChange(Dropped, Own, *s)
-		}
-		return outdated
-	})
-	if len(t.list) != count {
-		t.listChanged()
+// markUnused finds the suspicions that no request has met for long. t.mu must be held.
+func (t *Tracker) markUnused(now time.Time) {
+	for _, s := range t.list {
+		s.unused = (s.Stored || !t.isArchived()) && now.Sub(s.HeldUntil) > unusedAfter && now.Sub(s.usedAt) > unusedAfter
 	}
 }
 
@@ -225,20 +185,28 @@
 			t.judged = !waiting
 			return
 		}
-		t.add(t.suspicion(suspect, now), Own)
+		t.add(now, t.suspicion(suspect, now), Own)
 	}
 }
 
 // add adds a suspicion unless one with fewer parts exists, and removes those with more.
 // t.mu must be held.
-func (t *Tracker) add(s *Suspicion, source Source) {
+func (t *Tracker) add(now time.Time, s *Suspicion, source Source) {
 	if t.suspicionOf(s.Parts) != nil {
 		return
 	}
-	t.list = slices.DeleteFunc(t.list, func(old *Suspicion) bool { return containsAll(old.Parts, s.Parts) })
+	t.list = slices.DeleteFunc(t.list, func(old *Suspicion) bool {
+		wider := containsAll(old.Parts, s.Parts)
+		if wider {
+			s.Started, s.Trials = max(s.Started, old.Started), max(s.Trials, old.Trials)
+			t.markRemoved(old.Parts, now, source)
+		}
+		return wider
+	})
 	if len(t.list) >= maxSuspicions {
-		oldest := slices.MinFunc(t.list, func(a, b *Suspicion) int { return a.LastCrash.Compare(b.LastCrash) })
+		oldest := slices.MinFunc(t.list, func(a, b *Suspicion) int { return a.usedAt.Compare(b.usedAt) })
 		t.list = slices.DeleteFunc(t.list, func(old *Suspicion) bool { return old == oldest })
+		t.markRemoved(oldest.Parts, now, source)
 		t.OnChange(Dropped, Own, *oldest)
 	}
 	t.list = append(t.list, s)
