quarantine: tests for five mechanisms that no test noticed

Change: a test each (a proof that holds for a second, clearances that are sent twice, losses in pieces, more crashes where others crash, a loss long after the proof); no product code.

--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -113,6 +113,7 @@
 		{"lost before the first event", true, cutStream(0), 1},
 		{"lost after an event", true, cutStream(0, "1"), 1},
 		{"lost after three events", true, cutStream(250*time.Millisecond, "1", "2", "3"), 1},
+		{"lost long after the proof", true, cutStream(1500*time.Millisecond, "1", "2", "3"), 0},
 		{"lost after a second of events", true, cutStream(250*time.Millisecond, "1", "2", "3", "4", "5"), 0},
 		{"lost in a body", true, Answered{&fakeAnswer{status: 200, body: "part", err: errors.New("end of the connection")}}, 1},
 		{"a complete body", true, Answered{&fakeAnswer{status: 200, body: "all"}}, 0},
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -182,6 +182,79 @@
 	is.Equal(len(b.Suspicions()), 0)
 }
 
+// TestProofHoldsForASecond guards against a sound part that is blamed because all servers were lost just
+// after it had proved sound, and against a proof that hides a part which turns bad.
+func TestProofHoldsForASecond(t *testing.T) {
+	is := is.New(t)
+	for _, after := range []time.Duration{0, proofValidity - time.Millisecond, proofValidity + time.Millisecond} {
+		tracker := NewTracker(1)
+		now := time.Now()
+		attempt, _ := tracker.Start([]string{"part"}, false, func() {})
+		complete(attempt, now)
+		now = now.Add(after)
+		tracker.Crash(now, Evidence{Request: 1, Server: 1, Parts: []string{"part"}, At: now})
+		is.Equal(tracker.EvidenceCount() == 0, after < proofValidity)
+	}
+}
+
+// TestClearancesAreSentTwice guards against a node that blames a sound part because one message was lost.
+func TestClearancesAreSentTwice(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(1)
+	now := time.Now()
+	for i := range uint64(minAnnouncedEvidence) {
+		tracker.Crash(now, Evidence{Request: i, Server: i, Parts: []string{"sound"}, At: now})
+	}
+	attempt, _ := tracker.Start([]string{"sound"}, false, func() {})
+	complete(attempt, now)
+	var sentAt []time.Duration
+	for after := time.Duration(0); after < 2*time.Second; after += 10 * time.Millisecond {
+		if len(tracker.DueUpdate(now.Add(after), false).Clearances) > 0 {
+			sentAt = append(sentAt, after)
+		}
+	}
+	is.Equal(len(sentAt), maxSends)
+	is.True(sentAt[0] <= announceJitter)
+	is.True(sentAt[1] >= sentAt[0]+repeatDelay)
+}
+
+// TestLossCountsOnceAllPiecesHaveArrived guards against a suspicion of the wrong parts because some of those
+// that the lost requests shared are still on their way.
+func TestLossCountsOnceAllPiecesHaveArrived(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(1)
+	now := time.Now()
+	piece := func(parts ...string) Update {
+		return Update{Evidence: []Evidence{{Request: 1, Server: 1, Parts: parts, PartCount: 5, At: now}}}
+	}
+	tracker.Apply(now, piece("a", "b"))
+	tracker.Apply(now, piece("a", "b")) // once more
+	tracker.Apply(now, piece("e"))
+	is.Equal(tracker.EvidenceCount(), 0)
+	tracker.Apply(now, piece("c", "d"))
+	is.Equal(tracker.EvidenceCount(), 1)
+	is.Equal(len(tracker.evidence[0].Parts), 5)
+	is.Equal(len(tracker.incomplete), 0)
+}
+
+// TestManyOtherCrashesRequireMoreOfAPart guards against a rare sound part that is blamed where servers crash
+// often, and against a bad one that is never found out there. The load: between two crashes with the part
+// there is another one.
+func TestManyOtherCrashesRequireMoreOfAPart(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(1)
+	now := time.Now()
+	for crash := 1; crash <= maxCrashes; crash++ {
+		id := uint64(2 * crash)
+		tracker.Crash(now, Evidence{Request: id, Server: id, Parts: []string{"rare"}, At: now})
+		now = now.Add(settleDelay)
+		tracker.Tick(now)
+		is.Equal(blocked(tracker, now, "rare"), crash == maxCrashes)
+		tracker.Crash(now, Evidence{Request: id + 1, Server: id + 1, Parts: []string{fmt.Sprint("other", crash)}, At: now})
+		now = now.Add(settleDelay)
+	}
+}
+
 // TestOneCrashKeepsEarlierEvidence guards against a crash with many waiting requests that pushes out
 // the evidence of the crashes before it.
 func TestOneCrashKeepsEarlierEvidence(t *testing.T) {
