authority, platform, gateway: calls of a duty are checked right before they are written

Cause: the fencing token was read once per round of orders. A round can last many seconds when orders get no answer, and a holder that was suspended between its decision and the call sent it afterwards. Targets that don't compare tokens accept such a call after those of the next holder.

Change: Duty.TimeToAct is checked before the first byte of each call, the time limit of a call ends with the lease, and a process doesn't acquire a duty again within a lease time after it lost it.

--- a/authority/duty.go
+++ b/authority/duty.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"time"
 
 	"github.com/figweir/figweir/store"
 )
@@ -59,6 +61,8 @@
 	// revision is the store revision of the leased record; also guarded by
 	// lease.mu.
 	revision store.Revision
+	// lostAt is when this process last lost the duty; also guarded by lease.mu.
+	lostAt time.Time
 }
 
 // Name returns the name of the duty.
@@ -83,6 +87,31 @@
 	return uint64(d.revision), d.held && d.lease.validLocked(now)
 }
 
+// ErrDutyLost means that this process may no longer act under a fencing token.
+var ErrDutyLost = errors.New("authority: the duty is not held under this fencing token any more")
+
+// TimeToAct returns how long this process may still act under a fencing token unless the lease is
+// renewed, or ErrDutyLost. Whoever acts must check it right before the order leaves the process: it
+// may have been suspended, or have waited for a connection, since it read the token.
+func (d *Duty) TimeToAct(token uint64) (time.Duration, error) {
+	now := d.lease.clock.Now()
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	if !d.held || uint64(d.revision) != token || !d.lease.validLocked(now) {
+		return 0, ErrDutyLost
+	}
+	return d.lease.validUntil.Sub(now), nil
+}
+
+// mayReacquire reports whether the duty was lost long enough ago to be acquired again, see
+// LeaseOptions.ReacquireDelay.
+func (d *Duty) mayReacquire() bool {
+	now := d.lease.clock.Now()
+	d.lease.mu.Lock()
+	defer d.lease.mu.Unlock()
+	return d.lostAt.IsZero() || now.Sub(d.lostAt) >= d.lease.options.ReacquireDelay
+}
+
 // tokenFloor returns a number that is greater than the tokens of all orders of earlier eras and not
 // greater than those of the present one. The store may have lost which were given out.
 func (d *Duty) tokenFloor() uint64 {
--- a/authority/lease.go
+++ b/authority/lease.go
@@ -22,6 +22,10 @@
 	Margin time.Duration
 	// RenewEvery is the interval of lease renewal and acquisition of duties.
 	RenewEvery time.Duration
+	// ReacquireDelay is how long a process doesn't acquire a duty again that it has lost. Another
+	// process may have held it and given it up meanwhile: with a delay of a lease time, holders
+	// don't alternate within one.
+	ReacquireDelay time.Duration
 	// StoreTimeout limits each call to the store.
 	StoreTimeout time.Duration
 	// Era returns the newest era of the store that this process has seen by any call. nil if
@@ -240,7 +244,9 @@
 func (l *Lease) loseDutiesLocked() {
 	l.id, l.validUntil = store.NoLease, time.Time{}
 	for _, d := range l.duties {
-		d.held = false
+		if d.held {
+			d.held, d.lostAt = false, l.clock.Now()
+		}
 	}
 }
 
@@ -299,7 +305,7 @@
 	defer cancel()
 	// A read is cheaper for the store than a write that is certain to fail.
 	free, expected := l.checkRecord(ctx, d)
-	if !free || !l.mayAcquire() {
+	if !free || !l.mayAcquire() || !d.mayReacquire() {
 		return
 	}
 	id, err := l.grant(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,10 +190,12 @@
 	g.lease = authority.NewLease(g.store, process, boottime.Clock{}, authority.LeaseOptions{
 		LeaseTime: g.settings.LeaseTime(), Margin: g.settings.LeaseTime() / 6,
 		RenewEvery: g.settings.LeaseTime() / 3, StoreTimeout: g.settings.LeaseTime() / 4,
-		Era: g.store.Eras.Current, Log: g.log,
+		ReacquireDelay: g.settings.LeaseTime(),
+		Era:            g.store.Eras.Current, Log: g.log,
 	})
 	g.duty = g.lease.Duty(dutyName, g.isDutyCandidate)
 	cloud := platform.NewCloud(g.settings.Cloud.Address, g.settings.Name, cloudTimeout)
+	cloud.Duty, backend.Duty = g.duty.TimeToAct, g.duty.TimeToAct
 	g.autoscaler = newAutoscaler(g, cloud, backend)
 	g.reporter = &metering.Reporter{
 		Counter: counter, Windows: windows, Clock: g.trueTime, Store: g.store, Duty: g.duty, Sender: cloud,
