plan/scaler: decide on server orders without network, clock or platform

Cause: the controller in gateway/autoscaler.go never ordered fewer engines than ran when the duty was taken, added the start-up headroom twice, and replaced a reclaimed failure domain engine by engine, with standard engines at the full price.

Change: package scaler holds the demand (mean, recent peak, slope, age), the need that follows from it, and the targets by failure domain and class. A target starts from what runs and what is starting, so that nothing moves without a need. Reclaimable engines go to the cheapest failure domain whose reclaim would leave what the demand needs at least. Standard engines are released when their replacements run. The initial number is a floor until the demand has been observed over a full period. Utilization follows from the target latency and the target pause where their inputs are known; the gateway does not measure the pause between events yet, so decode engines keep 0.25. Refused, unanswered and failed orders count differently. The record figweir/staff holds the counts ordered, and its total is lowered too.

min_instances is taken for both classes together. If the platform rejects or ignores a lower number of standard servers, the minimum is kept for that class.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -31,8 +31,10 @@
 	// promptTokens counts the prompt tokens that were sent to engines and were not
 	// expected to be cached.
 	promptTokens atomic.Uint64
-	prefillRate  rateEstimator
-	decodeRate   rateEstimator
+	// promptTokenSquares is the sum of the squares of these numbers by prompt.
+	promptTokenSquares atomic.Uint64
+	prefillRate        rateEstimator
+	decodeRate         rateEstimator
 	// limits are the rate limits of the servers.
 	limits RateLimits
 }
@@ -41,6 +43,17 @@
 // and that were not expected to be cached. The count never decreases.
 func (b *Balancer) PromptTokens() uint64 { return b.promptTokens.Load() }
 
+// PromptTokensPerPrompt returns the mean number of uncached tokens of the prompt that a
+// token sent by this node belonged to; 0 if none was sent. Long prompts count by their
+// share of the work.
+func (b *Balancer) PromptTokensPerPrompt() float64 {
+	tokens := b.promptTokens.Load()
+	if tokens == 0 {
+		return 0
+	}
+	return float64(b.promptTokenSquares.Load()) / float64(tokens)
+}
+
 // PrefillTokensPerSecond returns the estimated rate at which one prefill engine
 // processes prompt tokens.
 func (b *Balancer) PrefillTokensPerSecond() float64 {
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -41,7 +41,9 @@
 	c.pendingTokens.Store(int64(uncached))
 	s.stats.prefillTokens.Add(int64(uncached))
 	if !criteria.DemandCounted {
-		b.promptTokens.Add(uint64(max(0, uncached)))
+		tokens := uint64(max(0, uncached))
+		b.promptTokens.Add(tokens)
+		b.promptTokenSquares.Add(tokens * tokens)
 	}
 	b.onLoadChange()
 	return c
--- a/core/table.go
+++ b/core/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -151,6 +152,29 @@
 	workspacesByKey map[string]*Workspace
 }
 
+// ShortestTargets returns the shortest target latency and target pause of the streaming
+// routes that lead to a service; 0 if none has a target.
+func (t *Table) ShortestTargets(service string) (latency, pause time.Duration) {
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			leads := slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Service == service })
+			if r.Kind != Streaming || !leads {
+				continue
+			}
+			latency, pause = shorter(latency, r.TargetLatency), shorter(pause, r.TargetPause)
+		}
+	}
+	return latency, pause
+}
+
+// shorter returns the shorter of two durations, where 0 means none.
+func shorter(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // NewTable builds a table. keys maps each API key to its workspace; nil means that the
 // deployment requires no keys.
 func NewTable(version int64, limits Limits, routes []*Route, services []*Service, keys map[string]*Workspace) *Table {
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -12,6 +12,7 @@
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
+	"github.com/figweir/figweir/plan/scaler"
 	"github.com/figweir/figweir/platform"
 	"github.com/figweir/figweir/store"
 )
@@ -22,9 +23,6 @@
 	// roleOrderTimeout is how long to wait for a role order to take effect before
 	// it is repeated.
 	roleOrderTimeout = 5 * time.Second
-	// reclaimableRetryDelay is how long no reclaimable servers are ordered in a
-	// failure domain after an order was refused there.
-	reclaimableRetryDelay = 8 * time.Second
 	// maxRoleChangeFraction is the maximum fraction of the engines that change roles
 	// at the same time, since they serve nothing meanwhile. If all engines are idle,
 	// all may change.
@@ -51,27 +49,21 @@
 	lastGrowth           time.Time
 	maxKnownServers      int
 	registrationsSettled bool
-	// lastOrders holds the last order per service, failure domain and class. The
-	// count in the keys is zero.
-	lastOrders *plan.OrderTracker[platform.ServerOrder]
 	// roleOrderTimes holds the time of the last role order, by engine id.
 	roleOrderTimes map[string]time.Time
-	// unavailableUntil is, by failure domain, the time until which reclaimable
-	// servers are assumed to be unavailable.
-	unavailableUntil map[string]time.Time
-	demand           demand
-	// minEngines is the minimum number of engines of each service: the number when
-	// this node acquired the duty, raised as demand grows. Fewer are not ordered,
-	// since the demand observed so far may be low by chance.
-	minEngines map[string]int
-	// minEnginesRevision is the store revision of the record of minEngines.
-	minEnginesRevision store.Revision
+	demand         scaler.Demand
+	// controllers decide on the orders while this node holds the duty, by service.
+	controllers map[string]*scaler.Controller
+	// ordered is the record of the orders in the store, see orderedKey, and orderedRevision
+	// its revision.
+	ordered         map[string]int
+	orderedRevision store.Revision
 }
 
 func newAutoscaler(g *Gateway, cloud *platform.Cloud, backend *platform.Backend) *autoscaler {
 	return &autoscaler{
-		Gateway: g, cloud: cloud, backend: backend, lastOrders: plan.NewOrderTracker[platform.ServerOrder](),
-		roleOrderTimes: make(map[string]time.Time), unavailableUntil: make(map[string]time.Time), minEngines: make(map[string]int),
+		Gateway: g, cloud: cloud, backend: backend, roleOrderTimes: make(map[string]time.Time),
+		controllers: make(map[string]*scaler.Controller), ordered: make(map[string]int),
 	}
 }
 
@@ -87,17 +79,21 @@
 		case <-ticker.C:
 			now := time.Now()
 			a.updateSettled(now)
-			a.demand.observe(a.balancer.PromptTokens()+a.peerLoads.nodes.PromptTokens(), a.activeStreams())
+			// The current time, since a call without an answer may have delayed the tick.
+			a.demand.Observe(time.Now(), a.balancer.PromptTokens()+a.peerLoads.nodes.PromptTokens(), a.activeStreams())
 			token, held := a.duty.FencingToken()
 			if !held {
 				a.dutySince = time.Time{}
-				a.lastOrders.Reset()
-				clear(a.minEngines)
+				clear(a.controllers)
 				continue
 			}
 			if a.dutySince.IsZero() {
 				a.dutySince = now
-				a.loadMinEngines(ctx)
+				a.loadOrdered(ctx)
+				if a.cell().Count > 1 {
+					// Nodes of other cells report their demand to the holder only.
+					a.demand = scaler.Demand{}
+				}
 			}
 			table := a.table.Load()
 			if table == nil || !a.registrationsSettled {
@@ -127,98 +123,124 @@
 		return
 	}
 	v := a.scalingView(now, service)
+	c := a.controller(now, service, v)
 	if service.Engine != nil {
-		a.changeRoles(ctx, now, token, v)
+		a.changeRoles(ctx, now, token, c, v)
 	}
 	if service.Scaling == nil {
 		return
 	}
-	// Releasing a server and ordering it again costs its start time and its cache,
-	// so the number of servers follows the peak of the demand, not its current value.
-	if v.PromptTokensPerSecond > 0 || a.lastOrders.Empty() {
-		a.raiseMinEngines(ctx, service.Name, v.EnginesPerDomain()*len(v.FailureDomains))
-		v.MinEngines = a.minEngines[service.Name]
-	}
-	a.orderServers(ctx, now, token, service, v)
+	a.orderServers(ctx, token, service, c, v)
 }
 
-// setUnavailable marks the failure domains in v that are assumed to have no reclaimable
-// servers.
-func (a *autoscaler) setUnavailable(now time.Time, v *plan.ScalingView) {
-	for _, d := range v.FailureDomains {
-		v.Unavailable[d] = now.Before(a.unavailableUntil[d])
+// controller returns the controller of a service. The first one after this node acquired
+// the duty continues the orders of the previous holder.
+func (a *autoscaler) controller(now time.Time, service *core.Service, v *plan.ScalingView) *scaler.Controller {
+	c := a.controllers[service.Name]
+	if c == nil {
+		restored := make(map[scaler.Key]int)
+		for _, d := range v.FailureDomains {
+			for _, reclaimable := range []bool{false, true} {
+				k := scaler.Key{FailureDomain: d, Reclaimable: reclaimable}
+				if n, ok := a.ordered[recordName(service.Name, k)]; ok {
+					restored[k] = n
+				}
+			}
+		}
+		c = scaler.NewController(now, a.ordered[service.Name], restored)
+		a.controllers[service.Name] = c
 	}
+	return c
 }
 
-// minEnginesKey is the store key of minEngines. The next holder of the duty reads it so
-// that it does not order fewer engines while some still start.
-const minEnginesKey = "figweir/staff"
+// orderedKey is the store key of the orders. The next holder of the duty reads it so
+// that it does not release engines that still start.
+const orderedKey = "figweir/staff"
 
-// loadMinEngines reads the minEngines record of the previous holder.
-func (a *autoscaler) loadMinEngines(ctx context.Context) {
-	entry, err := a.store.Get(ctx, minEnginesKey)
+// recordName returns the name of a count in the record of the orders. The total of a
+// service has the name of the service.
+func recordName(service string, k scaler.Key) string {
+	class := "standard"
+	if k.Reclaimable {
+		class = "reclaimable"
+	}
+	return service + "\x00" + k.FailureDomain + "\x00" + class
+}
+
+// loadOrdered reads the orders of the previous holder.
+func (a *autoscaler) loadOrdered(ctx context.Context) {
+	clear(a.ordered)
+	entry, err := a.store.Get(ctx, orderedKey)
 	if err == nil {
-		err = json.Unmarshal(entry.Value, &a.minEngines)
+		err = json.Unmarshal(entry.Value, &a.ordered)
 	}
-	a.minEnginesRevision = entry.Revision
+	a.orderedRevision = entry.Revision
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		a.log.Info("cannot read minimum engine counts, using the registered engines", "cause", err.Error())
+		a.log.Info("cannot read the orders of the previous holder, using the registered engines", "cause", err.Error())
 	}
 }
 
-// minEnginesRecordRevision returns the revision of the minEngines record; 0 if there is none or it
-// can't be read.
-func (a *autoscaler) minEnginesRecordRevision(ctx context.Context) store.Revision {
-	entry, err := a.store.Get(ctx, minEnginesKey)
+// orderedRecordRevision returns the revision of the record of the orders; 0 if there is
+// none or it can't be read.
+func (a *autoscaler) orderedRecordRevision(ctx context.Context) store.Revision {
+	entry, err := a.store.Get(ctx, orderedKey)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		a.log.Info("cannot read minimum engine counts", "cause", err.Error())
+		a.log.Info("cannot read the record of the orders", "cause", err.Error())
 	}
 	return entry.Revision
 }
 
-// raiseMinEngines raises the minimum number of engines of a service to n and stores it.
-func (a *autoscaler) raiseMinEngines(ctx context.Context, service string, n int) {
-	if n <= a.minEngines[service] {
+// storeOrdered stores the engines decided on for a service and the counts ordered, if they
+// have changed.
+func (a *autoscaler) storeOrdered(ctx context.Context, service string, total int, ordered map[scaler.Key]int) {
+	changed := a.ordered[service] != total
+	a.ordered[service] = total
+	for k, n := range ordered {
+		name := recordName(service, k)
+		changed = changed || a.ordered[name] != n
+		a.ordered[name] = n
+	}
+	if !changed {
 		return
 	}
-	a.minEngines[service] = n
-	raw, err := json.Marshal(a.minEngines)
+	raw, err := json.Marshal(a.ordered)
 	if err == nil {
-		a.minEnginesRevision, err = a.store.Put(ctx, minEnginesKey, raw, a.minEnginesRevision, store.NoLease)
+		a.orderedRevision, err = a.store.Put(ctx, orderedKey, raw, a.orderedRevision, store.NoLease)
 	}
 	if errors.Is(err, store.ErrConflict) {
 		// The store was restored, or an earlier write whose response was lost took effect. The
-		// next raise replaces that record.
-		a.minEnginesRevision = a.minEnginesRecordRevision(ctx)
+		// next change replaces that record.
+		a.orderedRevision = a.orderedRecordRevision(ctx)
 	}
 	if err != nil {
-		a.log.Info("cannot store minimum engine counts", "cause", err.Error())
+		a.log.Info("cannot store the orders", "cause", err.Error())
 	}
 }
 
 // scalingView collects the engines, the demand and the limits of a service for plan.
 func (a *autoscaler) scalingView(now time.Time, service *core.Service) *plan.ScalingView {
-	engines := a.engines(service.Name)
-	if a.minEngines[service.Name] == 0 {
-		a.minEngines[service.Name] = len(engines)
-	}
 	v := &plan.ScalingView{
-		Engines: engines, MinEngines: a.minEngines[service.Name], Unavailable: make(map[string]bool),
-		PromptTokensPerSecond: a.demand.tokens.peak, Streams: a.demand.streams.peak,
-		DemandSettled:          !a.demand.firstSeen.IsZero() && now.Sub(a.demand.firstSeen) > demandWarmup,
-		PrefillTokensPerSecond: a.balancer.PrefillTokensPerSecond(),
+		Engines:       a.engines(service.Name),
+		DemandSettled: a.demand.Settled(now),
 	}
 	if service.Engine != nil {
+		v.PromptTokensPerSecond, v.Streams = a.demand.PromptTokens().Peak, a.demand.Streams().Peak
+		v.PrefillTokensPerSecond = a.balancer.PrefillTokensPerSecond()
 		v.Slots = service.Engine.Slots
+		v.Needs.PromptTokens = a.balancer.PromptTokensPerPrompt()
+		v.Needs.TargetLatency, v.Needs.TargetPause = a.table.Load().ShortestTargets(service.Name)
+		if slots := float64(v.DecodingEngines() * v.Slots); slots > 0 {
+			v.Needs.DecodeOccupancy = a.demand.Streams().Mean / slots
+		}
 	}
 	if service.Scaling != nil {
 		v.MinPerDomain, v.MaxPerDomain = service.Scaling.MinServers, service.Scaling.MaxServers
-		v.ReclaimablePrice = service.Scaling.ReclaimablePrice
+		v.ReclaimablePrice, v.Prices = service.Scaling.ReclaimablePrice, service.Scaling.Prices
+		v.StartupTime = service.Scaling.StartupTime
 		for d := range service.Scaling.Prices {
 			v.FailureDomains = append(v.FailureDomains, d)
 		}
 		sort.Strings(v.FailureDomains)
-		a.setUnavailable(now, v)
 	}
 	return v
 }
@@ -260,7 +282,7 @@
 
 // changeRoles orders role changes and waits for the calls. Engines with a recent role
 // order count towards the limit.
-func (a *autoscaler) changeRoles(ctx context.Context, now time.Time, token uint64, v *plan.ScalingView) {
+func (a *autoscaler) changeRoles(ctx context.Context, now time.Time, token uint64, c *scaler.Controller, v *plan.ScalingView) {
 	changing := 0
 	for id, at := range a.roleOrderTimes {
 		if now.Sub(at) < roleOrderTimeout {
@@ -277,7 +299,7 @@
 	// The calls are concurrent: an unresponsive engine must not delay the other orders.
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentRoleOrders)
-	for _, c := range v.RoleChanges(limit - changing) {
+	for _, c := range c.RoleChanges(now, v, limit-changing) {
 		if _, ordered := a.roleOrderTimes[c.ID]; ordered {
 			continue
 		}
--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -7,94 +7,63 @@
 
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
+	"github.com/figweir/figweir/plan/scaler"
 	"github.com/figweir/figweir/platform"
 )
 
-// orderServers orders the target number of servers in each failure domain, reclaimable
-// servers first.
-func (a *autoscaler) orderServers(ctx context.Context, now time.Time, token uint64, service *core.Service, v *plan.ScalingView) {
-	a.probeReclaimable(ctx, now, token, service.Name, v)
-	targets := plan.TargetCapacity(v)
-	for _, d := range v.FailureDomains {
-		standard, reclaimable := orderKeys(service.Name, d)
-		if !v.Unavailable[d] && targets[d].Standard < v.RunningEngines(d, false) {
-			// The maximum covers both classes, so reduce one before raising the other.
-			a.orderIfDue(ctx, now, token, standard, targets[d].Standard, v)
+// orderServers sends the orders that the controller of a service decides on. A refusal
+// changes the decision, so the controller is asked once more.
+func (a *autoscaler) orderServers(ctx context.Context, token uint64, service *core.Service, c *scaler.Controller, v *plan.ScalingView) {
+	sent := false
+	for range 2 {
+		refused := false
+		for _, o := range c.Orders(time.Now(), v, &a.demand) {
+			sent = true
+			outcome := a.sendOrder(ctx, token, service.Name, c, v, o)
+			refused = refused || outcome == scaler.Refused
+			if outcome == scaler.Refused && !o.Reclaimable {
+				// Standard servers are always available, so the conflict means a newer holder.
+				a.duty.MarkLost()
+				return
+			}
 		}
-		if !v.Unavailable[d] {
-			a.orderIfDue(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
+		if !refused {
+			break
 		}
 	}
-	// Where reclaimable servers were refused, order standard servers instead.
-	a.setUnavailable(now, v)
-	targets = plan.TargetCapacity(v)
-	for _, d := range v.FailureDomains {
-		standard, reclaimable := orderKeys(service.Name, d)
-		if !v.Unavailable[d] {
-			a.orderIfDue(ctx, now, token, reclaimable, targets[d].Reclaimable, v)
-		}
-		a.orderIfDue(ctx, now, token, standard, targets[d].Standard, v)
-	}
-}
-
-// probeReclaimable orders one more reclaimable server in each failure domain where none
-// were available recently, before any standard server is released.
-func (a *autoscaler) probeReclaimable(ctx context.Context, now time.Time, token uint64, service string, v *plan.ScalingView) {
-	for _, d := range v.FailureDomains {
-		until, refused := a.unavailableUntil[d]
-		if !refused || now.Before(until) {
-			continue
-		}
-		delete(a.unavailableUntil, d)
-		_, key := orderKeys(service, d)
-		running := v.RunningEngines(d, true)
-		if running+v.RunningEngines(d, false) < v.MaxPerDomain {
-			a.sendOrder(ctx, now, token, key, running+1, v)
-			a.lastOrders.Forget(key)
-		}
+	if sent {
+		total, ordered := c.State()
+		a.storeOrdered(ctx, service.Name, total, ordered)
 	}
-	a.setUnavailable(now, v)
 }
 
-// orderKeys returns the order keys of both classes in a failure domain.
-func orderKeys(service, domain string) (standard, reclaimable platform.ServerOrder) {
-	standard = platform.ServerOrder{Service: service, FailureDomain: domain}
-	reclaimable = standard
-	reclaimable.Reclaimable = true
-	return standard, reclaimable
+// sendOrder sends one order and records its outcome.
+func (a *autoscaler) sendOrder(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView, o scaler.Order) scaler.Outcome {
+	err := a.cloud.OrderServers(ctx, token, platform.ServerOrder{
+		Service: service, FailureDomain: o.FailureDomain, Count: o.Count, Reclaimable: o.Reclaimable,
+	})
+	need, tokens, streams := c.Need(), a.demand.PromptTokens(), a.demand.Streams()
+	a.log.Info("servers ordered", "service", service, "failure_domain", o.FailureDomain, "reclaimable", o.Reclaimable,
+		"count", o.Count, "present", o.Present, "reason", o.Reason, "fencing_token", token, "engines", len(v.Engines),
+		"need", int(need.Total+1), "need_at_least", int(need.Hard+1), "floor", need.Floor, "capacity", int(v.Speed()),
+		"prompt_tokens_per_s", int(tokens.RecentPeak), "mean_prompt_tokens_per_s", int(tokens.Mean), "slope", int(tokens.Slope),
+		"engine_tokens_per_s", int(v.PrefillTokensPerSecond), "streams", int(streams.RecentPeak),
+		"prefill_load_percent", int(100*need.PrefillLoad), "decode_load_percent", int(100*need.DecodeLoad), "error", errorText(err))
+	outcome := outcomeOf(err)
+	// The call may have taken seconds, so the order counts from its end.
+	c.Record(time.Now(), v, o, outcome)
+	return outcome
 }
 
-// orderIfDue sends an order for count servers unless it would repeat a recent one.
-func (a *autoscaler) orderIfDue(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.ScalingView) {
-	running := v.RunningEngines(key.FailureDomain, key.Reclaimable)
-	if !a.lastOrders.Due(now, key, count, running) {
-		return
-	}
-	if key.Reclaimable && count == 0 && !a.lastOrders.HasOrder(key) {
-		return
-	}
-	a.sendOrder(ctx, now, token, key, count, v)
-}
-
-// sendOrder orders count servers. If the platform refuses an order of reclaimable servers,
-// they count as unavailable in the failure domain. If it refuses one of standard servers,
-// the duty counts as lost.
-func (a *autoscaler) sendOrder(ctx context.Context, now time.Time, token uint64, key platform.ServerOrder, count int, v *plan.ScalingView) {
-	running := v.RunningEngines(key.FailureDomain, key.Reclaimable)
-	o := key
-	o.Count = count
-	err := a.cloud.OrderServers(ctx, token, o)
-	a.log.Info("servers ordered", "service", key.Service, "failure_domain", key.FailureDomain, "reclaimable", key.Reclaimable,
-		"count", count, "present", running, "fencing_token", token, "engines", len(v.Engines),
-		"prompt_tokens_per_s", int(v.PromptTokensPerSecond), "engine_tokens_per_s", int(v.PrefillTokensPerSecond), "streams", int(v.Streams), "error", errorText(err))
-	a.lastOrders.Record(now, key, count, running, err != nil)
-	if !errors.Is(err, platform.ErrFenced) {
-		return
-	}
-	if key.Reclaimable {
-		a.unavailableUntil[key.FailureDomain] = now.Add(reclaimableRetryDelay)
-		return
+// outcomeOf returns the outcome that an error of the platform means for an order.
+func outcomeOf(err error) scaler.Outcome {
+	switch {
+	case err == nil:
+		return scaler.Accepted
+	case errors.Is(err, platform.ErrFenced):
+		return scaler.Refused
+	case errors.Is(err, platform.ErrNoEffect):
+		return scaler.NoEffect
 	}
-	// Standard servers are always available, so the conflict means a newer holder.
-	a.duty.MarkLost()
+	return scaler.Unknown
 }
--- /dev/null
+++ b/plan/scaler/controller.go
@@ -0,0 +1,247 @@
+package scaler
+
+import (
+	"math"
+	"time"
+
+	"github.com/figweir/figweir/plan"
+)
+
+const (
+	// refusalTime is how long no reclaimable servers are ordered in a failure domain
+	// after an order was refused there.
+	refusalTime = 8 * time.Second
+	// lateTime is how much longer an order without an answer may take to have its
+	// effect.
+	lateTime = 12 * time.Second
+	// startMargin is how much longer than the startup time an accepted order may take
+	// until its servers are registered and read.
+	startMargin = 2 * time.Second
+	// releaseDelay is how long standard engines that were ordered are kept beyond their
+	// start, so that they are not released and ordered again around a reclaim.
+	releaseDelay = 3 * time.Second
+)
+
+// Key identifies what an order sets the number of: the servers of one class in one
+// failure domain.
+type Key struct {
+	FailureDomain string
+	Reclaimable   bool
+}
+
+// Order sets the total number of servers of a class in a failure domain.
+type Order struct {
+	Key
+	Count int
+	// Present is the number of running servers of the class there.
+	Present int
+	// Reason states what the order is for.
+	Reason string
+}
+
+// Outcome is what became of an order.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	// Accepted orders take effect within the startup time.
+	Accepted Outcome = iota
+	// Refused orders have no effect because the platform has none of these servers.
+	Refused
+	// NoEffect orders did not reach the platform or were rejected for another reason.
+	NoEffect
+	// Unknown orders had no answer. They may take effect up to lateTime later.
+	Unknown
+)
+
+// keyState is what the controller knows of one key.
+type keyState struct {
+	// count was ordered last, at sentAt.
+	count   int
+	sentAt  time.Time
+	outcome Outcome
+	// raisedAt is when the count was last raised.
+	raisedAt time.Time
+	// restored is set if the order is that of the previous holder of the duty; sentAt is
+	// then when this holder took the duty, since the time of the order is not known.
+	restored bool
+}
+
+// pending returns until when servers that the order asked for may still be starting.
+func (s *keyState) pending(startup time.Duration) time.Time {
+	switch {
+	case s.outcome == Accepted:
+		return s.sentAt.Add(startup + startMargin)
+	case s.outcome == Unknown:
+		return s.sentAt.Add(startup + lateTime)
+	}
+	return s.sentAt
+}
+
+// Controller decides on the orders for one service while this node holds the duty. It is
+// not safe for concurrent use.
+type Controller struct {
+	orders  map[Key]*keyState
+	tracker *plan.OrderTracker[Key]
+	// refusedUntil holds the failure domains where reclaimable servers were refused. It
+	// keeps a failure domain until an order there is accepted.
+	refusedUntil map[string]time.Time
+	// initial is the number of engines that ran or were starting when the duty was taken;
+	// -1 until the first decision. takenOver is set if a previous holder had ordered some.
+	initial   int
+	takenOver bool
+	// minPerClass is set once the platform has kept the minimum of a failure domain for
+	// standard servers alone, although reclaimable ones run there.
+	minPerClass bool
+	// demands are the needs for the demand over peakWindow.
+	demands []timedValue
+	need    Need
+	// minimum is the number of engines kept where no reclaimable servers are offered.
+	minimum int
+	// lastDecode is when engines were last changed to the decode role.
+	lastDecode time.Time
+}
+
+// NewController returns a controller for a holder that took the duty at the given time.
+// restored holds the counts that the previous holder had ordered, and total the engines
+// that it had decided on; both may be empty. They are not reasons to order anything where
+// reclaimable servers are offered: total may be too high, and it says nothing of the
+// demand.
+func NewController(heldSince time.Time, total int, restored map[Key]int) *Controller {
+	c := &Controller{
+		initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
+		tracker: plan.NewOrderTracker[Key](), refusedUntil: make(map[string]time.Time),
+	}
+	for k, n := range restored {
+		c.orders[k] = &keyState{count: n, sentAt: heldSince, raisedAt: heldSince, restored: true}
+	}
+	return c
+}
+
+// State returns what the next holder needs to know: the engines decided on and the counts
+// ordered.
+func (c *Controller) State() (total int, ordered map[Key]int) {
+	ordered = make(map[Key]int, len(c.orders))
+	for k, s := range c.orders {
+		if s.outcome == Accepted || s.outcome == Unknown {
+			ordered[k] = s.count
+		}
+	}
+	return int(math.Ceil(c.need.Running)), ordered
+}
+
+// Unavailable reports whether reclaimable servers are assumed to be unavailable in a
+// failure domain.
+func (c *Controller) Unavailable(now time.Time, domain string) bool {
+	return now.Before(c.refusedUntil[domain])
+}
+
+// Record stores the outcome of an order that Orders returned.
+func (c *Controller) Record(now time.Time, v *plan.ScalingView, o Order, outcome Outcome) {
+	c.tracker.Record(now, o.Key, o.Count, o.Present, outcome != Accepted)
+	s := &keyState{count: o.Count, sentAt: now, outcome: outcome}
+	if old := c.orders[o.Key]; old != nil {
+		s.raisedAt = old.raisedAt
+	}
+	if o.Count > o.Present {
+		s.raisedAt = now
+	}
+	c.orders[o.Key] = s
+	switch {
+	case o.Reclaimable && outcome == Refused:
+		c.refusedUntil[o.FailureDomain] = now.Add(refusalTime)
+	case o.Reclaimable && outcome == Accepted && o.Count > o.Present:
+		delete(c.refusedUntil, o.FailureDomain)
+	case !o.Reclaimable && outcome == NoEffect && o.Count < v.MinPerDomain:
+		c.minPerClass = true
+	}
+}
+
+// Need returns the need that the last orders were computed from.
+func (c *Controller) Need() Need { return c.need }
+
+// Orders returns the orders that are due. Within a failure domain a class is reduced
+// before the other is raised, because the maximum covers both. The caller sends and
+// records them, and asks again if one was refused.
+func (c *Controller) Orders(now time.Time, v *plan.ScalingView, d *Demand) []Order {
+	t := c.newTargets(now, v)
+	if c.initial < 0 {
+		c.initial = t.countAll()
+	}
+	c.updateNeed(now, v, d)
+	if v.ReclaimablePrice <= 0 || v.ReclaimablePrice >= 1 {
+		return c.standardOrders(now, v)
+	}
+	t.setMinStandard()
+	t.place()
+	t.releaseStandard()
+	t.releaseReclaimable()
+	t.applyLimits()
+	var lower, raise []Order
+	for _, domain := range v.FailureDomains {
+		for _, reclaimable := range []bool{false, true} {
+			key := Key{domain, reclaimable}
+			count, running := t.count[key], t.running[key]
+			if count == running || reclaimable && count > running && !t.available[domain] {
+				continue
+			}
+			if !c.tracker.Due(now, key, count, running) {
+				continue
+			}
+			o := Order{Key: key, Count: count, Present: running, Reason: t.reason[key]}
+			if count < running {
+				lower = append(lower, o)
+			} else {
+				raise = append(raise, o)
+			}
+		}
+	}
+	return append(lower, raise...)
+}
+
+// standardOrders returns the orders where no reclaimable servers are offered. The number
+// of servers then follows the greatest demand since the duty was taken.
+func (c *Controller) standardOrders(now time.Time, v *plan.ScalingView) []Order {
+	c.minimum = max(c.minimum, c.initial)
+	v.MinEngines = c.minimum
+	if v.PromptTokensPerSecond > 0 || c.tracker.Empty() {
+		c.minimum = max(c.minimum, v.EnginesPerDomain()*len(v.FailureDomains))
+		v.MinEngines = c.minimum
+	}
+	c.need.Total = float64(c.minimum)
+	targets := plan.TargetCapacity(v)
+	var orders []Order
+	for _, d := range v.FailureDomains {
+		k := Key{d, false}
+		running, count := v.RunningEngines(d, false), targets[d].Standard
+		if c.tracker.Due(now, k, count, running) {
+			orders = append(orders, Order{Key: k, Count: count, Present: running, Reason: c.need.Reason})
+		}
+	}
+	return orders
+}
+
+const (
+	// prefillHold is how long after a change to decode no engine changes to prefill. It
+	// covers a period of the load, so that engines don't change back and forth while the
+	// mix of prompts and answers shifts.
+	prefillHold = 12 * time.Second
+)
+
+// RoleChanges returns at most limit role changes. Changes to decode are never held back,
+// because no stream runs without a decode engine.
+func (c *Controller) RoleChanges(now time.Time, v *plan.ScalingView, limit int) []plan.RoleAssignment {
+	changes := v.RoleChanges(limit)
+	held := !c.lastDecode.IsZero() && now.Sub(c.lastDecode) < prefillHold
+	kept := changes[:0]
+	for _, change := range changes {
+		if change.Prefill && held {
+			continue
+		}
+		if !change.Prefill {
+			c.lastDecode = now
+		}
+		kept = append(kept, change)
+	}
+	return kept
+}
--- /dev/null
+++ b/plan/scaler/need.go
@@ -0,0 +1,90 @@
+package scaler
+
+import (
+	"time"
+
+	"github.com/figweir/figweir/plan"
+)
+
+const (
+	// startupHeadroom is the spare capacity, as a fraction of the initial engines, until
+	// the demand is known.
+	startupHeadroom = 0.4
+	// maxForecastGrowth limits how far the need may exceed the recent peak because the
+	// demand grows. The slope of a wave predicts more than its crest.
+	maxForecastGrowth = 1.15
+	// hardPrefillLoad and hardDecodeLoad are the utilization that a failure domain's
+	// reclaim may cause until replacements run. Above it, queues grow without bound or
+	// requests wait for slots.
+	hardPrefillLoad, hardDecodeLoad = 0.9, 0.8
+)
+
+// Need is how many engines of speed 1 the demand requires.
+type Need struct {
+	// Total keeps the utilization at its targets at the recent peak, and contains the
+	// headroom while the demand is unknown. Running is Total without that headroom.
+	Total, Running float64
+	// Hard is the least that must run, also after the reclaim of a failure domain.
+	Hard float64
+	// Floor is the number of engines that is kept until the demand has been observed
+	// over a full period; 0 after that.
+	Floor int
+	// Kept is the greatest need for the demand over peakWindow, or what Total contains
+	// besides. Only what exceeds it is released.
+	Kept float64
+	// PrefillLoad and DecodeLoad are the utilization targets.
+	PrefillLoad, DecodeLoad float64
+	// Reason names what determined Total: "start-up headroom", "initial engines",
+	// "demand" or "reserve for a reclaim".
+	Reason string
+	// Stale is set if the last sample of the demand is too old to release servers.
+	Stale bool
+}
+
+// updateNeed computes the need and adds it to the recent ones.
+func (c *Controller) updateNeed(now time.Time, v *plan.ScalingView, d *Demand) {
+	n := Need{
+		Reason: "demand", Stale: d.Age(now) > maxSampleAge,
+		PrefillLoad: v.Needs.PrefillLoad(v.PrefillTokensPerSecond), DecodeLoad: v.Needs.DecodeLoad(),
+	}
+	tokens, streams := d.PromptTokens(), d.Streams()
+	known := v.Slots > 0 && v.PrefillTokensPerSecond > 0 && tokens.RecentPeak > 0
+	if known {
+		rate, slots := v.PrefillTokensPerSecond, float64(v.Slots)
+		prefill := forecast(tokens, v.StartupTime) / (rate * n.PrefillLoad)
+		decode := forecast(streams, v.StartupTime) / (slots * n.DecodeLoad)
+		n.Running = prefill + max(decode, float64(len(v.FailureDomains)))
+		n.Hard = tokens.RecentPeak/(rate*hardPrefillLoad) + streams.RecentPeak/(slots*hardDecodeLoad)
+		// With the engines spread evenly, the reclaim of one failure domain leaves the
+		// rest.
+		if domains := float64(len(v.FailureDomains)); domains > 1 {
+			if reserve := n.Hard * domains / (domains - 1); reserve > n.Running {
+				n.Running, n.Reason = reserve, "reserve for a reclaim"
+			}
+		}
+	}
+	c.demands = append(c.demands, timedValue{now, n.Running})
+	for now.Sub(c.demands[0].at) > peakWindow {
+		c.demands = c.demands[1:]
+	}
+	for _, t := range c.demands {
+		n.Kept = max(n.Kept, t.value)
+	}
+	if !known || !v.DemandSettled {
+		n.Floor = c.initial
+		if float64(n.Floor) > n.Running {
+			n.Running, n.Reason = float64(n.Floor), "initial engines"
+		}
+	}
+	n.Total = n.Running
+	if !known && !c.takenOver {
+		n.Total, n.Reason = max(n.Total, float64(n.Floor)*(1+startupHeadroom)), "start-up headroom"
+	}
+	n.Kept = max(n.Kept, n.Total)
+	c.need = n
+}
+
+// forecast returns the demand to provide for when a server ordered now accepts requests.
+func forecast(e Estimate, startup time.Duration) float64 {
+	return max(e.RecentPeak, min(e.Mean+e.Slope*startup.Seconds(), e.RecentPeak*maxForecastGrowth))
+}
--- /dev/null
+++ b/plan/scaler/scaler_test.go
@@ -0,0 +1,370 @@
+package scaler
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figweir/figweir/plan"
+)
+
+const (
+	tick       = 500 * time.Millisecond
+	startup    = 4 * time.Second
+	engineRate = 50_000.0
+	slots      = 64
+)
+
+// simulation is a platform with one service. Engines of all roles share their work.
+type simulation struct {
+	t          *testing.T
+	now, start time.Time
+	engines    []plan.Engine
+	view       plan.ScalingView
+	demand     Demand
+	controller *Controller
+	tokens     float64
+	// load returns the prompt tokens per second and the streams at a time.
+	load func(time.Duration) (float64, int)
+	// refuses holds the failure domains without reclaimable engines.
+	refuses map[string]bool
+	// reply is the outcome of orders that are not refused, and delay how much later they
+	// are carried out.
+	reply  Outcome
+	delay  func() time.Duration
+	events []event
+	// speed of new engines.
+	speed func(n int) float64
+
+	started             map[bool]int
+	released            []timedValue
+	orderedAgain, calls int
+	releases            int
+	withoutRoom         time.Duration
+	mostEngines         int
+	cost                float64
+	log                 bool
+}
+
+// event is something that the platform does at a time.
+type event struct {
+	at time.Time
+	do func()
+}
+
+func newSimulation(t *testing.T, initial int, load func(time.Duration) (float64, int)) *simulation {
+	start := time.Unix(1000, 0)
+	s := &simulation{
+		t: t, now: start, start: start, load: load, refuses: map[string]bool{}, delay: func() time.Duration { return 0 },
+		log: testing.Verbose(), speed: func(int) float64 { return 1 }, started: map[bool]int{},
+		view: plan.ScalingView{
+			FailureDomains: []string{"a", "b", "c", "d"}, MinPerDomain: 2, MaxPerDomain: 26, ReclaimablePrice: 0.18,
+			Slots: slots, PrefillTokensPerSecond: engineRate, StartupTime: startup,
+			Needs: plan.LatencyNeeds{
+				TargetLatency: 400 * time.Millisecond, PromptTokens: 10_000,
+				TargetPause: 300 * time.Millisecond, EventPause: 60 * time.Millisecond, DecodeOccupancy: 0.25,
+			},
+		},
+	}
+	for i := range initial {
+		s.addEngine(s.view.FailureDomains[i%4], false)
+	}
+	s.controller = NewController(start, 0, nil)
+	return s
+}
+
+func (s *simulation) addEngine(domain string, reclaimable bool) {
+	n := len(s.events) + s.started[true] + s.started[false]
+	s.started[reclaimable]++
+	s.engines = append(s.engines, plan.Engine{
+		ID: fmt.Sprintf("%s%d", domain, n), FailureDomain: domain, Reclaimable: reclaimable, Speed: s.speed(n),
+	})
+}
+
+func (s *simulation) at(after time.Duration, do func()) {
+	s.events = append(s.events, event{s.start.Add(after), do})
+}
+
+func (s *simulation) count(domain string, reclaimable bool) int {
+	return (&plan.ScalingView{Engines: s.engines}).RunningEngines(domain, reclaimable)
+}
+
+// carryOut applies an order: engines beyond the count stop at once, missing ones start.
+func (s *simulation) carryOut(o Order) {
+	if o.Reclaimable && s.refuses[o.FailureDomain] && o.Count > s.count(o.FailureDomain, true) {
+		return
+	}
+	for over := s.count(o.FailureDomain, o.Reclaimable) - o.Count; over > 0; over-- {
+		i := slices.IndexFunc(s.engines, func(e plan.Engine) bool {
+			return e.FailureDomain == o.FailureDomain && e.Reclaimable == o.Reclaimable
+		})
+		s.engines = slices.Delete(s.engines, i, i+1)
+		s.released = append(s.released, timedValue{s.now, 1})
+		s.releases++
+	}
+	s.events = append(s.events, event{s.now.Add(startup), func() {
+		for s.count(o.FailureDomain, o.Reclaimable) < o.Count {
+			s.addEngine(o.FailureDomain, o.Reclaimable)
+			// A start within 20 s of a release is a server ordered again.
+			if n := len(s.released); n > 0 && s.now.Sub(s.released[n-1].at) < 20*time.Second {
+				s.released = s.released[:n-1]
+				s.orderedAgain++
+			}
+		}
+	}})
+}
+
+// reclaim ends all reclaimable engines of a failure domain, which provides none for some
+// time.
+func (s *simulation) reclaim(domain string, none time.Duration) {
+	s.engines = slices.DeleteFunc(s.engines, func(e plan.Engine) bool { return e.FailureDomain == domain && e.Reclaimable })
+	s.refuses[domain] = true
+	s.events = append(s.events, event{s.now.Add(none), func() { s.refuses[domain] = false }})
+}
+
+// run plays the load for a time, measuring from the given start on.
+func (s *simulation) run(until time.Duration) {
+	for s.now.Sub(s.start) < until {
+		s.now = s.now.Add(tick)
+		for i := 0; i < len(s.events); i++ {
+			if e := s.events[i]; e.do != nil && !s.now.Before(e.at) {
+				s.events[i].do = nil
+				e.do()
+			}
+		}
+		rate, streams := s.load(s.now.Sub(s.start))
+		s.tokens += rate * tick.Seconds()
+		s.demand.Observe(s.now, uint64(s.tokens), streams)
+		s.view.Engines = slices.Clone(s.engines)
+		s.view.DemandSettled = s.demand.Settled(s.now)
+		s.view.PromptTokensPerSecond, s.view.Streams = s.demand.PromptTokens().Peak, s.demand.Streams().Peak
+		for range 2 {
+			for _, o := range s.controller.Orders(s.now, &s.view, &s.demand) {
+				s.send(o)
+			}
+		}
+		if s.view.Speed() < rate/engineRate+float64(streams)/slots {
+			s.withoutRoom += tick
+		}
+		s.mostEngines = max(s.mostEngines, len(s.engines))
+		s.cost += tick.Seconds() * (float64(s.count("", false)) + s.view.ReclaimablePrice*float64(s.count("", true)))
+		if s.log {
+			s.t.Logf("%5.1f s: need %.1f hard %.1f, %d standard, %d reclaimable", s.now.Sub(s.start).Seconds(), s.controller.need.Total, s.controller.need.Hard, s.count("", false), s.count("", true))
+		}
+	}
+}
+
+func (s *simulation) send(o Order) {
+	s.calls++
+	outcome := s.reply
+	if s.reply == Accepted && o.Reclaimable && s.refuses[o.FailureDomain] && o.Count > s.count(o.FailureDomain, true) {
+		outcome = Refused
+	} else if d := s.delay(); d > 0 {
+		s.events = append(s.events, event{s.now.Add(d), func() { s.carryOut(o) }})
+	} else {
+		s.carryOut(o)
+	}
+	if s.log {
+		s.t.Logf("%5.1f s: order %+v outcome %d", s.now.Sub(s.start).Seconds(), o, outcome)
+	}
+	s.controller.Record(s.now, &s.view, o, outcome)
+}
+
+// reset forgets what was measured so far.
+func (s *simulation) reset() {
+	s.orderedAgain, s.calls, s.withoutRoom, s.mostEngines, s.cost, s.released = 0, 0, 0, 0, 0, nil
+}
+
+// wave is a load of 800,000 tokens a second and 350 streams on average, with the period
+// and the amplitude of a uneven day. It begins after 10 s.
+func wave(at time.Duration) (float64, int) {
+	if at < 10*time.Second {
+		return 0, 0
+	}
+	f := 1 + 0.27*math.Sin(2*math.Pi*at.Seconds()/11)
+	return 800_000 * f, int(350 * f)
+}
+
+// steadyNeed is the number of engines that the wave requires at its targets.
+const steadyNeed = 48
+
+// Guards against a day of sixty standard engines, and against servers that are given back
+// in each trough of a wave and ordered again.
+func TestWave(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.run(9500 * time.Millisecond)
+	is.True(s.count("", false) <= 8) // before the first traffic
+	s.run(26 * time.Second)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	s.reset()
+	s.run(90 * time.Second)
+	t.Log("engines", s.mostEngines, "ordered again", s.orderedAgain, "calls", s.calls, "cost", s.cost)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	is.True(s.mostEngines <= steadyNeed*115/100)
+	is.Equal(s.orderedAgain, 0)
+	is.True(s.calls <= 8)
+	is.Equal(s.count("", false), 4)
+}
+
+// Guards against a burst that begins when the fewest engines run, and against engines that
+// are kept for ever after it.
+func TestBurstOnTrough(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, func(at time.Duration) (float64, int) {
+		rate, streams := wave(at)
+		if at > 52*time.Second && at < 60*time.Second {
+			return rate * 2, streams * 2
+		}
+		return rate, streams
+	})
+	s.run(52 * time.Second)
+	s.reset()
+	s.run(62 * time.Second)
+	t.Log("engines", s.mostEngines, "without room", s.withoutRoom)
+	is.True(s.withoutRoom <= startup)
+	is.True(s.mostEngines <= 2*steadyNeed)
+	s.run(100 * time.Second)
+	s.reset()
+	s.run(120 * time.Second)
+	is.True(s.mostEngines <= steadyNeed*115/100)
+	is.Equal(s.orderedAgain, 0)
+}
+
+// Guards against counting engines of half speed as whole ones.
+func TestUnevenSpeeds(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.speed = func(n int) float64 { return []float64{0.5, 0.7, 1, 1.2}[n%4] }
+	s.run(40 * time.Second)
+	s.reset()
+	s.run(90 * time.Second)
+	t.Log("engines", s.mostEngines, "speed", s.view.Speed(), "ordered again", s.orderedAgain)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	is.True(s.view.Speed() >= steadyNeed*85/100)
+	is.True(s.view.Speed() <= steadyNeed*120/100)
+	is.True(s.orderedAgain <= 2)
+}
+
+// Guards against orders for each shift between long prompts and long answers, which is
+// faster than an engine starts.
+func TestShiftingMix(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, func(at time.Duration) (float64, int) {
+		rate, streams := wave(at)
+		if int(at/(2800*time.Millisecond))%2 == 0 {
+			return rate * 1.5, streams / 2
+		}
+		return rate / 2, streams * 3 / 2
+	})
+	s.run(40 * time.Second)
+	s.reset()
+	s.run(100 * time.Second)
+	t.Log("engines", s.mostEngines, "ordered again", s.orderedAgain, "calls", s.calls)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	is.True(s.mostEngines <= 2*steadyNeed)
+	is.True(s.orderedAgain <= 4)
+	is.True(s.calls <= 24)
+}
+
+// Guards against standard engines at five times the price for a failure domain that
+// provides no reclaimable ones, and against an order there in each round.
+func TestDomainThatGivesNone(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.refuses["b"] = true
+	s.run(40 * time.Second)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	s.reset()
+	s.run(90 * time.Second)
+	t.Log("engines", s.mostEngines, "standard", s.count("", false), "calls", s.calls)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	is.True(s.mostEngines <= steadyNeed*125/100)
+	is.True(s.count("", false) <= 5)
+	is.True(s.calls <= 12)
+}
+
+// Guards against standard engines ordered for every engine of a reclaimed failure domain,
+// and against more engines than before once it provides some again.
+func TestReclaimOfDomain(t *testing.T) {
+	for _, at := range []time.Duration{14 * time.Second, 50 * time.Second} {
+		is := is.New(t)
+		s := newSimulation(t, 60, wave)
+		s.at(at, func() { s.reclaim("a", 8*time.Second) })
+		s.run(at - tick)
+		s.reset()
+		s.run(at + 12*time.Second)
+		t.Log("engines", s.mostEngines, "standard", s.count("", false), "without room", s.withoutRoom, "calls", s.calls)
+		is.Equal(s.withoutRoom, time.Duration(0))
+		is.True(s.count("", false) <= 12)
+		s.run(at + 60*time.Second)
+		s.reset()
+		s.run(at + 90*time.Second)
+		is.True(s.mostEngines <= steadyNeed*120/100)
+		is.True(s.count("", false) <= 5)
+		is.Equal(s.orderedAgain, 0)
+	}
+}
+
+// Guards against a new holder of the duty that releases what the previous one has ordered
+// and what still starts, and against one that keeps an inflated number for ever.
+func TestHolderReplacedInTheMiddle(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.run(20 * time.Second)
+	s.reclaim("a", time.Second)
+	s.run(21 * time.Second)
+	total, ordered := s.controller.State()
+	before := s.releases
+	s.controller = NewController(s.now, total+40, ordered) // a minimum of the previous holder that is too high
+	s.demand = Demand{}                                    // which was not told to this node before
+	s.run(28 * time.Second)
+	is.Equal(s.releases, before)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	s.run(70 * time.Second)
+	t.Log("engines", len(s.engines))
+	is.True(len(s.engines) <= steadyNeed*120/100)
+	is.True(s.count("", false) <= 5)
+}
+
+// Guards against orders that are repeated elsewhere because they were not answered, so
+// that twice as many servers come when they are carried out 2 to 12 s late.
+func TestUnansweredOrdersCarriedOutLate(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.run(40 * time.Second)
+	s.reset()
+	n := 0
+	s.reply = Unknown
+	s.delay = func() time.Duration { n++; return time.Duration(2+n*5%11) * time.Second }
+	s.reclaim("a", time.Second)
+	s.run(60 * time.Second)
+	t.Log("engines", s.mostEngines, "without room", s.withoutRoom, "calls", s.calls)
+	is.Equal(s.withoutRoom, time.Duration(0))
+	is.True(s.mostEngines <= steadyNeed*140/100)
+	s.reply, s.delay = Accepted, func() time.Duration { return 0 }
+	s.run(120 * time.Second)
+	s.reset()
+	s.run(140 * time.Second)
+	is.True(s.mostEngines <= steadyNeed*120/100)
+	is.Equal(s.orderedAgain, 0)
+}
+
+// Guards against a demand that is overestimated many times because a call without an
+// answer blocked the sampling loop.
+func TestDemandAfterDelayedSample(t *testing.T) {
+	is := is.New(t)
+	var d Demand
+	now, tokens := time.Unix(1000, 0), uint64(0)
+	for _, gap := range []time.Duration{500, 500, 500, 2500, 10, 490, 500, 3000, 500} {
+		now = now.Add(gap * time.Millisecond)
+		tokens += uint64(gap) // 1,000 tokens a second
+		d.Observe(now, tokens, 1)
+	}
+	is.True(d.PromptTokens().Peak <= 1000)
+	is.True(d.PromptTokens().Mean > 0)
+}
--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -1,6 +1,9 @@
 package plan
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Engine describes a running engine of the service to scale.
 type Engine struct {
@@ -12,6 +15,20 @@
 	Reclaimable bool
 	// Requests is the number of requests in progress.
 	Requests int
+	// Speed is the measured speed of the engine relative to a usual one; 0 counts as 1.
+	Speed float64
+}
+
+// minSpeed limits how slow an engine may count. An engine that measures slower than a
+// tenth of the usual speed has stopped rather than become slow, and it may recover.
+const minSpeed = 0.1
+
+// RelativeSpeed returns the speed of the engine relative to a usual one.
+func (e Engine) RelativeSpeed() float64 {
+	if !(e.Speed > 0) || math.IsInf(e.Speed, 1) {
+		return 1
+	}
+	return max(e.Speed, minSpeed)
 }
 
 // ScalingView is the state of one service that its target capacity depends on.
@@ -44,8 +61,15 @@
 	DemandSettled bool
 	// Slots is the number of streams that one engine decodes concurrently.
 	Slots int
-	// PrefillTokensPerSecond is the prompt throughput of one prefill engine.
+	// PrefillTokensPerSecond is the prompt throughput of one prefill engine of speed 1.
 	PrefillTokensPerSecond float64
+	// Prices holds the price of a server-second by failure domain; a missing one
+	// counts as 1.
+	Prices map[string]float64
+	// StartupTime is the time from an order until the engine accepts requests.
+	StartupTime time.Duration
+	// Needs holds the inputs of the utilization of engines.
+	Needs LatencyNeeds
 }
 
 // Capacity is the number of engines of each class in one failure domain.
@@ -193,6 +217,15 @@
 	return c.Standard
 }
 
+// Speed returns the sum of the speeds of the running engines.
+func (v *ScalingView) Speed() float64 {
+	sum := 0.0
+	for _, e := range v.Engines {
+		sum += e.RelativeSpeed()
+	}
+	return sum
+}
+
 // count counts the engines of a failure domain, or all engines if domain is
 // empty.
 func (v *ScalingView) count(domain string) Capacity {
--- a/plan/scalingroles.go
+++ b/plan/scalingroles.go
@@ -19,7 +19,7 @@
 	if v.PromptTokensPerSecond <= 0 || v.PrefillTokensPerSecond <= 0 {
 		return 0
 	}
-	return v.PromptTokensPerSecond / (v.PrefillTokensPerSecond * prefillLoad)
+	return v.PromptTokensPerSecond / (v.PrefillTokensPerSecond * v.Needs.PrefillLoad(v.PrefillTokensPerSecond))
 }
 
 // decodeNeed returns the number of decode engines required for the streams; 0
@@ -28,7 +28,7 @@
 	if v.Streams <= 0 || v.Slots <= 0 {
 		return 0
 	}
-	return math.Ceil(v.Streams / (decodeLoad * float64(v.Slots)))
+	return math.Ceil(v.Streams / (v.Needs.DecodeLoad() * float64(v.Slots)))
 }
 
 // DecodeEngines returns the target number of decode engines: as many as the
@@ -67,7 +67,7 @@
 		domains = append(domains, d)
 	}
 	slices.Sort(domains)
-	total, decoding := v.DecodeEngines(), v.decoding()
+	total, decoding := v.DecodeEngines(), v.DecodingEngines()
 	toDecode := max(0, total-decoding)
 	toPrefill := v.surplusToPrefill(decoding - total)
 	want := spreadDecode(decoding+toDecode-toPrefill, domains, byDomain)
@@ -100,12 +100,12 @@
 	if need == 0 {
 		return surplus
 	}
-	missing := int(math.Ceil(need)) - (len(v.Engines) - v.decoding())
+	missing := int(math.Ceil(need)) - (len(v.Engines) - v.DecodingEngines())
 	return min(surplus, max(0, missing))
 }
 
-// decoding returns the number of decode engines.
-func (v *ScalingView) decoding() int {
+// DecodingEngines returns the number of engines that decode now.
+func (v *ScalingView) DecodingEngines() int {
 	n := 0
 	for _, e := range v.Engines {
 		n += boolToInt(!e.Prefill)
