--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -52,13 +52,10 @@
 }
 
 // register writes the entry under a new lease. It replaces the entry of an earlier incarnation or
-// of a copy of the store, which remains until its lease lapses.
+// of a copy of the store, which remains until its lease lapses. Mostly there is none, so the entry is
+// read only after a conflict: a call of each node counts when all nodes start.
 func (a *announcer) register(ctx context.Context) error {
 	key := nodesPrefix + a.nodes.self.Name
-	old, err := a.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
 	lease, err := a.store.Grant(ctx, nodeLease)
 	if err != nil {
 		return err
@@ -69,7 +66,15 @@
 	if err != nil {
 		return err
 	}
-	if _, err := a.store.Put(ctx, key, raw, old.Revision, lease); err != nil {
+	_, err = a.store.Put(ctx, key, raw, 0, lease)
+	if errors.Is(err, store.ErrConflict) {
+		var old store.Entry
+		old, err = a.store.Get(ctx, key)
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			_, err = a.store.Put(ctx, key, raw, old.Revision, lease)
+		}
+	}
+	if err != nil {
 		return err
 	}
 	a.lease = lease
