capacity, backends: use the speed that servers state

Cause: servers may state in a fourth figure of their load header how long work takes there now. parseLoad accepted exactly three figures and dropped these headers, and all engines counted as equally fast. Decode engines were chosen by 0.5 ms for each running request, whatever pause their streams had.

Change: package capacity holds one model for each incarnation of a server (slowdown, prompt rate, event time) and learns how the time between events grows with the requests that a node counts. platform parses three or four figures strictly, and counts and logs malformed headers. For servers that have stated their speed, backends scales the prompt rate and the score of plain services and chooses decode engines by the pause that is expected there against the route's target pause. core reports events to the choice. All others take the former path. engineCost no longer allocates for each candidate, and the clock is converted once for each choice, which pays for the estimate.

TestInvalidLoadIsIgnored took "1,0,4,5" as invalid because it has four fields; four fields are valid now. The test is stricter in its place: five fields, empty ones, zero, negative, huge and non-decimal speeds, a plus sign and two headers are invalid.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/figweir/figweir/capacity"
 )
 
 // PeerLoad provides the load that other nodes have reported.
@@ -31,8 +33,9 @@
 	// promptTokens counts the prompt tokens that were sent to engines and were not
 	// expected to be cached.
 	promptTokens atomic.Uint64
-	prefillRate  rateEstimator
-	decodeRate   rateEstimator
+	prefillRate  capacity.PromptRate
+	decodeRate   capacity.PromptRate
+	eventTimes   eventTimes
 	// limits are the rate limits of the servers.
 	limits RateLimits
 }
@@ -41,11 +44,11 @@
 // and that were not expected to be cached. The count never decreases.
 func (b *Balancer) PromptTokens() uint64 { return b.promptTokens.Load() }
 
-// PrefillTokensPerSecond returns the estimated rate at which one prefill engine
-// processes prompt tokens.
+// PrefillTokensPerSecond returns the estimated rate at which one prefill engine at its usual
+// speed processes prompt tokens.
 func (b *Balancer) PrefillTokensPerSecond() float64 {
 	const millisPerSecond = 1000
-	return b.prefillRate.tokensPerMilli(prefillTokensPerMilli) * millisPerSecond
+	return b.prefillRate.TokensPerMilli(prefillTokensPerMilli) * millisPerSecond
 }
 
 // NewBalancer returns a balancer for a node in the given failure domain. cell returns
@@ -119,15 +122,15 @@
 	healthy = make([]*Server, 0, len(servers))
 	// failing are the decode engines that have failed too often.
 	var failing []*Server
+	at := sinceEpoch(now)
 	for _, s := range servers {
-		if criteria.excluded(s.ID) || s.declines(now) {
+		if criteria.excluded(s.ID) || s.declinesAt(at) {
 			continue
 		}
-		suspended, failureRate := s.stats.health(now)
 		switch {
-		case suspended || s.isChangingRole(now):
+		case s.stats.suspendedAt(at) || s.isChangingRole(now):
 			unhealthy = append(unhealthy, s)
-		case failureRate <= maxHealthyFailureRate:
+		case s.stats.failedShare() <= maxHealthyFailureRate:
 			healthy = append(healthy, s)
 		case isDecodeEngine(s):
 			failing = append(failing, s)
@@ -167,11 +170,13 @@
 	var best *Server
 	bestScore := 0.0
 	for _, s := range servers {
-		_, failureRate := s.stats.health(now)
 		slots := float64(max(1, s.Slots))
 		requests, _ := b.load(now, s)
 		score := requests / slots
-		score += failurePenalty * failureRate
+		if s.stats.model.StatesSpeed() {
+			score = scaledShare(requests, slots, s.stats.model.Slowdown(now))
+		}
+		score += failurePenalty * s.stats.failedShare()
 		if s.FailureDomain != b.failureDomain {
 			score += crossDomainPenalty
 		}
@@ -233,11 +238,17 @@
 	uncachedTokens int
 	// queueMillis is the time until the prompts ahead have been processed.
 	queueMillis float64
+	// promptMillis is the time to process the tokens that are not cached.
+	promptMillis float64
+	// pauseMillis is the expected time between the events of streams there, without the effect
+	// of this prompt; 0 if unknown. pausePenalty is the latency that is accepted to avoid it.
+	pauseMillis, pausePenalty float64
 }
 
 // engineCost estimates the cost of a request on an engine. preferred is set for the
-// first preferred server of the prompt.
-func (b *Balancer) engineCost(now time.Time, s *Server, criteria *Criteria, preferred bool) engineCost {
+// first preferred server of the prompt. usualRate and eventTime are those of engines of its
+// role and service at their usual speed.
+func (b *Balancer) engineCost(now time.Time, s *Server, criteria *Criteria, preferred bool, usualRate float64, eventTime *capacity.EventTime) engineCost {
 	p := criteria.Prompt
 	uncached := 0
 	if !criteria.Prefilled {
@@ -249,18 +260,24 @@
 			uncached = p.OwnTokens()
 		}
 	}
-	rate := b.prefillRate.tokensPerMilli(prefillTokensPerMilli)
-	if s.Role == RoleDecode {
-		rate = b.decodeRate.tokensPerMilli(decodeTokensPerMilli)
+	rate := usualRate
+	var estimate capacity.Estimate
+	if s.stats.model.StatesSpeed() {
+		estimate = s.stats.model.At(now)
+		rate = promptRate(&estimate, usualRate)
 	}
 	inflight, queued := b.load(now, s)
-	c := engineCost{server: s, uncachedTokens: uncached, queueMillis: queued / rate}
-	c.totalMillis = c.queueMillis + float64(uncached)/rate + runningRequestMillis*inflight
+	c := engineCost{server: s, uncachedTokens: uncached, queueMillis: queued / rate, promptMillis: float64(uncached) / rate}
+	c.totalMillis = c.queueMillis + c.promptMillis
+	if estimate.StatesSpeed {
+		c.addPause(&estimate, criteria, inflight, eventTime)
+	} else {
+		c.totalMillis += runningRequestMillis * inflight
+	}
 	if s.Slots > 0 && inflight >= float64(s.Slots) {
 		c.totalMillis += fullPenaltyMillis
 	}
-	_, failureRate := s.stats.health(now)
-	c.totalMillis += fullPenaltyMillis * failureRate
+	c.totalMillis += fullPenaltyMillis * s.stats.failedShare()
 	if _, limited := b.limits.Limit(s.Incarnation); limited {
 		c.totalMillis += limitedPenaltyMillis
 	}
@@ -278,8 +295,8 @@
 // has been processed. A prompt is processed on a separate prefill engine if that is expected to
 // be faster, including the transfer of the KV cache and the penalty for pauses in other streams.
 func (b *Balancer) pickEngine(now time.Time, criteria *Criteria, servers []*Server) (pick, error) {
-	decode := b.cheapestEngine(now, criteria, servers, RoleDecode)
-	if decode == nil {
+	decode, ok := b.cheapestEngine(now, criteria, servers, RoleDecode)
+	if !ok {
 		return pick{}, ErrFull
 	}
 	if criteria.Prefilled {
@@ -290,10 +307,9 @@
 	if criteria.Resumed {
 		return unsplit, nil
 	}
-	prefill := b.cheapestEngine(now, criteria, servers, RolePrefill)
-	if prefill != nil {
+	if prefill, ok := b.cheapestEngine(now, criteria, servers, RolePrefill); ok {
 		splitMillis := prefill.totalMillis + transferMillis(criteria, prefill.server, decode.server)
-		if splitMillis < decode.totalMillis+b.pausePenaltyMillis(decode, criteria) {
+		if splitMillis < decode.totalMillis+pausePenaltyMillis(&decode, criteria) {
 			split := pick{server: prefill.server, prefill: true, uncachedTokens: prefill.uncachedTokens, estimateMillis: splitMillis}
 			return split, criteria.checkCallerTimeout(prefill.totalMillis)
 		}
@@ -320,33 +336,37 @@
 // pausePenaltyMillis returns the latency that is accepted to keep a prompt off a decode
 // engine. The engine processes prompt chunks between the decode steps of its streams,
 // and one event may hold several tokens, so a long prompt makes all streams pause.
-func (b *Balancer) pausePenaltyMillis(decode *engineCost, criteria *Criteria) float64 {
+func pausePenaltyMillis(decode *engineCost, criteria *Criteria) float64 {
 	if criteria.TargetPause <= 0 {
 		return 0
 	}
-	allowedMillis := promptPauseShare * float64(criteria.TargetPause/time.Millisecond)
-	rate := b.decodeRate.tokensPerMilli(decodeTokensPerMilli)
-	promptMillis := float64(decode.uncachedTokens)/rate + decode.queueMillis
+	targetMillis := float64(criteria.TargetPause / time.Millisecond)
+	allowedMillis := promptPauseShare * targetMillis
+	if decode.pauseMillis > 0 {
+		allowedMillis = min(allowedMillis, max(0, eventPauseShare*targetMillis-decode.pauseMillis))
+	}
+	promptMillis := decode.promptMillis + decode.queueMillis
 	if promptMillis <= allowedMillis {
 		return 0
 	}
 	return pausePenaltyFactor * (promptMillis - allowedMillis)
 }
 
-// cheapestEngine returns the engine of a role with the lowest cost, or nil. A prompt
-// with a long shared part goes to one of its preferred servers even under load: any
-// other engine would have to process the shared part again, which makes an overload
-// worse.
-func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) *engineCost {
+// cheapestEngine returns the engine of a role with the lowest cost. ok is false if there is
+// none. A prompt with a long shared part goes to one of its preferred servers even under
+// load: any other engine would have to process the shared part again, which makes an
+// overload worse.
+func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
 	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
-	var best *engineCost
+	rate, eventTime := b.usualPromptRate(role), b.eventTimes.of(criteria.Service)
+	var best engineCost
 	consider := func(s *Server) {
-		c := b.engineCost(now, s, criteria, s == preferred[0])
+		c := b.engineCost(now, s, criteria, s == preferred[0], rate, eventTime)
 		// Equal costs are decided at random.
 		c.totalMillis += 1e-3 * rand.Float64()
-		if best == nil || c.totalMillis < best.totalMillis {
-			best = &c
+		if best.server == nil || c.totalMillis+c.pausePenalty < best.totalMillis+best.pausePenalty {
+			best = c
 		}
 	}
 	if preferredOnly {
@@ -355,14 +375,14 @@
 				consider(s)
 			}
 		}
-		return best
+		return best, best.server != nil
 	}
 	for _, s := range servers {
 		if s.Role == role && s.serves(criteria.Prompt.Model) {
 			consider(s)
 		}
 	}
-	return best
+	return best, best.server != nil
 }
 
 // serves reports whether the server serves a model. A server without a list of models
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -27,6 +27,8 @@
 	// when the choice was made, at chosenAt.
 	engineIdle bool
 	chosenAt   time.Time
+	// lastEvent is when the last event arrived, see sinceEpoch; 0 before the first one.
+	lastEvent atomic.Int64
 }
 
 // newChoice returns a choice and adds the request to the load of the server.
@@ -58,7 +60,7 @@
 // Prefilled records that a separate prefill has been completed.
 func (c *Choice) Prefilled(now time.Time) {
 	if c.engineIdle && c.UncachedTokens == c.prompt.OwnTokens() {
-		c.balancer.prefillRate.observe(c.UncachedTokens, now.Sub(c.chosenAt), prefillTokensPerMilli)
+		c.balancer.recordPrompt(now, c.Server, c.UncachedTokens, now.Sub(c.chosenAt))
 	}
 	c.promptProcessed(now)
 	c.Server.stats.recordResult(false)
--- a/backends/notice.go
+++ b/backends/notice.go
@@ -97,5 +97,6 @@
 	return time.Duration(until - sinceEpoch(now))
 }
 
-// declines reports whether the server has stated that it wants no request of this node now.
-func (s *Server) declines(now time.Time) bool { return s.IsLeaving() || s.heldFor(now) > 0 }
+// declinesAt reports whether the server has stated that it wants no request of this node at a
+// time, see sinceEpoch.
+func (s *Server) declinesAt(at int64) bool { return s.IsLeaving() || at < s.stats.heldUntil.Load() }
--- a/backends/notice_test.go
+++ b/backends/notice_test.go
@@ -41,7 +41,7 @@
 	const stated = 6 * time.Hour
 	requests := 0
 	for now := start; now.Before(start.Add(stated)); now = now.Add(time.Minute) {
-		if !s.declines(now) {
+		if !s.declinesAt(sinceEpoch(now)) {
 			requests++
 			s.Hold(now, stated)
 		}
@@ -60,10 +60,10 @@
 	old.MarkLeaving(now)
 	old.Hold(now, time.Hour)
 	r.Replace(registrations)
-	is.True(r.View().All()["s0"].declines(now)) // a registration that changes is no new start
+	is.True(r.View().All()["s0"].declinesAt(sinceEpoch(now))) // a registration that changes is no new start
 	registrations[0].StartUnixMillis++
 	r.Replace(registrations)
-	is.True(!r.View().All()["s0"].declines(now))
+	is.True(!r.View().All()["s0"].declinesAt(sinceEpoch(now)))
 	is.True(r.View().All()["s0"].Incarnation != old.Incarnation)
 }
 
@@ -78,6 +78,6 @@
 		s.Suspend(now)
 	}
 	s.stats.recordRefusal(now)
-	suspended, _ := s.stats.health(now.Add(maxUnreachableSuspension - time.Millisecond))
+	suspended := s.stats.suspendedAt(sinceEpoch(now.Add(maxUnreachableSuspension - time.Millisecond)))
 	is.True(suspended)
 }
--- a/backends/ratelimits.go
+++ b/backends/ratelimits.go
@@ -91,7 +91,7 @@
 	if len(withheld) == 0 {
 		return nil
 	}
-	best := b.cheapestEngine(now, criteria, withheld, RoleDecode)
+	best, _ := b.cheapestEngine(now, criteria, withheld, RoleDecode)
 	if b.limits.Acquire(now, best.server.Incarnation) {
 		// A permit became free since the check; it is lost, and others follow.
 		return nil
--- a/backends/server.go
+++ b/backends/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/figweir/figweir/capacity"
 )
 
 // Role is the function of an engine.
@@ -72,6 +74,8 @@
 	prefillTokens atomic.Int64
 
 	report atomic.Pointer[report]
+	// model is what the server can do. It has no effect unless the server states its speed.
+	model capacity.Model
 	// roleChange is the last announced change of the role; nil if there was none.
 	roleChange atomic.Pointer[roleChange]
 
@@ -143,12 +147,16 @@
 	return s
 }
 
-// RecordReport stores the load that the server reported with an answer: its running and
-// waiting requests and its slots.
-func (s *Server) RecordReport(now time.Time, running, waiting, slots int) {
-	s.stats.report.Store(&report{int64(running), int64(waiting), int64(slots), s.stats.inflight.Load(), now})
+// RecordReport stores the load that the server reported with an answer, and its speed if it
+// stated one.
+func (s *Server) RecordReport(now time.Time, r capacity.Report) {
+	s.stats.report.Store(&report{int64(r.Running), int64(r.Waiting), int64(r.Slots), s.stats.inflight.Load(), now})
+	s.stats.model.RecordReport(now, r)
 }
 
+// Capacity returns what the server can do now, as far as this node knows.
+func (s *Server) Capacity(now time.Time) capacity.Estimate { return s.stats.model.At(now) }
+
 const (
 	// failureSmoothing is the weight of the latest attempt in the moving average of
 	// failures.
@@ -209,10 +217,11 @@
 	s.suspend(now, minRefusedSuspension, maxRefusedSuspension)
 }
 
-// health reports whether the server is suspended, and its failure rate.
-func (s *stats) health(now time.Time) (suspended bool, failureRate float64) {
-	return sinceEpoch(now) < s.suspendedUntil.Load(), math.Float64frombits(s.failureRate.Load())
-}
+// suspendedAt reports whether the server is suspended at a time, see sinceEpoch.
+func (s *stats) suspendedAt(at int64) bool { return at < s.suspendedUntil.Load() }
+
+// failedShare returns the moving average of failed attempts.
+func (s *stats) failedShare() float64 { return math.Float64frombits(s.failureRate.Load()) }
 
 // markCached records that the parts were used and are now cached.
 func (s *stats) markCached(parts []Part, now time.Time) {
--- a/backends/rate.go
+++ b/capacity/promptrate.go
@@ -1,4 +1,4 @@
-package backends
+package capacity
 
 import (
 	"math"
@@ -20,27 +20,27 @@
 	slowSampleWeight = 0.02
 )
 
-// rateEstimator estimates from samples how many prompt tokens an engine processes per
-// millisecond. The zero value has no samples.
-type rateEstimator struct{ bits atomic.Uint64 }
+// PromptRate estimates from samples how many prompt tokens a server processes per
+// millisecond. The zero value has no samples. It is safe for use by many goroutines.
+type PromptRate struct{ bits atomic.Uint64 }
 
-// tokensPerMilli returns the estimate in tokens per millisecond, or assumed if there
+// TokensPerMilli returns the estimate in tokens per millisecond, or assumed if there
 // are no samples yet.
-func (r *rateEstimator) tokensPerMilli(assumed float64) float64 {
+func (r *PromptRate) TokensPerMilli(assumed float64) float64 {
 	if v := math.Float64frombits(r.bits.Load()); v > 0 {
 		return v
 	}
 	return assumed
 }
 
-// observe adds a sample: the time that an engine took for a prompt while this node had
+// Observe adds a sample: the time that a server took for a prompt while this node had
 // no other prompt there.
-func (r *rateEstimator) observe(tokens int, elapsed time.Duration, assumed float64) {
+func (r *PromptRate) Observe(tokens int, elapsed time.Duration, assumed float64) {
 	if tokens < minSampleTokens || elapsed <= fixedDelay {
 		return
 	}
 	sample := float64(tokens) / (float64(elapsed-fixedDelay) / float64(time.Millisecond))
-	old := r.tokensPerMilli(assumed)
+	old := r.TokensPerMilli(assumed)
 	weight := fastSampleWeight
 	if sample < old {
 		weight = slowSampleWeight
--- a/core/core.go
+++ b/core/core.go
@@ -157,6 +157,8 @@
 	// yet. handleUses counts the attempts that were sent with it.
 	handle     *KVHandle
 	handleUses int
+	// choice is the last choice that was not made to continue a stream.
+	choice *backends.Choice
 	// prefilled is set once a separate prefill has been completed.
 	prefilled bool
 	// demandCounted is set once a choice has added the prompt to the measured demand.
@@ -283,6 +285,7 @@
 			e.fail(e.noServerReason(err))
 			return
 		}
+		e.choice = choice
 		settled := e.attempt(ctx, choice)
 		choice.Done()
 		if settled {
@@ -291,6 +294,14 @@
 	}
 }
 
+// reportEvent reports an event to the choice of its server. The events after a stream was resumed
+// elsewhere are not reported.
+func (e *exchange) reportEvent(now time.Time) {
+	if e.choice != nil && e.choice.Server == e.record.Server {
+		e.choice.Event(now)
+	}
+}
+
 // callerGone reports whether the caller is known to have left.
 func (e *exchange) callerGone() bool { return e.abandoned || e.ctx.Err() != nil }
 
--- a/core/relay.go
+++ b/core/relay.go
@@ -147,6 +147,7 @@
 		e.record.MaxPause = max(e.record.MaxPause, now.Sub(e.lastEventAt))
 	}
 	e.lastEventAt = now
+	e.reportEvent(now)
 	e.record.Events++
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,7 +167,7 @@
 	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
 		Pool: g.pool, Answers: membudget.New(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
-		OnNotice: g.onNotice,
+		OnNotice: g.onNotice, OnMalformedLoad: g.onMalformedLoad,
 	}
 	g.backend = backend
 	g.callerHandler.Core = &core.Core{
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/figweir/figweir/platform"
+import (
+	"time"
+
+	"github.com/figweir/figweir/platform"
+)
 
 // gauges returns the values that the metrics endpoint prints besides the counters.
 func (g *Gateway) gauges() map[string]float64 {
@@ -36,6 +40,9 @@
 	if age, ok := g.servers.ResponseAge(); ok {
 		gauges["registrations_answer_age_ms"] = float64(age.Milliseconds())
 	}
+	if low, high, ok := g.registry.View().SlowdownRange(time.Now()); ok {
+		gauges["server_slowdown_min"], gauges["server_slowdown_max"] = low, high
+	}
 	return gauges
 }
 
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -30,3 +30,16 @@
 		g.log.Info("backend server wants no requests for a time", "backend_server", s.ID, "for_ms", n.RetryAfter.Milliseconds())
 	}
 }
+
+// maxLoggedHeaderBytes is the length to which header values are cut in logs.
+const maxLoggedHeaderBytes = 64
+
+// onMalformedLoad counts a load header that is not used, and logs some of them.
+func (g *Gateway) onMalformedLoad(s *backends.Server, values []string) {
+	g.observer.notices.Add("malformed_load", 1)
+	if !g.observer.malformedLoads.Allow() {
+		return
+	}
+	value := values[0][:min(len(values[0]), maxLoggedHeaderBytes)]
+	g.log.Info("load of a backend server not used", "backend_server", s.ID, "headers", len(values), "value", value)
+}
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -23,12 +23,18 @@
 // attempts.
 const defaultLogRate = 200
 
+// malformedLoadInterval is the least time between two lines on load headers that are not used:
+// servers send such a header with each answer.
+const malformedLoadInterval = 10 * time.Second
+
 // observer records logs and metrics of requests.
 type observer struct {
 	// log is for served requests and attempts, limited by logLimiter; failureLog is
 	// for failed requests.
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
+	// malformedLoads limits the lines on load headers that are not used.
+	malformedLoads *rate.Limiter
 
 	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun *expvar.Map
 	socketErrorOnce                                                                                           sync.Once
@@ -46,7 +52,7 @@
 		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(), unread: metrics.NewHistogram(),
-		logLimiter: rate.NewLimiter(0, 0),
+		logLimiter: rate.NewLimiter(0, 0), malformedLoads: rate.NewLimiter(rate.Every(malformedLoadInterval), 1),
 	}
 	o.setLogRate(linesPerSecond)
 	return o
