--- a/backends/choice.go
+++ b/backends/choice.go
@@ -27,13 +27,15 @@
 	// when the choice was made, at chosenAt.
 	engineIdle bool
 	chosenAt   time.Time
+	// lastEvent is when the last event arrived, see sinceEpoch; 0 before the first one.
+	lastEvent atomic.Int64
 }
 
 // newChoice returns a choice and adds the request to the load of the server.
-func (b *Balancer) newChoice(p pick, criteria *Criteria) *Choice {
+func (b *Balancer) newChoice(now time.Time, p pick, criteria *Criteria) *Choice {
 	s, uncached := p.server, p.uncachedTokens
 	c := &Choice{
-		Server: s, Prefill: p.prefill, prompt: criteria.Prompt, balancer: b, chosenAt: time.Now(), UncachedTokens: uncached,
+		Server: s, Prefill: p.prefill, prompt: criteria.Prompt, balancer: b, chosenAt: now, UncachedTokens: uncached,
 		FirstEventEstimate: time.Duration(p.estimateMillis * float64(time.Millisecond)),
 		engineIdle:         s.stats.prefillTokens.Load() == 0,
 	}
@@ -60,7 +62,7 @@
 // Prefilled records that a separate prefill has been completed.
 func (c *Choice) Prefilled(now time.Time) {
 	if c.engineIdle && c.UncachedTokens == c.prompt.OwnTokens() {
-		c.balancer.prefillRate.observe(c.UncachedTokens, now.Sub(c.chosenAt), prefillTokensPerMilli)
+		c.balancer.recordPrompt(now, c.Server, c.UncachedTokens, now.Sub(c.chosenAt))
 	}
 	c.promptProcessed(now)
 	c.Server.stats.recordResult(false)
--- a/backends/ratelimits.go
+++ b/backends/ratelimits.go
@@ -62,7 +62,7 @@
 			return nil, err
 		}
 		if b.limits.Acquire(now, p.server.Incarnation) {
-			return b.newChoice(p, criteria), nil
+			return b.newChoice(now, p, criteria), nil
 		}
 		withheld = true
 		candidates = slices.DeleteFunc(slices.Clone(candidates), func(s *Server) bool {
@@ -91,7 +91,7 @@
 	if len(withheld) == 0 {
 		return nil
 	}
-	best := b.cheapestEngine(now, criteria, withheld, RoleDecode)
+	best, _ := b.cheapestEngine(now, criteria, withheld, RoleDecode)
 	if b.limits.Acquire(now, best.server.Incarnation) {
 		// A permit became free since the check; it is lost, and others follow.
 		return nil
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figweir/figweir/backends"
+	"github.com/figweir/figweir/capacity"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/plan"
 	"github.com/figweir/figweir/plan/scaler"
@@ -220,7 +221,7 @@
 // scalingView collects the engines, the demand and the limits of a service for plan.
 func (a *autoscaler) scalingView(now time.Time, service *core.Service) *plan.ScalingView {
 	v := &plan.ScalingView{
-		Engines:       a.engines(service.Name),
+		Engines:       a.engines(now, service.Name),
 		DemandSettled: a.demand.Settled(now),
 	}
 	if service.Engine != nil {
@@ -260,20 +261,28 @@
 	return n
 }
 
-// engines returns the engines of a service with their requests over all nodes.
-func (a *autoscaler) engines(service string) []plan.Engine {
+// engines returns the engines of a service with their requests over all nodes and their speeds.
+func (a *autoscaler) engines(now time.Time, service string) []plan.Engine {
 	var list []plan.Engine
 	for _, b := range a.registry.View().Servers(service) {
 		requests, _ := b.OwnLoad()
 		others, _ := a.peerLoads.Load(b.Hash)
 		list = append(list, plan.Engine{
 			ID: b.ID, FailureDomain: b.FailureDomain, Prefill: b.Role == backends.RolePrefill,
-			Reclaimable: b.Reclaimable, Requests: int(requests + others),
+			Reclaimable: b.Reclaimable, Requests: int(requests + others), Speed: relativeSpeed(b.Capacity(now)),
 		})
 	}
 	return list
 }
 
+// relativeSpeed returns the speed of a server that states its slowdown; 0 if it states none.
+func relativeSpeed(e capacity.Estimate) float64 {
+	if !e.StatesSpeed || e.Slowdown <= 0 {
+		return 0
+	}
+	return 1 / e.Slowdown
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
