core, stall: streams that stall or lose their server move or end in time

Cause: the limit of an attempt is lifted at the first event, and resumed streams and prefills have none, so a stream whose server falls silent hangs until its deadline (7.6 s seen). A server that crashes without a reset is noticed only by keep-alive probes, after the 3 s of upstream.DefaultOptions.UserTimeout ("connection timed out"): a crash at 3.04 s cut the caller off at 6.04 s.

Change: package stall decides, without I/O, whether a silent stream waits, has its server checked, goes on elsewhere or ends; core/streamwatch.go carries it out with one timer for each attempt. Only routes with a target pause are watched. A move needs another server and a retry first, happens once for silence, and needs more silence the more streams at other servers are silent. A stream that may not be resumed ends only with a server that refuses connections or was replaced. Checks are shared by the streams of a server. Log lines, silent_streams_total, a fault "silent engine" in the soak, and docs/design/stalled-streams.md.

For resumable streams of watched routes the watch replaces the limit before the first event (four target latencies, half of the time left): now at least half and at most three quarters of the caller gap.

Result: go test -race ./core ./stall ./platform/... ./gateway pass; the tests of the watch in core 90 times each with -race pass. With the watch switched off nine of them and TestStreamThatStopsInsideEventContinuesElsewhere fail, and TestStreamOfServerThatCrashedWithoutResetEnds hangs. BenchmarkStreamEvent: 110 ns for each event (load average 15).

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -35,6 +35,8 @@
 		return e.refuseIfQuarantined()
 	}
 	defer watch.End()
+	stream := e.watchStream(a, e.attemptsLeftAfterThis(), cancel)
+	defer e.endWatch(stream)
 	sentAt := time.Now()
 	a.TimeLeft = time.Until(e.deadline)
 	a.KVSource = e.handle
@@ -44,7 +46,7 @@
 	e.updateHandle(o)
 	switch o := o.(type) {
 	case Answered:
-		return e.relay(ctx, &sentAttempt{a, choice, sentAt, liftLimit, watch}, o.Answer)
+		return e.relay(ctx, &sentAttempt{a, choice, sentAt, liftLimit, watch, stream}, o.Answer)
 	case Refused:
 		choice.Refused(time.Now())
 		return e.onRefused(choice.Server)
@@ -93,6 +95,8 @@
 	liftLimit func()
 	// watch is told what arrives of the answer.
 	watch *quarantine.Attempt
+	// stream is told of the events; nil if the attempt is not watched for silence.
+	stream *streamWatch
 }
 
 // recordFailure counts a failure of the chosen backend server. An attempt that
@@ -166,10 +170,10 @@
 // limitAttempt returns a context that is canceled if an idempotent request gets no
 // first event within its share of the remaining time. The limit applies only while
 // another attempt is allowed, so that an unresponsive backend server does not use up
-// the deadline. liftLimit removes the limit.
+// the deadline. liftLimit removes the limit. Streams that are watched for silence have none.
 func (e *exchange) limitAttempt(ctx context.Context) (limited context.Context, cancel context.CancelCauseFunc, liftLimit func()) {
 	limited, cancel = context.WithCancelCause(ctx)
-	if !e.route.Idempotent() || e.counts.mayHaveRun+1 >= e.route.MaxAttempts {
+	if !e.route.Idempotent() || e.isWatched() || e.counts.mayHaveRun+1 >= e.route.MaxAttempts {
 		return limited, cancel, func() {}
 	}
 	timeLeft := time.Until(e.deadline)
@@ -199,6 +203,9 @@
 		return
 	}
 	defer watch.End()
+	// A prefill is not a run of the request, so it takes none of its attempts.
+	stream := e.watchStream(a, e.route.MaxAttempts-e.counts.mayHaveRun, cancel)
+	defer e.endWatch(stream)
 	a.TimeLeft = time.Until(e.deadline)
 	handle, o := e.Upstream.Prefill(attemptCtx, a)
 	if handle != nil {
@@ -233,6 +240,7 @@
 		event = "prefill_refused"
 	case Lost:
 		cause = o.Cause
+		e.noteMove(cause)
 		if !errors.Is(cause, errQuarantined) {
 			recordFailure(ctx, choice)
 			e.reportLoss(ctx, choice.Server, watch, cause)
@@ -287,6 +295,7 @@
 	if e.route.Kind != Streaming || ctx.Err() == nil {
 		e.meterStart(sentAt)
 	}
+	e.noteMove(cause)
 	recordFailure(ctx, choice)
 	e.reportLoss(ctx, choice.Server, watch, cause)
 	e.Observer.AttemptFailed(&e.record, choice.Server, lostEvent(cause), cause)
--- a/core/core.go
+++ b/core/core.go
@@ -67,6 +67,9 @@
 	// ServerCrashed is called when a backend server crashed before it had begun to answer
 	// the request.
 	ServerCrashed(r *Record, server *backends.Server)
+	// StreamSilent is called when something is done about a stream whose backend server is
+	// silent.
+	StreamSilent(event StreamEvent, s SilentStream)
 	// RequestDone is called once at the end of each request.
 	RequestDone(r *Record)
 }
@@ -130,11 +133,16 @@
 	Quarantine *quarantine.Tracker
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
+	// Servers returns the registered backend servers. If it is nil, replaced servers are not
+	// noticed.
+	Servers func() *backends.View
 
 	// repeats keeps requests that may run only once from running again.
 	repeats repeatGuard
 	// crashChecks lets the requests that a server loses together share one check.
 	crashChecks singleflight.Group
+	// streams counts the streams that are watched for silence.
+	streams streamCounts
 }
 
 // exchange is the state of one request while it is served.
@@ -174,6 +182,8 @@
 	abandoned bool
 	// retryAcquired is set if the budget has already granted the next attempt.
 	retryAcquired bool
+	// movedFromSilent is set once an attempt was ended because its server was silent.
+	movedFromSilent bool
 	// sharedParts are the ids of the prompt parts that other requests may share.
 	sharedParts []string
 	// quarantineTrial is set if the request may be sent once although its parts are
@@ -318,15 +328,23 @@
 
 // criteria returns the selection criteria for the next attempt.
 func (e *exchange) criteria(service string) *backends.Criteria {
-	criteria := &backends.Criteria{
-		Service: service, Prompt: e.request.Prompt, Excluded: e.excluded,
-		TimeLeft: time.Until(e.deadline), TargetLatency: e.route.TargetLatency, TargetPause: e.route.TargetPause,
-		Resumed: e.request.LastEventID != "", DemandCounted: e.demandCounted,
-	}
+	criteria := e.newCriteria(service, e.excluded)
+	criteria.DemandCounted = e.demandCounted
 	e.demandCounted = true
 	if e.handle != nil {
 		criteria.Prefilled, criteria.HandleDomain = true, e.record.PrefillServer.FailureDomain
 	}
+	return criteria
+}
+
+// newCriteria returns the selection criteria that do not change while the request is served, except
+// for the time left. It may be called from any goroutine.
+func (e *exchange) newCriteria(service string, excluded []string) *backends.Criteria {
+	criteria := &backends.Criteria{
+		Service: service, Prompt: e.request.Prompt, Excluded: excluded,
+		TimeLeft: time.Until(e.deadline), TargetLatency: e.route.TargetLatency, TargetPause: e.route.TargetPause,
+		Resumed: e.request.LastEventID != "", DemandCounted: true,
+	}
 	if s := e.table.Services[service]; s != nil && s.Engine != nil {
 		criteria.KVTokenBytes, criteria.LinkBitsPerSecond = s.Engine.KVTokenBytes, s.Engine.LinkBitsPerSecond
 	}
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -163,6 +163,7 @@
 func (noop) RequestStarted(string, time.Time)                       {}
 func (noop) AttemptFailed(*Record, *backends.Server, string, error) {}
 func (noop) ServerCrashed(*Record, *backends.Server)                {}
+func (noop) StreamSilent(StreamEvent, SilentStream)                 {}
 func (noop) RequestDone(*Record)                                    {}
 
 // fakeMeter counts the requests that started to run.
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -53,7 +53,7 @@
 // lost has crashed. That is evidence against the prompt parts, unless the answer had proved them
 // sound before.
 func (e *exchange) reportLoss(ctx context.Context, server *backends.Server, watch *quarantine.Attempt, cause error) {
-	if len(e.sharedParts) == 0 || ctx.Err() != nil || watch.IsProven() || errors.Is(cause, errAttemptTimeout) || errors.Is(cause, errQuarantined) {
+	if len(e.sharedParts) == 0 || ctx.Err() != nil || watch.IsProven() || errors.Is(cause, errAttemptTimeout) || errors.Is(cause, errServerSilent) || errors.Is(cause, errQuarantined) {
 		return
 	}
 	loss := quarantine.Evidence{
--- a/core/relay.go
+++ b/core/relay.go
@@ -91,13 +91,15 @@
 	}
 	lastID := a.LastEventID
 	for {
-		cause := e.forward(answer, a.watch, event, err, &lastID)
+		cause := e.forward(answer, a, event, err, &lastID)
 		if cause == nil {
 			if e.record.Reason == "" {
 				a.choice.Succeeded()
 			}
 			return true
 		}
+		e.noteMove(cause)
+		e.endWatch(a.stream)
 		recordFailure(ctx, a.choice)
 		e.reportLoss(ctx, a.choice.Server, a.watch, cause)
 		// The server may still generate, for example if it sent bytes that are no event.
@@ -113,11 +115,12 @@
 
 // forward relays events until the stream ends. It returns the cause if the stream was
 // interrupted while the caller still waits for the rest.
-func (e *exchange) forward(answer Answer, watch *quarantine.Attempt, event Event, err error, lastID *string) (interrupted error) {
+func (e *exchange) forward(answer Answer, a *sentAttempt, event Event, err error, lastID *string) (interrupted error) {
 	for err == nil {
 		now := time.Now()
+		a.stream.received(now, event.LastID)
 		e.recordEvent(now)
-		watch.Arrived(now)
+		a.watch.Arrived(now)
 		if e.sink.WriteEvents(event.Bytes) != nil {
 			e.record.Reason = ReasonCallerGone
 			e.sink.Abort()
@@ -126,10 +129,11 @@
 		if event.LastID != "" {
 			*lastID = event.LastID
 		}
+		a.stream.wait()
 		event, err = answer.Next()
 	}
 	if err == io.EOF {
-		watch.Completed(time.Now())
+		a.watch.Completed(time.Now())
 		if e.sink.EndStream() != nil {
 			e.record.Reason = ReasonCallerGone
 		}
@@ -193,15 +197,17 @@
 	e.record.Server = choice.Server
 	a := e.newAttempt(choice.Server)
 	a.LastEventID = lastID
+	stream := e.watchStream(a, e.attemptsLeftAfterThis(), cancel)
 	o := e.Upstream.Send(attemptCtx, a)
 	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	if answered, ok := o.(Answered); ok && answered.Answer.Stream() {
-		e.onEnd = append(e.onEnd, func() { watch.End(); cancel(context.Canceled); choice.Done() })
-		return answered.Answer, &sentAttempt{Attempt: a, choice: choice, watch: watch}
+		e.onEnd = append(e.onEnd, func() { watch.End(); stream.stop(); cancel(context.Canceled); choice.Done() })
+		return answered.Answer, &sentAttempt{Attempt: a, choice: choice, watch: watch, stream: stream}
 	}
 	watch.End()
+	e.endWatch(stream)
 	cancel(context.Canceled)
 	e.onResumeFailed(ctx, choice, watch, o)
 	return nil, nil
@@ -213,6 +219,7 @@
 	case Answered:
 		o.Answer.Close()
 	case Lost:
+		e.noteMove(o.Cause)
 		e.reportLoss(ctx, choice.Server, watch, o.Cause)
 	case Abandoned:
 		e.abandon(choice.Server)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,6 +179,7 @@
 		Observer:     g.observer,
 		Quarantine:   g.quarantine.tracker,
 		Draining:     core.NewDrain(),
+		Servers:      g.registry.View,
 	}
 	g.setUpDuties(counter, windows, backend)
 	return g
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -30,8 +30,8 @@
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun *expvar.Map
-	socketErrorOnce                                                                                           sync.Once
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun, silentStreams *expvar.Map
+	socketErrorOnce                                                                                                          sync.Once
 
 	firstEvent, totalTime, prefillTime, longestPause, unread *metrics.Histogram
 	// burn measures the consumption of error budgets.
@@ -43,7 +43,7 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(), silentStreams: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(), unread: metrics.NewHistogram(),
 		logLimiter: rate.NewLimiter(0, 0),
@@ -101,6 +101,20 @@
 	log.Info("request", requestLogFields(r)...)
 }
 
+// StreamSilent implements core.Observer.
+func (o *observer) StreamSilent(event core.StreamEvent, s core.SilentStream) {
+	o.silentStreams.Add(string(event), 1)
+	if event != core.StreamMoved && event != core.StreamEnded {
+		return
+	}
+	if !o.logLimiter.Allow() {
+		o.droppedLines.Add("silent_stream", 1)
+		return
+	}
+	o.log.Info("silent stream "+string(event), logging.RequestKey, s.Request.ID, logging.BackendServerKey, s.Server.ID,
+		logging.FailureDomainKey, s.Server.FailureDomain, "silence_ms", s.Silence.Milliseconds(), "reason", string(s.Reason))
+}
+
 // updateMetrics counts a finished request by its outcome and records its latencies.
 func (o *observer) updateMetrics(r *core.Record) {
 	o.requests.Add("total", 1)
@@ -179,7 +193,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun}, {"silent_streams_total", o.silentStreams},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,6 +34,7 @@
 	{"store restored", true, restoreStore},
 	{"server connection", false, disturbServerConnection},
 	{"server faults", false, injectServerFaults},
+	{"silent engine", false, silenceEngine},
 	{"false refusals", false, refuseFalsely},
 	{"release", false, replaceServer},
 	{"notice", false, stateNotice},
@@ -141,6 +142,14 @@
 	return func() { b.sim.SetFaults(backendsim.Faults{}) }
 }
 
+// silenceEngine makes the streams of a random engine fall silent. The engine goes on accepting
+// requests, as one whose process hangs does.
+func silenceEngine(d *Deployment, r *rand.Rand) func() {
+	b := d.engines[r.IntN(len(d.engines))]
+	b.sim.SetFaults(backendsim.Faults{Stalls: 1})
+	return func() { b.sim.SetFaults(backendsim.Faults{}) }
+}
+
 // refuseFalsely makes all backend servers of a service refuse requests that they have run, repeat
 // refusals, and go on with streams that broke off.
 func refuseFalsely(d *Deployment, r *rand.Rand) func() {
