core: a moving stream has its next server reserved, and a frozen node moves none

The server that a move asked for before it ended the exchange could be taken by another request before the stream resumed, and the stream would then be lost. After a suspension of the node (SIGSTOP) all timers fire at once while events lie unread, so streams could move or be counted against their servers for nothing. A prefill that leaves a crashed engine on a route that can't be resumed was logged as ended.

Change: the choice is kept for the resumed attempt; a timer that fires more than 0.1 s late decides nothing and fires again after 0.1 s; the timer runs at most for the first check between events; such a prefill counts as moved. TestMovedStreamsRepeatAndLoseNothing draws pauses that coincide with the decisions.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -35,7 +35,7 @@
 		return e.refuseIfQuarantined()
 	}
 	defer watch.End()
-	stream := e.watchStream(a, e.attemptsLeftAfterThis(), cancel)
+	stream := e.watchStream(a, false, cancel)
 	defer e.endWatch(stream)
 	sentAt := time.Now()
 	a.TimeLeft = time.Until(e.deadline)
@@ -203,8 +203,7 @@
 		return
 	}
 	defer watch.End()
-	// A prefill is not a run of the request, so it takes none of its attempts.
-	stream := e.watchStream(a, e.route.MaxAttempts-e.counts.mayHaveRun, cancel)
+	stream := e.watchStream(a, true, cancel)
 	defer e.endWatch(stream)
 	a.TimeLeft = time.Until(e.deadline)
 	handle, o := e.Upstream.Prefill(attemptCtx, a)
--- a/core/core.go
+++ b/core/core.go
@@ -184,6 +184,8 @@
 	retryAcquired bool
 	// movedFromSilent is set once an attempt was ended because its server was silent.
 	movedFromSilent bool
+	// nextChoice is the server that a watch has chosen for the next attempt; nil if it has not.
+	nextChoice *backends.Choice
 	// sharedParts are the ids of the prompt parts that other requests may share.
 	sharedParts []string
 	// quarantineTrial is set if the request may be sent once although its parts are
@@ -268,6 +270,7 @@
 	defer e.Draining.onEnd(cancel)()
 	defer e.freeHandle()
 	defer e.returnTrial()
+	defer e.releaseChoice()
 	defer func() {
 		for _, end := range e.onEnd {
 			end()
@@ -288,6 +291,8 @@
 		if e.refuseIfQuarantined() || e.refuseIfStopping() {
 			return
 		}
+		// The whole request is chosen for anew, perhaps with a separate prefill.
+		e.releaseChoice()
 		choice, err := e.Chooser.Choose(time.Now(), e.criteria(service))
 		if err != nil {
 			e.fail(e.noServerReason(err))
--- a/core/relay.go
+++ b/core/relay.go
@@ -165,9 +165,7 @@
 		if _, blocked := e.isQuarantined(); blocked {
 			return nil, nil
 		}
-		criteria := e.criteria(e.record.Service)
-		criteria.Resumed = true
-		choice, err := e.Chooser.Choose(time.Now(), criteria)
+		choice, err := e.chooseToResume()
 		if err != nil || !e.acquireRetry() {
 			if err == nil {
 				choice.Done()
@@ -197,13 +195,13 @@
 	e.record.Server = choice.Server
 	a := e.newAttempt(choice.Server)
 	a.LastEventID = lastID
-	stream := e.watchStream(a, e.attemptsLeftAfterThis(), cancel)
+	stream := e.watchStream(a, false, cancel)
 	o := e.Upstream.Send(attemptCtx, a)
 	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.excluded = append(e.excluded, choice.Server.ID)
 	if answered, ok := o.(Answered); ok && answered.Answer.Stream() {
-		e.onEnd = append(e.onEnd, func() { watch.End(); stream.stop(); cancel(context.Canceled); choice.Done() })
+		e.onEnd = append(e.onEnd, func() { watch.End(); e.endWatch(stream); cancel(context.Canceled); choice.Done() })
 		return answered.Answer, &sentAttempt{Attempt: a, choice: choice, watch: watch, stream: stream}
 	}
 	watch.End()
--- a/core/streamwatch.go
+++ b/core/streamwatch.go
@@ -109,6 +109,8 @@
 	sentAt       int64
 	attemptsLeft int
 	moved        bool
+	// prefill is set if the attempt only processes the prompt, which may be repeated elsewhere.
+	prefill bool
 	// initialCheck and nextCheck are the silences, before the first event and after it, below
 	// which nothing is decided.
 	initialCheck, nextCheck time.Duration
@@ -129,27 +131,40 @@
 	checkedAt   int64
 	keptWaiting bool
 
-	mu            sync.Mutex
-	timer         *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// dueAt is when the timer should fire.
+	dueAt         time.Time
 	stopped       bool
 	retryAcquired bool
+	// choice is the server for the next attempt; nil if none was chosen.
+	choice *backends.Choice
 }
 
+// maxTimerDelay is how late the timer may fire. If it is later, this node was frozen or has no
+// processor time, and events may lie unread.
+const maxTimerDelay = 100 * time.Millisecond
+
 // isWatched reports whether attempts are watched for silence.
 func (e *exchange) isWatched() bool { return e.route.Kind == Streaming && e.route.TargetPause > 0 }
 
-// watchStream starts to watch an attempt that is about to be sent to a server. attemptsLeft is how
-// often the request may run on others. The result is nil for routes without a target pause.
-func (e *exchange) watchStream(a *Attempt, attemptsLeft int, cancel context.CancelCauseFunc) *streamWatch {
+// watchStream starts to watch an attempt that is about to be sent, also one that only processes the
+// prompt. The result is nil for routes without a target pause.
+func (e *exchange) watchStream(a *Attempt, prefill bool, cancel context.CancelCauseFunc) *streamWatch {
 	if !e.isWatched() {
 		return nil
 	}
 	server := a.Server
+	attemptsLeft := e.route.MaxAttempts - e.counts.mayHaveRun
+	if !prefill {
+		// A prefill is not a run of the request.
+		attemptsLeft--
+	}
 	excluded := append(e.excluded[:len(e.excluded):len(e.excluded)], server.ID)
 	w := &streamWatch{
 		Core: e.Core, request: e.request, route: e.route, service: e.record.Service, server: server, deadline: e.deadline, sharedParts: e.sharedParts,
 		criteria:     func() *backends.Criteria { return e.newCriteria(e.record.Service, excluded) },
-		attemptsLeft: attemptsLeft, moved: e.movedFromSilent, counts: e.streams.server(server.Incarnation), cancel: cancel,
+		attemptsLeft: attemptsLeft, moved: e.movedFromSilent, prefill: prefill, counts: e.streams.server(server.Incarnation), cancel: cancel,
 		sentAt: sinceStart(time.Now()), checkedAt: noTime,
 		initialCheck: stall.FirstCheck(false, e.route.TargetLatency, e.route.TargetPause),
 		nextCheck:    stall.FirstCheck(true, e.route.TargetLatency, e.route.TargetPause),
@@ -160,7 +175,8 @@
 	w.counts.running.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.firstCheck(), w.tick)
+	w.dueAt = time.Now().Add(w.nextCheck)
+	w.timer = time.AfterFunc(w.nextCheck, w.tick)
 	return w
 }
 
@@ -213,16 +229,18 @@
 	w.counts.silent.Add(change)
 }
 
-// stop ends the watch. It reports whether a retry was acquired for the next attempt, once.
-func (w *streamWatch) stop() (retryAcquired bool) {
+// stop ends the watch. It returns whether a retry was acquired for the next attempt, and the server
+// that was chosen for it, once. The caller must call Done on the choice.
+func (w *streamWatch) stop() (choice *backends.Choice, retryAcquired bool) {
 	if w == nil {
-		return false
+		return nil, false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	choice, w.choice = w.choice, nil
 	retryAcquired, w.retryAcquired = w.retryAcquired, false
 	if w.stopped {
-		return retryAcquired
+		return choice, retryAcquired
 	}
 	w.stopped = true
 	w.timer.Stop()
@@ -231,15 +249,32 @@
 	if w.counts.running.Add(-1) == 0 {
 		w.streams.servers.CompareAndDelete(w.server.Incarnation, w.counts)
 	}
-	return retryAcquired
+	return choice, retryAcquired
+}
+
+// releaseChoice gives the chosen server up. w.mu must be held.
+func (w *streamWatch) releaseChoice() {
+	if w.choice != nil {
+		w.choice.Done()
+		w.choice = nil
+	}
 }
 
 // tick decides about the stream and starts the timer again unless the attempt has ended.
 func (w *streamWatch) tick() {
-	next := w.decide()
+	w.mu.Lock()
+	late := time.Since(w.dueAt) > maxTimerDelay
+	w.mu.Unlock()
+	next := maxTimerDelay
+	if !late {
+		next = w.decide()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped && next > 0 {
+		// An event may arrive meanwhile and begin another silence.
+		next = min(next, w.nextCheck)
+		w.dueAt = time.Now().Add(next)
 		w.timer.Reset(next)
 	}
 }
@@ -279,6 +314,10 @@
 		TargetLatency: w.route.TargetLatency, TargetPause: w.route.TargetPause, TimeLeft: w.deadline.Sub(now) - minTimeLeft,
 		Resumable: w.route.Resumable && (!w.begun.Load() || w.hasID.Load()), AttemptsLeft: w.attemptsLeft, Moved: w.moved,
 	}
+	if w.prefill && !s.Resumable {
+		// It leaves a crashed engine only: the prompt of a slow one would be read twice.
+		s.Resumable, s.Moved = true, true
+	}
 	if silence < w.firstCheck() {
 		return s
 	}
@@ -371,24 +410,29 @@
 	if w.stopped {
 		return false
 	}
-	if w.retryAcquired {
+	if w.retryAcquired && w.choice != nil {
 		return true
 	}
 	now := time.Now()
 	if !w.Core.Draining.permits(now, w.deadline) || w.isQuarantined(now) {
 		return false
 	}
-	choice, err := w.Chooser.Choose(now, w.criteria())
+	criteria := w.criteria()
+	criteria.Resumed = criteria.Resumed || w.begun.Load()
+	choice, err := w.Chooser.Choose(now, criteria)
 	if err != nil {
 		return false
 	}
+	if w.retryAcquired || w.RetryBudget.Retry(w.service) {
+		w.retryAcquired, w.choice = true, choice
+		return true
+	}
 	choice.Done()
-	w.retryAcquired = w.RetryBudget.Retry(w.service)
-	if !w.retryAcquired && !w.keptWaiting {
+	if !w.keptWaiting {
 		w.keptWaiting = true
 		w.Observer.StreamSilent(StreamKeptWaiting, SilentStream{Request: w.request, Server: w.server})
 	}
-	return w.retryAcquired
+	return false
 }
 
 // isQuarantined reports whether the request could not be sent again because of its prompt parts.
@@ -406,6 +450,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.waitingSince.Load() != since {
+		w.releaseChoice()
 		return false
 	}
 	event := StreamMoved
@@ -417,17 +462,36 @@
 	return true
 }
 
-// endWatch stops the watch of an attempt that has ended. A retry that it has acquired is for the
-// next attempt of the request.
+// endWatch stops the watch of an attempt that has ended. The retry and the server that it has
+// acquired are for the next attempt of the request.
 func (e *exchange) endWatch(w *streamWatch) {
-	if w.stop() {
-		e.retryAcquired = true
+	choice, retryAcquired := w.stop()
+	e.retryAcquired = e.retryAcquired || retryAcquired
+	if choice != nil {
+		e.releaseChoice()
+		e.nextChoice = choice
+	}
+}
+
+// releaseChoice gives the server up that a watch has chosen for the next attempt.
+func (e *exchange) releaseChoice() {
+	if e.nextChoice != nil {
+		e.nextChoice.Done()
+		e.nextChoice = nil
 	}
 }
 
-// attemptsLeftAfterThis returns on how many servers the request may run after an attempt that is
-// about to be sent.
-func (e *exchange) attemptsLeftAfterThis() int { return e.route.MaxAttempts - e.counts.mayHaveRun - 1 }
+// chooseToResume returns the server on which a stream continues: the one that the watch has chosen,
+// if it has.
+func (e *exchange) chooseToResume() (*backends.Choice, error) {
+	if choice := e.nextChoice; choice != nil {
+		e.nextChoice = nil
+		return choice, nil
+	}
+	criteria := e.criteria(e.record.Service)
+	criteria.Resumed = true
+	return e.Chooser.Choose(time.Now(), criteria)
+}
 
 // noteMove records that an attempt was lost because its server was silent. No other attempt of the
 // request is ended for that reason.
--- a/core/streamwatch_test.go
+++ b/core/streamwatch_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/figweir/figweir/backends"
 	"github.com/figweir/figweir/stall"
@@ -154,6 +157,10 @@
 				is.Equal(f.observer.counts[StreamMoved], 1)
 				is.Equal(f.observer.last.Reason, stall.ReasonSilent)
 				is.Equal(100-f.budget.retries, 1)
+				for _, a := range f.paced.sent {
+					requests, _ := a.Server.OwnLoad()
+					is.Equal(requests, int64(0)) // no reserved server stays reserved
+				}
 			})
 		})
 	}
@@ -272,6 +279,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newStallFixture(false, paced(0, false, "1"))
+				f.route.TargetLatency = 1500 * time.Millisecond
 				test.setUp(f)
 				s := f.serve(nil)
 				is.True(s.aborted)
@@ -410,6 +418,7 @@
 				is.Equal(s.body, "1")
 				is.Equal(prefill.calls, 2)
 				is.True(f.observer.records[0].TotalTime < 1500*time.Millisecond)
+				is.Equal(f.observer.counts[StreamEnded], 0)
 			})
 		})
 	}
@@ -429,12 +438,89 @@
 	return u.pacedUpstream.Prefill(ctx, a)
 }
 
+// resumingUpstream sends the events after the last one of the caller, up to 6, with given pauses.
+type resumingUpstream struct {
+	*fakeUpstream
+	pauses [][]time.Duration
+	sent   int
+}
+
+func (u *resumingUpstream) Send(ctx context.Context, a *Attempt) Outcome {
+	after, _ := strconv.Atoi(a.LastEventID)
+	answer := &unevenAnswer{pacedAnswer: pacedAnswer{ctx: ctx, ends: true, fakeAnswer: fakeAnswer{status: 200, stream: true}}, pauses: u.pauses[u.sent]}
+	u.sent++
+	for n := after + 1; n <= 6; n++ {
+		answer.events = append(answer.events, events(strconv.Itoa(n))...)
+	}
+	return Answered{answer}
+}
+
+// unevenAnswer has a pause of its own before each event.
+type unevenAnswer struct {
+	pacedAnswer
+	pauses []time.Duration
+}
+
+func (a *unevenAnswer) Next() (Event, error) {
+	a.pause, a.pauses = a.pauses[0], append(a.pauses[1:], 0)
+	return a.pacedAnswer.Next()
+}
+
+// TestMovedStreamsRepeatAndLoseNothing guards against events that are repeated, lost or out of order when
+// events and decisions coincide, and against more attempts than the route or the budget allow.
+func TestMovedStreamsRepeatAndLoseNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pause := rapid.SampledFrom([]time.Duration{0, 100, 500, 999, 1000, 1001, 1499, 1500, 3000})
+		pauses := rapid.SliceOfN(rapid.SliceOfN(pause, 6, 6), 3, 3).Draw(rt, "pauses_ms")
+		for _, list := range pauses {
+			for i := range list {
+				list[i] *= time.Millisecond
+			}
+		}
+		budget := rapid.IntRange(0, 2).Draw(rt, "budget")
+		synctest.Test(t, func(*testing.T) {
+			f := newStallFixture(true)
+			f.budget.retries = budget
+			u := &resumingUpstream{fakeUpstream: f.upstream, pauses: pauses}
+			f.core.Upstream = u
+			s := f.serve(nil)
+			if !strings.HasPrefix("123456", s.body) || s.ended && s.body != "123456" {
+				rt.Errorf("the caller got %q", s.body)
+			}
+			if u.sent > 1+min(1, budget) {
+				rt.Errorf("%d attempts with %d retries", u.sent, budget)
+			}
+		})
+	})
+}
+
+// TestFrozenNodeMovesNoStream guards against streams that leave their servers because the node was
+// suspended: their events lie unread.
+func TestFrozenNodeMovesNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newStallFixture(true)
+		e := &exchange{Core: f.core, request: &Request{}, route: f.route, deadline: time.Now().Add(time.Hour)}
+		canceled := false
+		w := e.watchStream(&Attempt{Server: twoServerRegistry().View().All()["near"]}, false, func(error) { canceled = true })
+		w.timer.Stop()
+		time.Sleep(5 * time.Second)
+		w.tick()
+		is.True(!canceled)
+		w.received(time.Now(), "1")
+		w.wait()
+		time.Sleep(400 * time.Millisecond)
+		is.True(!canceled)
+		_, _ = w.stop()
+	})
+}
+
 // BenchmarkStreamEvent measures what the watch adds to each event.
 func BenchmarkStreamEvent(b *testing.B) {
 	f := newStallFixture(true)
 	e := &exchange{Core: f.core, request: &Request{}, route: f.route, deadline: time.Now().Add(time.Hour)}
-	w := e.watchStream(&Attempt{Server: twoServerRegistry().View().All()["near"]}, 1, func(error) {})
-	defer w.stop()
+	w := e.watchStream(&Attempt{Server: twoServerRegistry().View().All()["near"]}, false, func(error) {})
+	defer func() { _, _ = w.stop() }()
 	for b.Loop() {
 		w.received(time.Now(), "1")
 		w.wait()
