plan, plan/scaler: roles that stay, and no second set of order rules

Cause: with too few engines for prompts and streams, and a mix that shifts every 14 s, three engines changed their role back and forth every 28 s. The part of plan.TargetCapacity for reclaimable engines was no longer called.

Change: a small lack of decode engines changes none back within 30 s of a change to prefill. A new holder keeps the roles until it knows the demand, for 12 s at most and only if both roles exist. TargetCapacity is removed; services without an offer of reclaimable engines use EnginesPerDomain, as before. Its tests move to plan/scaler: standard engines stop after their replacement, also where none are available; only missing engines are replaced; failure domains without room.

--- a/plan/scaler/controller.go
+++ b/plan/scaler/controller.go
@@ -81,8 +81,9 @@
 // Controller decides on the orders for one service while this node holds the duty. It is
 // not safe for concurrent use.
 type Controller struct {
-	orders  map[Key]*keyState
-	tracker *plan.OrderTracker[Key]
+	heldSince time.Time
+	orders    map[Key]*keyState
+	tracker   *plan.OrderTracker[Key]
 	// refusedUntil holds the failure domains where reclaimable servers were refused. It
 	// keeps a failure domain until an order there is accepted.
 	refusedUntil map[string]time.Time
@@ -98,8 +99,8 @@
 	need    Need
 	// minimum is the number of engines kept where no reclaimable servers are offered.
 	minimum int
-	// lastDecode is when engines were last changed to the decode role.
-	lastDecode time.Time
+	// lastDecode and lastPrefill are when engines were last changed to these roles.
+	lastDecode, lastPrefill time.Time
 }
 
 // NewController returns a controller for a holder that took the duty at the given time.
@@ -109,7 +110,7 @@
 // demand.
 func NewController(heldSince time.Time, total int, restored map[Key]int) *Controller {
 	c := &Controller{
-		initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
+		heldSince: heldSince, initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
 		tracker: plan.NewOrderTracker[Key](), refusedUntil: make(map[string]time.Time),
 	}
 	for k, n := range restored {
@@ -208,12 +209,12 @@
 		c.minimum = max(c.minimum, v.EnginesPerDomain()*len(v.FailureDomains))
 		v.MinEngines = c.minimum
 	}
-	c.need.Total = float64(c.minimum)
-	targets := plan.TargetCapacity(v)
+	c.need.Running, c.need.Total = float64(c.minimum), float64(c.minimum)
+	count := v.EnginesPerDomain()
 	var orders []Order
 	for _, d := range v.FailureDomains {
 		k := Key{d, false}
-		running, count := v.RunningEngines(d, false), targets[d].Standard
+		running := v.RunningEngines(d, false)
 		if c.tracker.Due(now, k, count, running) {
 			orders = append(orders, Order{Key: k, Count: count, Present: running, Reason: c.need.Reason})
 		}
@@ -226,13 +227,18 @@
 	// covers a period of the load, so that engines don't change back and forth while the
 	// mix of prompts and answers shifts.
 	prefillHold = 12 * time.Second
+	// decodeHold is how long after a change to prefill none changes back for a small lack
+	// of decode engines, below decodeHoldLack of those wanted. It covers two bursts in turn.
+	decodeHold     = 30 * time.Second
+	decodeHoldLack = 0.2
 )
 
-// RoleChanges returns at most limit role changes. Changes to decode are not held back once
-// there are streams, because no stream runs without a decode engine.
+// RoleChanges returns at most limit role changes. Changes to decode are held back for a
+// small lack only, because no stream runs without a decode engine.
 func (c *Controller) RoleChanges(now time.Time, v *plan.ScalingView, limit int) []plan.RoleAssignment {
-	view := *v
-	if c.takenOver && !v.DemandSettled {
+	view, decoding := *v, v.DecodingEngines()
+	settling := c.takenOver && !v.DemandSettled && now.Sub(c.heldSince) < warmup && decoding > 0 && decoding < len(v.Engines)
+	if settling {
 		// The previous holder had settled the roles. Until this one knows the demand, only
 		// a lack of decode engines is a reason to change them.
 		if v.Streams <= 0 {
@@ -241,13 +247,20 @@
 		view.DemandSettled = true
 	}
 	changes := view.RoleChanges(limit)
-	held := c.takenOver && !v.DemandSettled || !c.lastDecode.IsZero() && now.Sub(c.lastDecode) < prefillHold
+	held := settling || !c.lastDecode.IsZero() && now.Sub(c.lastDecode) < prefillHold
+	wanted := view.DecodeEngines()
+	decodeHeld := !c.lastPrefill.IsZero() && now.Sub(c.lastPrefill) < decodeHold && decoding > 0 &&
+		float64(wanted-decoding) < decodeHoldLack*float64(wanted)
 	kept := changes[:0]
 	for _, change := range changes {
-		if change.Prefill && held {
+		if change.Prefill && held || !change.Prefill && decodeHeld {
 			continue
 		}
-		if !change.Prefill {
+		switch {
+		case v.Streams <= 0: // idle engines change without harm
+		case change.Prefill:
+			c.lastPrefill = now
+		default:
 			c.lastDecode = now
 		}
 		kept = append(kept, change)
--- a/plan/scaler/scaler_test.go
+++ b/plan/scaler/scaler_test.go
@@ -463,3 +463,160 @@
 		}
 	})
 }
+
+// engineCounts returns an in-memory service with the given standard and reclaimable engines
+// in the failure domains a, b and c.
+func engineCounts(t *testing.T, standard, reclaimable [3]int) *simulation {
+	s := newSimulation(t, 0, nil)
+	s.view.FailureDomains, s.view.MinPerDomain, s.view.MaxPerDomain = []string{"a", "b", "c"}, 1, 10
+	s.setEngines(standard, reclaimable)
+	s.demand.Observe(s.now.Add(-tick), 0, 0)
+	s.demand.Observe(s.now, 0, 0)
+	return s
+}
+
+func (s *simulation) setEngines(standard, reclaimable [3]int) {
+	s.engines = nil
+	for i, d := range s.view.FailureDomains {
+		for range standard[i] {
+			s.addEngine(d, false)
+		}
+		for range reclaimable[i] {
+			s.addEngine(d, true)
+		}
+	}
+	s.view.Engines = s.engines
+}
+
+// decide returns the targets: the orders, and what runs where there is no order.
+func (s *simulation) decide() (standard, reclaimable [3]int) {
+	for i, d := range s.view.FailureDomains {
+		standard[i], reclaimable[i] = s.count(d, false), s.count(d, true)
+	}
+	for _, o := range s.controller.Orders(s.now, &s.view, &s.demand) {
+		i := slices.Index(s.view.FailureDomains, o.FailureDomain)
+		if o.Reclaimable {
+			reclaimable[i] = o.Count
+		} else {
+			standard[i] = o.Count
+		}
+		s.controller.Record(s.now, &s.view, o, Accepted)
+	}
+	return standard, reclaimable
+}
+
+// Guards against stopping standard engines before the reclaimable engines that replace them
+// run, also where none are available.
+func TestStandardEnginesStopAfterReplacement(t *testing.T) {
+	is := is.New(t)
+	s := engineCounts(t, [3]int{4, 4, 4}, [3]int{})
+	s.controller.refusedUntil["a"] = s.now.Add(time.Hour)
+	standard, reclaimable := s.decide()
+	is.Equal(standard, [3]int{4, 4, 4})
+	is.Equal(reclaimable, [3]int{0, 6, 6}) // the maximum is 10
+	for range 2 {
+		s.now = s.now.Add(startup / 2)
+		s.demand.Observe(s.now, 0, 0)
+		standard, _ = s.decide() // the replacements are starting
+		is.Equal(standard, [3]int{4, 4, 4})
+	}
+	s.setEngines([3]int{4, 4, 4}, [3]int{0, 6, 6})
+	standard, _ = s.decide()
+	is.Equal(standard, [3]int{1, 1, 1})
+}
+
+// Guards against ordering engines elsewhere in place of standard engines that a reclaimed
+// failure domain still runs, and against standard engines while others are to be had.
+func TestOnlyMissingEnginesAreReplaced(t *testing.T) {
+	is := is.New(t)
+	s := engineCounts(t, [3]int{1, 1, 1}, [3]int{5, 5, 5})
+	s.controller.takenOver = true // without headroom
+	s.decide()
+	s.now = s.now.Add(30 * time.Second)
+	s.setEngines([3]int{1, 1, 1}, [3]int{0, 5, 5})
+	s.controller.refusedUntil["a"] = s.now.Add(time.Hour)
+	standard, reclaimable := s.decide()
+	is.Equal(standard, [3]int{1, 1, 1})
+	is.Equal(reclaimable[1]+reclaimable[2], 15) // the five of a
+}
+
+// Guards against standard engines that are never stopped because they fill the failure
+// domains up to the maximum, and against stopping too many of them at once.
+func TestNoRoomForReplacements(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, func(time.Duration) (float64, int) { return 0, 0 })
+	s.view.MaxPerDomain = 15
+	fewest := 60
+	s.check = func(Order) { fewest = min(fewest, len(s.engines)) }
+	s.run(60 * time.Second)
+	is.Equal(s.count("", false), 4)
+	is.Equal(s.count("", true), 56)
+	is.True(fewest >= 40) // two thirds keep serving
+}
+
+// Guards against fewer engines than the greatest demand of the tenure required where no
+// reclaimable ones are offered, also under the next holder.
+func TestWithoutReclaimableServers(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.view.ReclaimablePrice = 0
+	s.run(60 * time.Second)
+	most := s.count("", false)
+	is.True(most >= 60)
+	total, ordered := s.controller.State()
+	s.engines = s.engines[20:] // lost meanwhile
+	s.controller = NewController(s.now, total, ordered)
+	s.load = func(time.Duration) (float64, int) { return 1000, 1 }
+	s.run(180 * time.Second)
+	is.Equal(s.count("", false), most)
+	is.Equal(s.count("", true), 0)
+}
+
+// The mix shifts between long prompts and long answers every 14 s while there are too few
+// engines for both. Guards against engines that change their role back and forth, since
+// each change takes one out of service for seconds, and against a new holder that changes
+// the roles of the previous one before it knows the demand.
+func TestRolesDoNotFlap(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 40, nil)
+	toDecode, toPrefill := 0, 0
+	load := func() (float64, int) {
+		if int(s.now.Sub(s.start)/(14*time.Second))%2 == 0 {
+			return 600_000, 1100
+		}
+		return 1_200_000, 300
+	}
+	play := func(until time.Duration) {
+		for ; s.now.Sub(s.start) < until; s.now = s.now.Add(tick) {
+			rate, streams := load()
+			s.tokens += rate * tick.Seconds()
+			s.demand.Observe(s.now, uint64(s.tokens), streams)
+			s.view.DemandSettled = s.demand.Settled(s.now)
+			s.view.PromptTokensPerSecond, s.view.Streams = s.demand.PromptTokens().Peak, s.demand.Streams().Peak
+			s.view.Engines = s.engines
+			for _, c := range s.controller.RoleChanges(s.now, &s.view, 6) {
+				i := slices.IndexFunc(s.engines, func(e plan.Engine) bool { return e.ID == c.ID })
+				s.engines[i].Prefill = c.Prefill
+				if c.Prefill {
+					toPrefill++
+				} else {
+					toDecode++
+				}
+			}
+		}
+	}
+	play(40 * time.Second)
+	toDecode, toPrefill = 0, 0
+	play(160 * time.Second)
+	t.Log("to decode", toDecode, "to prefill", toPrefill)
+	is.True(s.view.DecodingEngines() > 0)
+	is.True(toDecode+toPrefill <= 20) // of 40 engines, in two minutes
+	s.controller = NewController(s.now, 40, map[Key]int{{"a", true}: 1})
+	s.demand, toDecode, toPrefill = Demand{}, 0, 0
+	load = func() (float64, int) { return 1_200_000, 100 }
+	for i := range s.engines {
+		s.engines[i].Prefill = i >= 8
+	}
+	play(171 * time.Second)
+	is.Equal(toDecode+toPrefill, 0)
+}
--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -45,9 +45,6 @@
 	// ReclaimablePrice is the price of a reclaimable engine as a fraction of
 	// the price of a standard one; 0 if the platform offers none.
 	ReclaimablePrice float64
-	// Unavailable holds the failure domains that currently offer no reclaimable
-	// engines.
-	Unavailable map[string]bool
 	// PromptTokensPerSecond is the recent peak of the prefill demand; 0 if
 	// unknown.
 	PromptTokensPerSecond float64
@@ -72,11 +69,6 @@
 	Needs LatencyNeeds
 }
 
-// Capacity is the number of engines of each class in one failure domain.
-type Capacity struct {
-	Standard, Reclaimable int
-}
-
 const (
 	// prefillLoad is the load of prefill engines at which queues stay short
 	// while the demand varies.
@@ -96,109 +88,12 @@
 	defaultDecodeShare = 0.4
 )
 
-// TargetCapacity returns the target capacity of each failure domain. Each failure domain
-// keeps its minimum as standard engines, so that it keeps serving through a
-// reclaim; the rest are reclaimable engines where available.
-func TargetCapacity(v *ScalingView) map[string]Capacity {
-	perDomain := v.EnginesPerDomain()
-	extraPerDomain, uncovered := v.shiftToOthers(perDomain)
-	atTarget := len(v.Engines) >= perDomain*len(v.FailureDomains)
-	out := make(map[string]Capacity, len(v.FailureDomains))
-	for _, d := range v.FailureDomains {
-		running := v.count(d)
-		target := Capacity{Standard: perDomain}
-		if v.ReclaimablePrice > 0 && v.ReclaimablePrice < 1 {
-			target.Standard = v.minStandard(perDomain)
-			target.Reclaimable = perDomain - target.Standard
-		}
-		if v.Unavailable[d] {
-			target.Reclaimable = running.Reclaimable
-			target.Standard = max(target.Standard, v.standardReplacements(perDomain, running, uncovered))
-		} else {
-			target = v.stepToReclaimable(target, running, perDomain)
-			target.Reclaimable += extraPerDomain
-			if !atTarget {
-				target.Reclaimable = max(target.Reclaimable, running.Reclaimable)
-			}
-		}
-		if over := target.Standard + target.Reclaimable - v.MaxPerDomain; over > 0 {
-			target.Reclaimable = max(0, target.Reclaimable-over)
-		}
-		out[d] = target
-	}
-	return out
-}
-
-// minStandard returns the number of standard engines a failure domain keeps
-// where reclaimable engines are available.
-func (v *ScalingView) minStandard(perDomain int) int {
-	return min(perDomain, max(1, v.MinPerDomain))
-}
-
-// swapShare is the fraction of the missing reclaimable engines for which
-// standard engines are stopped per step if the failure domain has no room for
-// both.
-const swapShare = 1.0 / 3
-
-// stepToReclaimable returns the next step from the running to the wanted
-// capacity. Standard engines are stopped only when the reclaimable engines that
-// replace them are running, or to make room for some of them.
-func (v *ScalingView) stepToReclaimable(want, running Capacity, perDomain int) Capacity {
-	missing := want.Reclaimable - running.Reclaimable
-	if missing <= 0 || running.Standard <= want.Standard {
-		return want
-	}
-	next := want
-	next.Standard = min(running.Standard, max(want.Standard, min(perDomain, want.Standard+missing)))
-	if next.Standard < v.MaxPerDomain-running.Reclaimable {
-		return next
-	}
-	step := int(math.Ceil(swapShare * float64(missing)))
-	next.Standard = max(want.Standard, v.MaxPerDomain-running.Reclaimable-step)
-	return next
-}
-
-// shiftToOthers returns how many extra reclaimable engines each available
-// failure domain gets to replace those of unavailable ones, and the fraction of
-// the missing engines that exceeds the limits there.
-func (v *ScalingView) shiftToOthers(perDomain int) (extraPerDomain int, uncovered float64) {
-	missing, others := 0, 0
-	for _, d := range v.FailureDomains {
-		if v.Unavailable[d] {
-			missing += max(0, perDomain-v.count(d).Reclaimable-v.minStandard(perDomain))
-		} else {
-			others++
-		}
-	}
-	if missing == 0 || others == 0 || v.PromptTokensPerSecond <= 0 {
-		return 0, 1
-	}
-	extraPerDomain = (missing + others - 1) / others
-	extraPerDomain = max(0, min(extraPerDomain, v.MaxPerDomain-perDomain))
-	return extraPerDomain, max(0, 1-float64(extraPerDomain*others)/float64(missing))
-}
-
-// standardReplacements returns the number of standard engines that a failure
-// domain without available reclaimable engines needs for the uncovered fraction
-// of its missing engines. While the demand is unknown, running ones are kept
-// and no more are ordered.
-func (v *ScalingView) standardReplacements(perDomain int, running Capacity, uncovered float64) int {
-	missing := perDomain - running.Reclaimable
-	if v.PromptTokensPerSecond <= 0 {
-		missing = min(running.Standard, missing)
-	}
-	missing = int(math.Ceil(uncovered * float64(missing)))
-	// Leave room for one engine: ordering it shows when reclaimable engines are
-	// available again.
-	return min(missing, max(running.Standard, v.MaxPerDomain-running.Reclaimable-1))
-}
-
-// EnginesPerDomain returns the target number of engines per failure domain, both
-// classes together.
+// EnginesPerDomain returns the target number of engines per failure domain where no
+// reclaimable engines are offered.
 func (v *ScalingView) EnginesPerDomain() int {
 	domains := max(1, len(v.FailureDomains))
 	total := float64(v.MinEngines)
-	if v.PromptTokensPerSecond <= 0 && v.count("").Reclaimable == 0 {
+	if v.PromptTokensPerSecond <= 0 {
 		total *= 1 + startupHeadroom
 	}
 	if prefill := v.prefillNeed(); prefill > 0 {
@@ -208,13 +103,14 @@
 	return min(max(n, v.MinPerDomain, 2), max(v.MaxPerDomain, 1))
 }
 
-// RunningEngines returns the number of running engines of a class in a failure domain.
+// RunningEngines returns the number of running engines of a class in a failure domain, or
+// in all if domain is empty.
 func (v *ScalingView) RunningEngines(domain string, reclaimable bool) int {
-	c := v.count(domain)
-	if reclaimable {
-		return c.Reclaimable
+	n := 0
+	for _, e := range v.Engines {
+		n += boolToInt((domain == "" || e.FailureDomain == domain) && e.Reclaimable == reclaimable)
 	}
-	return c.Standard
+	return n
 }
 
 // Speed returns the sum of the speeds of the running engines.
@@ -225,20 +121,3 @@
 	}
 	return sum
 }
-
-// count counts the engines of a failure domain, or all engines if domain is
-// empty.
-func (v *ScalingView) count(domain string) Capacity {
-	var c Capacity
-	for _, e := range v.Engines {
-		if domain != "" && e.FailureDomain != domain {
-			continue
-		}
-		if e.Reclaimable {
-			c.Reclaimable++
-		} else {
-			c.Standard++
-		}
-	}
-	return c
-}
