--- a/plan/scaler/scaler_test.go
+++ b/plan/scaler/scaler_test.go
@@ -620,3 +620,23 @@
 	play(171 * time.Second)
 	is.Equal(toDecode+toPrefill, 0)
 }
+
+// Guards against ordering as many engines in an expensive failure domain as in a cheap one,
+// and against so many in the cheap one that its reclaim leaves too few.
+func TestCheapFailureDomainsComeFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, wave)
+	s.view.Prices = map[string]float64{"a": 0.8, "b": 1, "c": 1, "d": 1.4}
+	s.run(60 * time.Second)
+	s.reset()
+	s.run(120 * time.Second)
+	counts := map[string]int{}
+	for _, d := range s.view.FailureDomains {
+		counts[d] = s.count(d, true)
+		is.True(s.view.Speed()-float64(counts[d]) >= s.controller.need.Hard-1)
+	}
+	t.Log(counts)
+	is.True(counts["a"] > counts["d"])
+	is.Equal(s.orderedAgain, 0)
+	is.True(s.calls <= 8)
+}
