plan/scaler: keep half of the highest need, count peaks from the sixth sample

Cause: without traffic for half a minute nearly all engines were released, and a service whose traffic returns had none for a start. The first samples determined the peak alone: the first prompts find no cache, and the nodes report at different times.

Change: half of the highest need of the tenure is kept, which halves in about ten minutes. An average of fewer than six samples sets no peak. A service without max_instances gets no orders.

Result: TestTrafficReturnsAfterIdle fails without either; with both, the returning traffic has room at once.

--- a/plan/scaler/controller.go
+++ b/plan/scaler/controller.go
@@ -94,6 +94,8 @@
 	// minPerClass is set once the platform has kept the minimum of a failure domain for
 	// standard servers alone, although reclaimable ones run there.
 	minPerClass bool
+	// highest is the highest need for the demand, see highestDecay.
+	highest float64
 	// demands are the needs for the demand over keepWindow.
 	demands []timedValue
 	need    Need
@@ -163,8 +165,11 @@
 
 // Orders returns the orders that are due. Within a failure domain a class is reduced
 // before the other is raised, because the maximum covers both. The caller sends and
-// records them, and asks again if one was refused.
+// records them, and asks again if one was refused. Nothing is ordered without a maximum.
 func (c *Controller) Orders(now time.Time, v *plan.ScalingView, d *Demand) []Order {
+	if v.MaxPerDomain <= 0 {
+		return nil
+	}
 	t := c.newTargets(now, v)
 	if c.initial < 0 {
 		c.initial = t.countAll()
--- a/plan/scaler/demand.go
+++ b/plan/scaler/demand.go
@@ -21,6 +21,9 @@
 	// engines are released. Kinds of requests burst in turn every 14 s, so that the same
 	// kind bursts every 28 s.
 	keepWindow = 15 * time.Second
+	// minSamples is the number of samples from which the average counts for the peaks. The
+	// first prompts find no cache, and nodes report at different times.
+	minSamples = 6
 	// slopeWindow is the time over which Slope is the mean growth.
 	slopeWindow = 3 * time.Second
 	// minSampleGap is the least time between two samples. A ticker sends the next tick
@@ -57,6 +60,10 @@
 	s.samples++
 	e := &s.estimate
 	e.Mean += max(smoothing, 1/float64(s.samples)) * (sample - e.Mean)
+	if s.samples < minSamples {
+		e.Peak, e.RecentPeak = e.Mean, e.Mean
+		return
+	}
 	e.Peak = max(e.Mean, e.Peak*(1-peakDecay))
 	s.recent = append(s.recent, timedValue{now, e.Mean})
 	for now.Sub(s.recent[0].at) > peakWindow {
--- a/plan/scaler/need.go
+++ b/plan/scaler/need.go
@@ -19,6 +19,15 @@
 	hardPrefillLoad, hardDecodeLoad = 0.9, 0.8
 )
 
+const (
+	// highestShare is the fraction of the highest need of the tenure that is kept also when
+	// there is no traffic, so that traffic that returns finds engines while others start.
+	// highestDecay is how much the highest need falls at each decision; it halves in about
+	// ten minutes.
+	highestShare = 0.5
+	highestDecay = 0.0006
+)
+
 // Need is how many engines of speed 1 the demand requires.
 type Need struct {
 	// Total keeps the utilization at its targets at the recent peak, and contains the
@@ -29,8 +38,8 @@
 	// Floor is the number of engines that is kept until the demand has been observed
 	// over a full period; 0 after that.
 	Floor int
-	// Kept is the greatest need for the demand over keepWindow, or what Total contains
-	// besides. Only what exceeds it is released.
+	// Kept is the greatest need for the demand over keepWindow, half of the highest one, or
+	// what Total contains besides. Only what exceeds it is released.
 	Kept float64
 	// PrefillLoad and DecodeLoad are the utilization targets.
 	PrefillLoad, DecodeLoad float64
@@ -70,6 +79,8 @@
 	for _, t := range c.demands {
 		n.Kept = max(n.Kept, t.value)
 	}
+	c.highest = max(c.highest*(1-highestDecay), n.Running)
+	n.Kept = max(n.Kept, highestShare*c.highest)
 	if !known || !v.DemandSettled {
 		n.Floor = c.initial
 		if float64(n.Floor) > n.Running {
--- a/plan/scaler/scaler_test.go
+++ b/plan/scaler/scaler_test.go
@@ -640,3 +640,27 @@
 	is.Equal(s.orderedAgain, 0)
 	is.True(s.calls <= 8)
 }
+
+// Guards against giving back nearly all engines while there is no traffic, and against a
+// demand that is overestimated because the first prompts find no cache.
+func TestTrafficReturnsAfterIdle(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 60, func(at time.Duration) (float64, int) {
+		rate, streams := wave(at)
+		switch {
+		case at > 60*time.Second && at < 120*time.Second:
+			return 0, 0
+		case at >= 10*time.Second && at < 11*time.Second:
+			return 4 * rate, streams
+		}
+		return rate, streams
+	})
+	s.run(20 * time.Second)
+	is.True(s.demand.PromptTokens().RecentPeak <= 2*800_000)
+	s.run(119 * time.Second)
+	is.True(len(s.engines) >= steadyNeed/2-2)
+	s.reset()
+	s.run(150 * time.Second)
+	t.Log("without room", s.withoutRoom)
+	is.True(s.withoutRoom <= startup+2*time.Second)
+}
