Merge scaling: roles that stay, traffic that returns; services without stated speeds keep their rules

Change: a service whose engines state no speed is scaled by count as before (plan.TargetCapacity stays, with its tests). The holder of the duty asks up to three servers of a service for their speeds before there is traffic.

--- a/backends/server.go
+++ b/backends/server.go
@@ -154,6 +154,9 @@
 	s.stats.model.RecordReport(now, r)
 }
 
+// StatesSpeed reports whether the server has stated its speed.
+func (s *Server) StatesSpeed() bool { return s.stats.model.StatesSpeed() }
+
 // Capacity returns what the server can do now, as far as this node knows.
 func (s *Server) Capacity(now time.Time) capacity.Estimate { return s.stats.model.At(now) }
 
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -55,6 +56,9 @@
 	demand         scaler.Demand
 	// controllers decide on the orders while this node holds the duty, by service.
 	controllers map[string]*scaler.Controller
+	// speedChecks counts the health checks made to learn whether servers state their speeds,
+	// by service.
+	speedChecks map[string]int
 	// ordered is the record of the orders in the store, see orderedKey, and orderedRevision
 	// its revision.
 	ordered         map[string]int
@@ -65,6 +69,7 @@
 	return &autoscaler{
 		Gateway: g, cloud: cloud, backend: backend, roleOrderTimes: make(map[string]time.Time),
 		controllers: make(map[string]*scaler.Controller), ordered: make(map[string]int),
+		speedChecks: make(map[string]int),
 	}
 }
 
@@ -123,6 +128,7 @@
 	if service.Engine == nil && service.Scaling == nil {
 		return
 	}
+	a.askForSpeeds(ctx, service)
 	v := a.scalingView(now, service)
 	c := a.controller(now, service, v)
 	if service.Engine != nil {
@@ -134,6 +140,28 @@
 	a.orderServers(ctx, token, service, c, v)
 }
 
+// maxSpeedChecks is how many servers of a service are asked for their speeds before any request.
+const maxSpeedChecks = 3
+
+// askForSpeeds makes a health check of a server unless one of the service has stated its speed, or
+// enough were asked. Until requests are answered nothing else shows whether they do.
+func (a *autoscaler) askForSpeeds(ctx context.Context, service *core.Service) {
+	if service.Scaling == nil || service.HealthPath == "" || a.speedChecks[service.Name] >= maxSpeedChecks || a.speedsKnown(service.Name) {
+		return
+	}
+	servers := a.registry.View().Servers(service.Name)
+	if len(servers) == 0 {
+		return
+	}
+	a.backend.RequestLoad(ctx, servers[a.speedChecks[service.Name]%len(servers)], service.HealthPath)
+	a.speedChecks[service.Name]++
+}
+
+// speedsKnown reports whether a server of a service has stated its speed.
+func (a *autoscaler) speedsKnown(service string) bool {
+	return slices.ContainsFunc(a.registry.View().Servers(service), (*backends.Server).StatesSpeed)
+}
+
 // controller returns the controller of a service. The first one after this node acquired
 // the duty continues the orders of the previous holder.
 func (a *autoscaler) controller(now time.Time, service *core.Service, v *plan.ScalingView) *scaler.Controller {
@@ -223,11 +251,14 @@
 	v := &plan.ScalingView{
 		Engines:       a.engines(now, service.Name),
 		DemandSettled: a.demand.Settled(now),
+		SpeedsKnown:   a.speedsKnown(service.Name),
 	}
 	if service.Engine != nil {
 		v.PromptTokensPerSecond, v.Streams = a.demand.PromptTokens().Peak, a.demand.Streams().Peak
 		v.PrefillTokensPerSecond = a.balancer.PrefillTokensPerSecond()
 		v.Slots = service.Engine.Slots
+	}
+	if service.Engine != nil && v.SpeedsKnown {
 		v.Needs.PromptTokens = a.balancer.PromptTokensPerPrompt()
 		v.Needs.TargetLatency, v.Needs.TargetPause = a.table.Load().ShortestTargets(service.Name)
 		if slots := float64(v.DecodingEngines() * v.Slots); slots > 0 {
--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -11,16 +11,19 @@
 	"github.com/figweir/figweir/platform"
 )
 
-// orderServers sends the orders that the controller of a service decides on. A refusal
-// changes the decision, so the controller is asked once more.
+// maxOrderRounds is how often the controller is asked at a time: after probes, and after a refusal.
+const maxOrderRounds = 3
+
+// orderServers sends the orders that the controller of a service decides on. The
+// controller is asked again after a probe or a refusal, which change the decision.
 func (a *autoscaler) orderServers(ctx context.Context, token uint64, service *core.Service, c *scaler.Controller, v *plan.ScalingView) {
 	sent := false
-	for range 2 {
-		refused := false
+	for range maxOrderRounds {
+		again := false
 		for _, o := range c.Orders(time.Now(), v, &a.demand) {
 			sent = true
 			outcome := a.sendOrder(ctx, token, service.Name, c, v, o)
-			refused = refused || outcome == scaler.Refused
+			again = again || outcome == scaler.Refused || o.Probe
 			if outcome == scaler.Refused && !o.Reclaimable {
 				// Standard servers are always available, so the conflict means a newer holder.
 				a.duty.MarkLost()
@@ -32,7 +35,7 @@
 				break
 			}
 		}
-		if !refused {
+		if !again {
 			break
 		}
 	}
--- a/plan/scaler/controller.go
+++ b/plan/scaler/controller.go
@@ -37,6 +37,9 @@
 	Present int
 	// Reason states what the order is for.
 	Reason string
+	// Probe is set if the order only shows whether reclaimable servers are available again.
+	// The orders that follow from it are computed after it.
+	Probe bool
 }
 
 // Outcome is what became of an order.
@@ -81,8 +84,9 @@
 // Controller decides on the orders for one service while this node holds the duty. It is
 // not safe for concurrent use.
 type Controller struct {
-	orders  map[Key]*keyState
-	tracker *plan.OrderTracker[Key]
+	heldSince time.Time
+	orders    map[Key]*keyState
+	tracker   *plan.OrderTracker[Key]
 	// refusedUntil holds the failure domains where reclaimable servers were refused. It
 	// keeps a failure domain until an order there is accepted.
 	refusedUntil map[string]time.Time
@@ -93,13 +97,15 @@
 	// minPerClass is set once the platform has kept the minimum of a failure domain for
 	// standard servers alone, although reclaimable ones run there.
 	minPerClass bool
+	// highest is the highest need for the demand, see highestDecay.
+	highest float64
 	// demands are the needs for the demand over keepWindow.
 	demands []timedValue
 	need    Need
-	// minimum is the number of engines kept where no reclaimable servers are offered.
+	// minimum is the number of engines that ordersByCount keeps.
 	minimum int
-	// lastDecode is when engines were last changed to the decode role.
-	lastDecode time.Time
+	// lastDecode and lastPrefill are when engines were last changed to these roles.
+	lastDecode, lastPrefill time.Time
 }
 
 // NewController returns a controller for a holder that took the duty at the given time.
@@ -109,7 +115,7 @@
 // demand.
 func NewController(heldSince time.Time, total int, restored map[Key]int) *Controller {
 	c := &Controller{
-		initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
+		heldSince: heldSince, initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
 		tracker: plan.NewOrderTracker[Key](), refusedUntil: make(map[string]time.Time),
 	}
 	for k, n := range restored {
@@ -139,6 +145,9 @@
 // Record stores the outcome of an order that Orders returned.
 func (c *Controller) Record(now time.Time, v *plan.ScalingView, o Order, outcome Outcome) {
 	c.tracker.Record(now, o.Key, o.Count, o.Present, outcome != Accepted)
+	if o.Probe {
+		c.tracker.Forget(o.Key)
+	}
 	s := &keyState{count: o.Count, sentAt: now, outcome: outcome}
 	if old := c.orders[o.Key]; old != nil {
 		s.raisedAt = old.raisedAt
@@ -162,15 +171,18 @@
 
 // Orders returns the orders that are due. Within a failure domain a class is reduced
 // before the other is raised, because the maximum covers both. The caller sends and
-// records them, and asks again if one was refused.
+// records them, and asks again if one was refused. Nothing is ordered without a maximum.
 func (c *Controller) Orders(now time.Time, v *plan.ScalingView, d *Demand) []Order {
+	if v.MaxPerDomain <= 0 {
+		return nil
+	}
 	t := c.newTargets(now, v)
 	if c.initial < 0 {
 		c.initial = t.countAll()
 	}
 	c.updateNeed(now, v, d)
-	if v.ReclaimablePrice <= 0 || v.ReclaimablePrice >= 1 {
-		return c.standardOrders(now, v)
+	if !v.SpeedsKnown || v.ReclaimablePrice <= 0 || v.ReclaimablePrice >= 1 {
+		return c.ordersByCount(now, v)
 	}
 	t.setMinStandard()
 	t.place()
@@ -199,40 +211,26 @@
 	return append(lower, raise...)
 }
 
-// standardOrders returns the orders where no reclaimable servers are offered. The number
-// of servers then follows the greatest demand since the duty was taken.
-func (c *Controller) standardOrders(now time.Time, v *plan.ScalingView) []Order {
-	c.minimum = max(c.minimum, c.initial)
-	v.MinEngines = c.minimum
-	if v.PromptTokensPerSecond > 0 || c.tracker.Empty() {
-		c.minimum = max(c.minimum, v.EnginesPerDomain()*len(v.FailureDomains))
-		v.MinEngines = c.minimum
-	}
-	c.need.Total = float64(c.minimum)
-	targets := plan.TargetCapacity(v)
-	var orders []Order
-	for _, d := range v.FailureDomains {
-		k := Key{d, false}
-		running, count := v.RunningEngines(d, false), targets[d].Standard
-		if c.tracker.Due(now, k, count, running) {
-			orders = append(orders, Order{Key: k, Count: count, Present: running, Reason: c.need.Reason})
-		}
-	}
-	return orders
-}
-
 const (
 	// prefillHold is how long after a change to decode no engine changes to prefill. It
 	// covers a period of the load, so that engines don't change back and forth while the
 	// mix of prompts and answers shifts.
 	prefillHold = 12 * time.Second
+	// decodeHold is how long after a change to prefill none changes back for a small lack
+	// of decode engines, below decodeHoldLack of those wanted. It covers two bursts in turn.
+	decodeHold     = 30 * time.Second
+	decodeHoldLack = 0.2
 )
 
-// RoleChanges returns at most limit role changes. Changes to decode are not held back once
-// there are streams, because no stream runs without a decode engine.
+// RoleChanges returns at most limit role changes. Changes to decode are held back for a
+// small lack only, because no stream runs without a decode engine.
 func (c *Controller) RoleChanges(now time.Time, v *plan.ScalingView, limit int) []plan.RoleAssignment {
-	view := *v
-	if c.takenOver && !v.DemandSettled {
+	if !v.SpeedsKnown {
+		return v.RoleChanges(limit)
+	}
+	view, decoding := *v, v.DecodingEngines()
+	settling := c.takenOver && !v.DemandSettled && now.Sub(c.heldSince) < warmup && decoding > 0 && decoding < len(v.Engines)
+	if settling {
 		// The previous holder had settled the roles. Until this one knows the demand, only
 		// a lack of decode engines is a reason to change them.
 		if v.Streams <= 0 {
@@ -241,13 +239,20 @@
 		view.DemandSettled = true
 	}
 	changes := view.RoleChanges(limit)
-	held := c.takenOver && !v.DemandSettled || !c.lastDecode.IsZero() && now.Sub(c.lastDecode) < prefillHold
+	held := settling || !c.lastDecode.IsZero() && now.Sub(c.lastDecode) < prefillHold
+	wanted := view.DecodeEngines()
+	decodeHeld := !c.lastPrefill.IsZero() && now.Sub(c.lastPrefill) < decodeHold && decoding > 0 &&
+		float64(wanted-decoding) < decodeHoldLack*float64(wanted)
 	kept := changes[:0]
 	for _, change := range changes {
-		if change.Prefill && held {
+		if change.Prefill && held || !change.Prefill && decodeHeld {
 			continue
 		}
-		if !change.Prefill {
+		switch {
+		case v.Streams <= 0: // idle engines change without harm
+		case change.Prefill:
+			c.lastPrefill = now
+		default:
 			c.lastDecode = now
 		}
 		kept = append(kept, change)
--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -61,6 +61,8 @@
 	DemandSettled bool
 	// Slots is the number of streams that one engine decodes concurrently.
 	Slots int
+	// SpeedsKnown is true if engines of the service state their speeds.
+	SpeedsKnown bool
 	// PrefillTokensPerSecond is the prompt throughput of one prefill engine of speed 1.
 	PrefillTokensPerSecond float64
 	// Prices holds the price of a server-second by failure domain; a missing one
