Quotas of workspaces over all nodes

Cause: a workspace could send without limit; nothing acted on rate_per_s, burst, unit and uncached_tokens of a tenant. Change: package quota decides, without network access. Three granters for each workspace, chosen by rendezvous hashing among the reachable nodes, grant permits from a token bucket. A granter that reaches a fraction of the nodes grants that fraction of the rate, so the sides of a network partition keep the sum without agreement. core asks for a permit before the first attempt and for each further run, and refuses with 429 only what has not been sent. gateway sends the messages as datagrams (SCOPE_QUOTAS). ratelimit and quota share package permit. A deployment without quotas compares one pointer for each request and sends nothing.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -23,7 +23,7 @@
 	if e.handle == nil {
 		e.record.FirstEventEstimate, e.record.UncachedTokens = choice.FirstEventEstimate, choice.UncachedTokens
 	}
-	if !e.acquireRetry() {
+	if !e.acquireRetry(ctx) {
 		e.fail(e.retryDeniedReason())
 		return true
 	}
@@ -105,13 +105,21 @@
 }
 
 // acquireRetry acquires a retry from the budget for every charged attempt of the
-// request beyond the first one. It reports whether the next attempt may be sent.
-func (e *exchange) acquireRetry() bool {
+// request beyond the first one, and a permit of the workspace's quota for every run beyond the
+// first one. It reports whether the next attempt may be sent.
+func (e *exchange) acquireRetry(ctx context.Context) bool {
 	if e.chargedAttempts == 0 || e.retryAcquired {
 		e.retryAcquired = false
 		return true
 	}
-	return e.RetryBudget.Retry(e.record.Service)
+	return e.acquireRepeat(ctx)
+}
+
+// acquireRepeat acquires what a further attempt needs. The quota comes first: a retry can't be given
+// back to the budget.
+func (e *exchange) acquireRepeat(ctx context.Context) bool {
+	acquired, _ := e.acquireQuota(ctx)
+	return acquired && e.RetryBudget.Retry(e.record.Service)
 }
 
 // retryDeniedReason returns the refusal reason for a request whose next attempt was
@@ -187,7 +195,7 @@
 // chosen only afterwards, because loads and registrations may change in the meantime.
 // If no handle is returned, the caller makes a new choice for the whole request.
 func (e *exchange) prefill(ctx context.Context, a *Attempt, choice *backends.Choice) {
-	if !e.acquireRetry() {
+	if !e.acquireRetry(ctx) {
 		e.fail(e.retryDeniedReason())
 		return
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -52,6 +52,15 @@
 	Retry(service string) bool
 }
 
+// Quotas limits what all nodes together send for the workspaces that have a quota.
+type Quotas interface {
+	// Acquire waits for a permit to send an amount for a workspace. If there is none, it
+	// returns after what time there may be one; 0 if ctx has ended.
+	Acquire(ctx context.Context, workspace string, amount int64) (granted bool, retryAfter time.Duration)
+	// Return gives back a permit with which nothing was sent.
+	Return(workspace string, amount int64)
+}
+
 // Meter counts the usage of workspaces.
 type Meter interface {
 	// RequestStarted counts a request of a workspace that started to run at the given time.
@@ -128,6 +137,8 @@
 	Observer     Observer
 	// Quarantine blocks requests whose prompt parts crash backend servers.
 	Quarantine *quarantine.Tracker
+	// Quotas is used for workspaces with a quota; it may be nil if there are none.
+	Quotas Quotas
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
 
@@ -174,6 +185,8 @@
 	abandoned bool
 	// retryAcquired is set if the budget has already granted the next attempt.
 	retryAcquired bool
+	// quotaPermits counts the permits of the workspace's quota.
+	quotaPermits int
 	// sharedParts are the ids of the prompt parts that other requests may share.
 	sharedParts []string
 	// quarantineTrial is set if the request may be sent once although its parts are
@@ -258,6 +271,7 @@
 	defer e.Draining.onEnd(cancel)()
 	defer e.freeHandle()
 	defer e.returnTrial()
+	defer e.returnQuota()
 	defer func() {
 		for _, end := range e.onEnd {
 			end()
@@ -275,7 +289,7 @@
 			e.fail(ReasonDeadline)
 			return
 		}
-		if e.refuseIfQuarantined() || e.refuseIfStopping() {
+		if e.refuseIfQuarantined() || e.refuseIfStopping() || e.refuseIfOverQuota(ctx) {
 			return
 		}
 		choice, err := e.Chooser.Choose(time.Now(), e.criteria(service))
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -16,6 +16,8 @@
 	NoRoute
 	// BadKey means that the API key belongs to no workspace.
 	BadKey
+	// OverQuota guarantees what NotRun does; the workspace has used up its quota.
+	OverQuota
 )
 
 // Reason is the cause of a refusal or of an incomplete answer, for logs and metrics.
@@ -37,6 +39,8 @@
 	// ReasonRateLimited means that the backend servers have reached the rate limits that they
 	// state.
 	ReasonRateLimited Reason = "servers_rate_limited"
+	// ReasonOverQuota means that the workspace has used up its quota.
+	ReasonOverQuota Reason = "over_quota"
 	// ReasonUnreachable means that the request could not be sent to the backend servers
 	// that were tried.
 	ReasonUnreachable Reason = "unreachable"
--- a/core/relay.go
+++ b/core/relay.go
@@ -44,9 +44,9 @@
 	}
 	if isServerError(head.Status) {
 		choice.Failed()
-		if e.mayRunAgain() && e.RetryBudget.Retry(e.record.Service) {
+		if e.mayRunAgain() && e.acquireRepeat(ctx) {
 			// The retry is acquired here and not when the next attempt is sent: if the
-			// budget denies it, this failure is the last one.
+			// budget or the quota denies it, this failure is the last one.
 			e.retryAcquired = true
 			e.Observer.AttemptFailed(&e.record, choice.Server, serverErrorEvent(head.Status), fmt.Errorf("status %d", head.Status))
 			e.excluded = append(e.excluded, choice.Server.ID)
@@ -164,7 +164,7 @@
 		criteria := e.criteria(e.record.Service)
 		criteria.Resumed = true
 		choice, err := e.Chooser.Choose(time.Now(), criteria)
-		if err != nil || !e.acquireRetry() {
+		if err != nil || !e.acquireRetry(ctx) {
 			if err == nil {
 				choice.Done()
 			}
--- a/core/table.go
+++ b/core/table.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/figweir/figweir/backends"
 )
 
 // RouteKind determines whether a request of a route may run more than once.
@@ -137,6 +139,31 @@
 	Name string
 	// Priority overrides the priority of the route; -1 if unset.
 	Priority int
+	// Quota is nil if what is sent for the workspace is not limited.
+	Quota *Quota
+}
+
+// Quota limits what all nodes together send to backend servers for a workspace.
+type Quota struct {
+	// PerSecond is greater than 0. It and Burst are in the unit of Amount.
+	PerSecond float64
+	Burst     float64
+	// Tokens means that a request counts as its prompt tokens and the longest answer;
+	// otherwise each counts 1.
+	Tokens bool
+	// UnstatedTokens is what a request without token counts counts as if Tokens is set.
+	UnstatedTokens int
+}
+
+// Amount returns what a request counts as. With Tokens it is at least 1, so that no request is free.
+func (q *Quota) Amount(p *backends.Prompt) int64 {
+	if !q.Tokens {
+		return 1
+	}
+	if p == nil || p.Tokens+p.MaxOutputTokens <= 0 {
+		return int64(max(1, q.UnstatedTokens))
+	}
+	return int64(p.Tokens + p.MaxOutputTokens)
 }
 
 // Table is one version of the configuration, indexed for lookups. It is immutable.
@@ -146,6 +173,8 @@
 	Services map[string]*Service
 	// KeysRequired is false if the configuration has no workspaces.
 	KeysRequired bool
+	// Quotas holds the quotas by the names of the workspaces that have one.
+	Quotas map[string]*Quota
 
 	routesByHost    map[string][]*Route
 	workspacesByKey map[string]*Workspace
@@ -161,6 +190,14 @@
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
+	for _, w := range keys {
+		if w.Quota != nil {
+			if t.Quotas == nil {
+				t.Quotas = make(map[string]*Quota)
+			}
+			t.Quotas[w.Name] = w.Quota
+		}
+	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], r)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -145,6 +145,7 @@
 	"bad_key":               "the configuration in force has no such key",
 	"no_server":             "no backend server of the service was registered",
 	"servers_full":          "the backend servers that were tried refused, and the retry budget or the number of attempts was exhausted",
+	"over_quota":            "the workspace had used up its quota (see /quotas and the lines \"quotas in force\")",
 	"servers_rate_limited":  "all backend servers that could take the request had reached the rate limit that they state (see the lines \"rate limit\" and /limits)",
 	"unreachable":           "no connection to a backend server could be made",
 	"answer_lost":           "the request was sent but its response was lost; it may have run",
--- a/gateway/burn.go
+++ b/gateway/burn.go
@@ -36,7 +36,7 @@
 // are not recorded: they are no failures of the service.
 func (b *burnMonitor) observe(r *core.Record, now time.Time) {
 	switch r.Reason {
-	case core.ReasonBadKey, core.ReasonNoRoute, core.ReasonCallerGone:
+	case core.ReasonBadKey, core.ReasonNoRoute, core.ReasonCallerGone, core.ReasonOverQuota:
 		return
 	}
 	if r.Route == nil || r.Service == "" {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -37,6 +37,8 @@
 	engines  []*backendsim.Process
 	runs     sync.Map
 	sent     int
+	// bounds are the bounds in the settings of the nodes.
+	bounds map[string]any
 	// ctx ends when the nodes are to stop; nodes counts the running ones.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -47,7 +49,7 @@
 // ready and know each other. The engines have the ids d0, d1 and so on.
 func startDeployment(t *testing.T, nodes, engines int) *deployment {
 	is := is.New(t)
-	d := &deployment{t: t}
+	d := &deployment{t: t, bounds: map[string]any{"retry_ratio": 0.2, "retry_extra": 50.0}}
 	d.subnet = fmt.Sprintf("127.%d.77", 10+os.Getpid()%80)
 	st := memstore.New()
 	r := chi.NewRouter()
@@ -109,7 +111,7 @@
 		"name": name, "ip_address": ip, "failure_domain": "z",
 		"listen": map[string]any{"callers": ip + ":8100", "readiness": ip + ":8101", "peers": ip + ":8102"},
 		"ports":  []int{8110, 8119}, "limits": map[string]any{"memory_mb": 200},
-		"bounds": map[string]any{"retry_ratio": 0.2, "retry_extra": 50.0},
+		"bounds": d.bounds,
 		"store":  map[string]any{"address": storeAddress},
 	})
 	is.NoErr(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,8 @@
 	quarantine *quarantineSharing
 	// limits keeps requests within the rate limits of backend servers.
 	limits *rateLimits
+	// quotas keeps requests within the quotas of workspaces.
+	quotas *quotas
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
 	ready    atomic.Bool
@@ -149,6 +151,7 @@
 	g.observer.gauges = g.gauges
 	g.setUpQuarantine()
 	g.setUpRateLimits(rand.Uint64() | 1)
+	g.setUpQuotas(rand.Uint64() | 1)
 	g.observer.burn = &burnMonitor{
 		recorder: burn.NewRecorder(maxBurnSeries), targetRatio: s.Objectives.TargetRatio,
 		peerAddresses: g.nodes.PeerAddresses, client: peer.NewHTTPClient(), log: log,
@@ -178,6 +181,7 @@
 		Meter:        counter,
 		Observer:     g.observer,
 		Quarantine:   g.quarantine.tracker,
+		Quotas:       g.quotas,
 		Draining:     core.NewDrain(),
 	}
 	g.setUpDuties(counter, windows, backend)
@@ -282,6 +286,7 @@
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.checkLeavingServers(backgroundCtx, leavingCheckInterval) })
 	backgroundGroup.Go(func() { g.runRateLimits(backgroundCtx, loadConn) })
+	backgroundGroup.Go(func() { g.runQuotas(backgroundCtx, loadConn) })
 	go g.sharer.Receive(loadConn)
 	backgroundGroup.Go(func() { g.reloadOnSignal(backgroundCtx, sighup) })
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -36,6 +36,7 @@
 	if age, ok := g.servers.ResponseAge(); ok {
 		gauges["registrations_answer_age_ms"] = float64(age.Milliseconds())
 	}
+	g.addQuotaGauges(gauges)
 	return gauges
 }
 
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -56,6 +56,7 @@
 	r.Get("/burn", g.observer.burn.serve)
 	r.Get("/quarantine", g.listSuspicions)
 	r.Get("/limits", g.listLimits)
+	r.Get("/quotas", g.listQuotas)
 	r.Delete("/quarantine/{part}", g.liftSuspicion)
 	return r
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -223,7 +223,13 @@
 // up to where it has read the store.
 func (g *Gateway) handleLoadUpdate(from net.Addr, u *figweirv1.LoadUpdate) {
 	now := time.Now()
+	if g.quotas.limiter.Active() {
+		g.quotas.limiter.Heard(now, from.String())
+	}
 	switch u.Scope {
+	case figweirv1.Scope_SCOPE_QUOTAS:
+		g.receiveQuota(now, from, u)
+		return
 	case figweirv1.Scope_SCOPE_PART:
 		g.peerLoads.updatePart(now, u)
 		return
--- a/gateway/ratelimits.go
+++ b/gateway/ratelimits.go
@@ -10,6 +10,7 @@
 	figweirv1 "github.com/figweir/figweir/gen/figweir/v1"
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/permit"
 	"github.com/figweir/figweir/ratelimit"
 )
 
@@ -21,7 +22,7 @@
 }
 
 func (g *Gateway) setUpRateLimits(incarnation uint64) {
-	granters := func(server uint64) []string { return ratelimit.Granters(server, g.nodes.AllLoadAddresses()) }
+	granters := func(server uint64) []string { return permit.Granters(server, g.nodes.AllLoadAddresses()) }
 	g.limits = &rateLimits{limiter: ratelimit.New(g.loadAddress(), incarnation, granters), incarnation: incarnation}
 	g.limits.limiter.OnEvent = func(e ratelimit.Event, r ratelimit.Report) {
 		g.observer.limitChanges.Add(string(e), 1)
--- /dev/null
+++ b/permit/bucket.go
@@ -0,0 +1,33 @@
+package permit
+
+import (
+	"time"
+)
+
+// Bucket is a token bucket. The zero value is empty; it fills from the first call of Fill.
+type Bucket struct {
+	Tokens float64
+	// UpdatedAt is the time up to which the bucket is filled.
+	UpdatedAt time.Time
+}
+
+// Fill adds the tokens for the time since the last call, up to the capacity.
+func (b *Bucket) Fill(now time.Time, perSecond, capacity float64) {
+	if !b.UpdatedAt.IsZero() && now.After(b.UpdatedAt) {
+		b.Tokens += perSecond * now.Sub(b.UpdatedAt).Seconds()
+	}
+	b.Tokens = min(b.Tokens, capacity)
+	if now.After(b.UpdatedAt) {
+		b.UpdatedAt = now
+	}
+}
+
+// Debit removes tokens. The debt is at most maxDebt.
+func (b *Bucket) Debit(tokens, maxDebt float64) {
+	b.Tokens = max(b.Tokens-tokens, -maxDebt)
+}
+
+// Wait returns the time until the bucket holds the given number of tokens.
+func (b *Bucket) Wait(tokens, perSecond float64) time.Duration {
+	return time.Duration(max(0, tokens-b.Tokens) / perSecond * float64(time.Second))
+}
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/figweir/figweir/permit"
 )
 
 const (
@@ -16,10 +18,7 @@
 )
 
 // bucket is a token bucket of permits. The zero value is empty; it fills from the first call.
-type bucket struct {
-	tokens    float64
-	updatedAt time.Time
-}
+type bucket struct{ permit.Bucket }
 
 // permitRate returns the permits per second for a stated limit.
 func permitRate(perSecond float64) float64 {
@@ -30,36 +29,27 @@
 func burst(rate float64) float64 { return 1 + rate*burstTime.Seconds() }
 
 // fill adds the permits for the time since the last call.
-func (b *bucket) fill(now time.Time, rate float64) {
-	if !b.updatedAt.IsZero() && now.After(b.updatedAt) {
-		b.tokens += rate * now.Sub(b.updatedAt).Seconds()
-	}
-	b.tokens = min(b.tokens, burst(rate))
-	b.updatedAt = later(b.updatedAt, now)
-}
+func (b *bucket) fill(now time.Time, rate float64) { b.Fill(now, rate, burst(rate)) }
 
 // take takes up to want permits and returns how many it took.
 func (b *bucket) take(now time.Time, rate float64, want int) int {
 	b.fill(now, rate)
-	n := min(want, int(math.Floor(b.tokens)))
+	n := min(want, int(math.Floor(b.Tokens)))
 	if n <= 0 {
 		return 0
 	}
-	b.tokens -= float64(n)
+	b.Tokens -= float64(n)
 	return n
 }
 
 // debit removes permits that another granter has granted. The debt is bounded by debtTime.
 func (b *bucket) debit(now time.Time, rate float64, n int) {
 	b.fill(now, rate)
-	b.tokens = max(b.tokens-float64(n), -rate*debtTime.Seconds())
+	b.Debit(float64(n), rate*debtTime.Seconds())
 }
 
 // debtTime bounds how long a wrong count of another granter can block a server.
 const debtTime = 4 * time.Second
 
 // wait returns the time until the next permit.
-func (b *bucket) wait(rate float64) time.Duration {
-	missing := max(0, 1-b.tokens)
-	return time.Duration(missing / rate * float64(time.Second))
-}
+func (b *bucket) wait(rate float64) time.Duration { return b.Wait(1, rate) }
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/figweir/figweir/permit"
+
 	"github.com/figweir/figweir/standin/propertytest"
 )
 
@@ -161,7 +163,7 @@
 	const nodes, perSecond = 8, 12
 	f := newFleet(t, 4, nodes, 1)
 	f.requestsPerSecond = 20
-	first := slices.Index(f.nodes[0].addresses(), Granters(f.servers[0].key, f.nodes[0].addresses())[0])
+	first := slices.Index(f.nodes[0].addresses(), permit.Granters(f.servers[0].key, f.nodes[0].addresses())[0])
 	for i, n := range f.nodes {
 		if i%2 == 0 && i != first {
 			n.view = slices.DeleteFunc(n.view, func(k int) bool { return k == first })
@@ -181,7 +183,7 @@
 	s := f.servers[0]
 	f.setLimit(s, 3)
 	f.run(5 * time.Second)
-	first := slices.Index(f.nodes[0].addresses(), Granters(s.key, f.nodes[0].addresses())[0])
+	first := slices.Index(f.nodes[0].addresses(), permit.Granters(s.key, f.nodes[0].addresses())[0])
 	f.nodes[first].up = false
 	f.run(8 * time.Second)
 	f.checkRule()
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// maxOtherGranters bounds the memory for granters that are gone.
-const maxOtherGranters = 32
-
 // Receive handles a message of the node with the given address.
 func (l *Limiter) Receive(now time.Time, from string, m Message) {
 	switch {
@@ -108,17 +105,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.otherGranted) > maxOtherGranters {
-		clear(s.otherGranted)
-	}
-	total, known := s.otherGranted[g.Incarnation]
-	if known && g.Total <= total {
-		return // it came twice, or after a later one
-	}
-	n := g.Total - total
-	if !known {
-		n = uint64(max(0, g.Permits))
+	n := s.otherGranted.Add(g.Incarnation, uint64(max(0, g.Permits)), g.Total)
+	if n > 0 {
+		s.bucket.debit(now, s.rate(), int(min(n, maxPermitsPerSecond)))
 	}
-	s.otherGranted[g.Incarnation] = g.Total
-	s.bucket.debit(now, s.rate(), int(min(n, maxPermitsPerSecond)))
 }
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/figweir/figweir/permit"
 )
 
 const (
@@ -85,7 +85,7 @@
 	for k, s := range old {
 		next[k] = s
 	}
-	s := &server{key: key, otherGranted: make(map[uint64]uint64)}
+	s := &server{key: key, otherGranted: make(permit.Totals)}
 	next[key] = s
 	l.servers.Store(&next)
 	return s
@@ -186,7 +186,7 @@
 		return false
 	}
 	s.bucket.fill(now, s.rate())
-	return s.bucket.tokens >= 1
+	return s.bucket.Tokens >= 1
 }
 
 // Acquire takes a permit for a request to a server and reports whether there was one. Without
@@ -277,14 +277,7 @@
 }
 
 // retryJitter spreads the permit requests of nodes that were told to wait for the same permit.
-func (l *Limiter) retryJitter(id uint64) float64 {
-	var b [16]byte
-	for i := range 8 {
-		b[i], b[8+i] = byte(id>>(8*i)), byte(l.incarnation>>(8*i))
-	}
-	const steps = 1 << 16
-	return float64(xxhash.Sum64(b[:])%steps) / steps
-}
+func (l *Limiter) retryJitter(id uint64) float64 { return permit.Jitter(l.incarnation, id) }
 
 // send queues a message.
 func (l *Limiter) send(m Message) {
--- a/ratelimit/server.go
+++ b/ratelimit/server.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/figweir/figweir/permit"
 )
 
 // server is the state of one incarnation of a backend server that has stated a limit.
@@ -34,7 +36,7 @@
 	// has granted, and the totals that other granters have told, by incarnation.
 	bucket       bucket
 	granted      uint64
-	otherGranted map[uint64]uint64
+	otherGranted permit.Totals
 	announcedAt  time.Time
 }
 
@@ -64,7 +66,7 @@
 	}
 	if !previous.inForce() {
 		// Permits for the time before are not saved up.
-		s.bucket = bucket{updatedAt: now}
+		s.bucket = bucket{permit.Bucket{UpdatedAt: now}}
 		s.permits, s.needed, s.requestID, s.nextRequestAt = nil, 0, 0, time.Time{}
 		return
 	}
@@ -72,6 +74,6 @@
 		s.permits = nil
 		s.requestID = 0
 		s.bucket.fill(now, permitRate(previous.perSecond))
-		s.bucket.tokens = min(s.bucket.tokens, 0)
+		s.bucket.Tokens = min(s.bucket.Tokens, 0)
 	}
 }
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/figweir/figweir/permit"
 )
 
 // The rule that the tests check: from graceTime after a server first stated its limit, the nodes
@@ -105,7 +107,7 @@
 func (f *fleet) start(i int) {
 	n := f.nodes[i]
 	n.up = true
-	n.limiter = New(address(i), f.rng.Uint64()|1, func(server uint64) []string { return Granters(server, n.addresses()) })
+	n.limiter = New(address(i), f.rng.Uint64()|1, func(server uint64) []string { return permit.Granters(server, n.addresses()) })
 	for _, s := range f.servers {
 		delete(s.told, i)
 	}
