--- a/core/core.go
+++ b/core/core.go
@@ -52,6 +52,15 @@
 	Retry(service string) bool
 }
 
+// Quotas limits what all nodes together send for the workspaces that have a quota.
+type Quotas interface {
+	// Acquire waits for a permit to send an amount for a workspace. If there is none, it
+	// returns after what time there may be one; 0 if ctx has ended.
+	Acquire(ctx context.Context, workspace string, amount int64) (granted bool, retryAfter time.Duration)
+	// Return gives back a permit with which nothing was sent.
+	Return(workspace string, amount int64)
+}
+
 // Meter counts the usage of workspaces.
 type Meter interface {
 	// RequestStarted counts a request of a workspace that started to run at the given time.
@@ -131,6 +140,8 @@
 	Observer     Observer
 	// Quarantine blocks requests whose prompt parts crash backend servers.
 	Quarantine *quarantine.Tracker
+	// Quotas is used for workspaces with a quota; it may be nil if there are none.
+	Quotas Quotas
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
 	// Servers returns the registered backend servers. If it is nil, replaced servers are not
@@ -188,6 +199,8 @@
 	movedFromSilent bool
 	// nextChoice is the server that a watch has chosen for the next attempt; nil if it has not.
 	nextChoice *backends.Choice
+	// quotaPermits counts the permits of the workspace's quota.
+	quotaPermits int
 	// sharedParts are the ids of the prompt parts that other requests may share.
 	sharedParts []string
 	// quarantineTrial is set if the request may be sent once although its parts are
@@ -273,6 +286,7 @@
 	defer e.freeHandle()
 	defer e.returnTrial()
 	defer e.releaseChoice()
+	defer e.returnQuota()
 	defer func() {
 		for _, end := range e.onEnd {
 			end()
@@ -290,7 +304,7 @@
 			e.fail(ReasonDeadline)
 			return
 		}
-		if e.refuseIfQuarantined() || e.refuseIfStopping() {
+		if e.refuseIfQuarantined() || e.refuseIfStopping() || e.refuseIfOverQuota(ctx) {
 			return
 		}
 		// The whole request is chosen for anew, perhaps with a separate prefill.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,8 @@
 	quarantine *quarantineSharing
 	// limits keeps requests within the rate limits of backend servers.
 	limits *rateLimits
+	// quotas keeps requests within the quotas of workspaces.
+	quotas *quotas
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
 	ready    atomic.Bool
@@ -149,6 +151,7 @@
 	g.observer.gauges = g.gauges
 	g.setUpQuarantine()
 	g.setUpRateLimits(rand.Uint64() | 1)
+	g.setUpQuotas(rand.Uint64() | 1)
 	g.observer.burn = &burnMonitor{
 		recorder: burn.NewRecorder(maxBurnSeries), targetRatio: s.Objectives.TargetRatio,
 		peerAddresses: g.nodes.PeerAddresses, client: peer.NewHTTPClient(), log: log,
@@ -178,6 +181,7 @@
 		Meter:        counter,
 		Observer:     g.observer,
 		Quarantine:   g.quarantine.tracker,
+		Quotas:       g.quotas,
 		Draining:     core.NewDrain(),
 		Servers:      g.registry.View,
 	}
@@ -239,6 +243,9 @@
 // Run serves until ctx ends or SIGTERM arrives, then stops gracefully. It returns an
 // error if a listener cannot be opened.
 func (g *Gateway) Run(ctx context.Context) error {
+	// First of all, because the default action of the signal ends the process.
+	sighup := make(chan os.Signal, 1)
+	signal.Notify(sighup, syscall.SIGHUP)
 	setMemoryLimit(g.settings.Limits.MemoryMB)
 	baseListener, err := listen(g.settings.Listen.Callers)
 	if err != nil {
@@ -262,8 +269,6 @@
 	}
 	stopSignal, cancelStop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancelStop()
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
 	g.log.Info("start", "failure_domain", g.settings.FailureDomain, "store", g.settings.Store.Address)
 
 	backgroundCtx, cancelBackground := context.WithCancel(context.WithoutCancel(ctx))
@@ -285,6 +290,7 @@
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.checkLeavingServers(backgroundCtx, leavingCheckInterval) })
 	backgroundGroup.Go(func() { g.runRateLimits(backgroundCtx, loadConn) })
+	backgroundGroup.Go(func() { g.runQuotas(backgroundCtx, loadConn) })
 	go g.sharer.Receive(loadConn)
 	backgroundGroup.Go(func() { g.reloadOnSignal(backgroundCtx, sighup) })
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -43,6 +43,7 @@
 	if low, high, ok := g.registry.View().SlowdownRange(time.Now()); ok {
 		gauges["server_slowdown_min"], gauges["server_slowdown_max"] = low, high
 	}
+	g.addQuotaGauges(gauges)
 	return gauges
 }
 
--- a/plan/scaler/need.go
+++ b/plan/scaler/need.go
@@ -14,9 +14,9 @@
 	// demand grows. The slope of a wave predicts more than its crest.
 	maxForecastGrowth = 1.15
 	// hardPrefillLoad and hardDecodeLoad are the utilization that a failure domain's
-	// reclaim may cause until replacements run. Above it, queues grow without bound or
-	// requests wait for slots.
-	hardPrefillLoad, hardDecodeLoad = 0.9, 0.8
+	// reclaim may cause until replacements run. The prompts whose cache was lost there are
+	// read again meanwhile, so that a higher one would let queues grow without bound.
+	hardPrefillLoad, hardDecodeLoad = 0.7, 0.55
 )
 
 const (
