membudget, platform, gateway: an account of memory for what callers send

Cause: nothing bounded the memory of bodies, headers and connections of callers.

Change: membudget.Inbound reserves for connections, headers (by bytes and lines), requests and the parts of bodies as they arrive, a quarter of limits.memory_mb in all. When it is full, ChooseVictim, a decision without network and clock, names the unfinished request that is closed: of a workspace above an equal share, with the least progress, the oldest. An unfinished body is refused with 503 and Retry-After, since nothing of it has been sent; other connections are closed. Bodies are kept in parts, and released when the answer of the last possible attempt has begun. Connections are bounded by limits.file_descriptors, or the limit of the process, as well.

Ruled out: reuse of buffers, which could show one caller's request to another.

--- a/core/relay.go
+++ b/core/relay.go
@@ -31,6 +31,9 @@
 	}
 	defer answer.Close()
 	choice := a.choice
+	if !e.mayRunAgain() {
+		e.request.releaseBody()
+	}
 	body, err := answer.ReadAll()
 	e.meterStart(a.sentAt)
 	head := answer.Head()
@@ -81,6 +84,9 @@
 	if err != nil && err != io.EOF {
 		return e.onLost(ctx, a.choice, err, a.sentAt, a.watch)
 	}
+	if !e.route.Resumable || !e.mayRunAgain() {
+		e.request.releaseBody()
+	}
 	a.liftLimit()
 	e.recordFirstEvent(a.choice)
 	head := answer.Head()
@@ -172,6 +178,9 @@
 		}
 		answer, a := e.resumeOn(ctx, choice, lastID)
 		if answer != nil {
+			if !e.mayRunAgain() {
+				e.request.releaseBody()
+			}
 			e.record.Resumes++
 			e.record.Reason = ""
 			return answer, a
--- a/core/request.go
+++ b/core/request.go
@@ -35,6 +35,16 @@
 	// Message is the decoded protocol message. Only the implementations of Sink and
 	// Upstream read it.
 	Message any
+	// ReleaseBody is called when the request will not be sent to another backend server; nil if
+	// nothing is to be released. It may be called more than once.
+	ReleaseBody func()
+}
+
+// releaseBody calls ReleaseBody.
+func (r *Request) releaseBody() {
+	if r.ReleaseBody != nil {
+		r.ReleaseBody()
+	}
 }
 
 // Caller is the connection of a caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// responseBufferFraction is the fraction of the VM's memory for buffering
 	// responses of backend servers.
 	responseBufferFraction = 0.125
+	// inboundFraction is the fraction of the VM's memory for what callers send. With the responses
+	// and the 20 MB of an idle node it leaves room below heapFraction for garbage.
+	inboundFraction = 0.25
 )
 
 // Gateway is one node with all its components.
@@ -119,6 +122,8 @@
 	quarantine *quarantineSharing
 	// limits keeps requests within the rate limits of backend servers.
 	limits *rateLimits
+	// inbound accounts for what callers send.
+	inbound *membudget.Inbound
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
 	ready    atomic.Bool
@@ -162,6 +167,7 @@
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
+	g.inbound = membudget.NewInbound(memoryFraction(inboundFraction, s.Limits.MemoryMB), maxCallerConnections(descriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection, OnSocketError: g.observer.logSocketError}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
@@ -287,6 +293,7 @@
 
 	callerListener := platform.NewListener(baseListener, &g.table)
 	callerListener.OnSocketError = g.observer.logSocketError
+	callerListener.Inbound = g.inbound
 	callerServer := &http.Server{
 		Handler: g.callerRoutes(), ConnContext: platform.ConnContext, ConnState: platform.TrackConnState,
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -7,6 +7,7 @@
 	pool := g.pool.Stats()
 	token, held := g.duty.FencingToken()
 	calls := &g.store.Calls
+	inbound := g.inbound.Stats()
 	gauges := map[string]float64{
 		"config_version": float64(g.config.Version()), "config_following": boolGauge(g.config.Following()),
 		"registrations_following": boolGauge(g.servers.Following()), "backend_servers": float64(len(g.registry.View().All())),
@@ -27,6 +28,8 @@
 		"quarantine_suspicions": float64(len(g.quarantine.tracker.Suspicions())), "quarantine_evidence": float64(g.quarantine.tracker.EvidenceCount()),
 		"log_queue_dropped_total": float64(g.logWriter.Dropped()), "prefill_tokens_per_s": g.balancer.PrefillTokensPerSecond(),
 	}
+	gauges["inbound_bytes"], gauges["inbound_body_bytes"], gauges["inbound_unfinished_bytes"] = float64(inbound.UsedBytes), float64(inbound.BodyBytes), float64(inbound.UnfinishedBytes)
+	gauges["caller_connections"], gauges["caller_connections_limit"] = float64(inbound.Connections), float64(inbound.MaxConnections)
 	if age, ok := g.heartbeatStore.ResponseAge(); ok {
 		gauges["store_answer_age_ms"] = float64(age.Milliseconds())
 	}
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -30,8 +30,8 @@
 	log, failureLog logr.Logger
 	logLimiter      *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun *expvar.Map
-	socketErrorOnce                                                                                           sync.Once
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun, inbound *expvar.Map
+	socketErrorOnce                                                                                                    sync.Once
 
 	firstEvent, totalTime, prefillTime, longestPause, unread *metrics.Histogram
 	// burn measures the consumption of error budgets.
@@ -43,7 +43,7 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(), inbound: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(), unread: metrics.NewHistogram(),
 		logLimiter: rate.NewLimiter(0, 0),
@@ -179,7 +179,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun}, {"inbound_limits_total", o.inbound},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
--- /dev/null
+++ b/membudget/inbound.go
@@ -0,0 +1,613 @@
+package membudget
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// ConnectionBytes is the memory of a caller's connection: its goroutines, the two buffers of the
+	// HTTP server and the record of the start of a request.
+	ConnectionBytes = 24 << 10
+	// RequestBytes is the memory of a request besides its headers and body: its state, the connection
+	// to the backend server, and the part of its response that is not taken from the shared memory.
+	RequestBytes = 32 << 10
+	// headerByteCost and headerLineCost are the memory for a byte and for a line of a header. A line
+	// of a few bytes needs far more for its entry in the map than for its text.
+	headerByteCost = 2
+	headerLineCost = 128
+	// unfinishedShare, bodyShare, oneBodyShare and connectionShare are parts of the account: of the
+	// bodies that have not arrived completely, of all bodies, of one body, and of the connections.
+	unfinishedShare = 0.5
+	bodyShare       = 0.75
+	oneBodyShare    = 0.25
+	connectionShare = 0.5
+	// closeWait is how long a request waits for the memory of one that is closed for it, which ends
+	// as soon as its goroutine runs.
+	closeWait = time.Second
+)
+
+// ErrClosed means that a request was closed to make room for others.
+var ErrClosed = errors.New("membudget: the request was closed to make room for others")
+
+// state is how far the request on a connection has arrived.
+type state int
+
+const (
+	// stateIdle: there is no request.
+	stateIdle state = iota
+	// stateHeader: a part of the header has arrived.
+	stateHeader
+	// stateBody: the header has arrived, the body has not arrived completely.
+	stateBody
+	// stateServing: the request has arrived completely, or is being refused.
+	stateServing
+	// stateClosed: the connection or its request is being closed to make room.
+	stateClosed
+)
+
+// Inbound is the account of what callers send: connections, headers and bodies. Memory is reserved as
+// bytes arrive and given back at the end of the request. When it is full, unfinished requests are closed
+// in the order of ChooseVictim; requests that have arrived completely never are. It is safe for
+// concurrent use.
+type Inbound struct {
+	limit, unfinishedLimit, bodyLimit, oneBodyLimit int64
+	maxConnections                                  int
+	// onClose is called with what was closed or refused. It must not block.
+	onClose func(what string)
+	garbage garbage
+
+	mu sync.Mutex
+	// used is what is reserved, bodies the part of it for bodies beyond UnsharedBytes of each, and
+	// unfinished the part of bodies that have not arrived completely.
+	used, bodies, unfinished int64
+	open                     map[*Connection]struct{}
+}
+
+// What Inbound closes or refuses, as it is passed to onClose.
+const (
+	ClosedIdle        = "idle_closed"
+	ClosedHeader      = "header_closed"
+	ClosedBody        = "body_closed"
+	RefusedConnection = "connection_refused"
+	RefusedHeader     = "header_refused"
+	RefusedRequest    = "request_refused"
+)
+
+// NewInbound returns an account of the given number of bytes for at most maxConnections connections.
+// onClose is called with what is closed or refused for want of room; it must not block.
+func NewInbound(bytes int64, maxConnections int, onClose func(what string)) *Inbound {
+	share := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
+	return &Inbound{
+		limit: bytes, unfinishedLimit: share(unfinishedShare), bodyLimit: share(bodyShare), oneBodyLimit: share(oneBodyShare),
+		maxConnections: max(1, min(maxConnections, int(share(connectionShare)/ConnectionBytes))),
+		onClose:        onClose, garbage: garbage{limit: share(garbageShare)}, open: make(map[*Connection]struct{}),
+	}
+}
+
+// InboundStats are the current figures of an account.
+type InboundStats struct {
+	UsedBytes, BodyBytes, UnfinishedBytes int64
+	Connections, MaxConnections           int
+}
+
+// Stats returns the current figures.
+func (a *Inbound) Stats() InboundStats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return InboundStats{a.used, a.bodies, a.unfinished, len(a.open), a.maxConnections}
+}
+
+// Connection is the account of one connection and of the request on it. The methods of a nil
+// *Connection do nothing and reserve without a limit.
+type Connection struct {
+	account *Inbound
+	// close ends the connection, or only its reads if a request on it can still be answered. It must
+	// not block.
+	close func(answer bool)
+
+	// The following fields are guarded by account.mu.
+	state     state
+	workspace string
+	since     time.Time
+	progress  progress
+	// headerBytes and requestBytes are what is reserved for the header and the request; body is the
+	// body of the request, nil if there is none.
+	headerBytes, requestBytes int64
+	body                      *Body
+	// released is closed when a request that is closed to make room has given its memory back.
+	released chan struct{}
+	// closing is closed when the connection or its request is closed to make room; closedAs is what
+	// it was then.
+	closing  chan struct{}
+	closedAs string
+	// gone is set once the connection has given its memory back.
+	gone bool
+}
+
+// progress counts what arrives in the current second and the one before it.
+type progress struct{ second, current, previous int64 }
+
+func (p *progress) add(now time.Time, n int64) {
+	if second := now.Unix(); p.second != second {
+		p.previous = 0
+		if p.second == second-1 {
+			p.previous = p.current
+		}
+		p.second, p.current = second, 0
+	}
+	p.current += n
+}
+
+// at returns what arrived in the current second and the one before it.
+func (p *progress) at(now time.Time) int64 {
+	switch now.Unix() - p.second {
+	case 0:
+		return p.current + p.previous
+	case 1:
+		return p.current
+	}
+	return 0
+}
+
+// Open registers a connection. It returns nil if there is no room, even by closing another one; else
+// the caller must call Close. closeConn ends the connection, or only its reads if a request on it can
+// still be answered. It must not block.
+func (a *Inbound) Open(closeConn func(answer bool)) *Connection {
+	c := &Connection{account: a, close: closeConn, since: time.Now(), closing: make(chan struct{})}
+	a.mu.Lock()
+	var v *Connection
+	if len(a.open) >= a.maxConnections || a.used+ConnectionBytes > a.limit {
+		v = a.victim(nil, 0, false)
+	}
+	if v != nil && v.closedAs != ClosedBody {
+		// Nobody handles a request on it, so it gives its place back at once.
+		a.forget(v)
+	}
+	ok := len(a.open) < a.maxConnections && a.used+ConnectionBytes <= a.limit
+	if ok {
+		a.open[c] = struct{}{}
+		a.used += ConnectionBytes
+	}
+	a.mu.Unlock()
+	if v != nil {
+		v.interrupt()
+	}
+	if !ok {
+		a.onClose(RefusedConnection)
+		return nil
+	}
+	return c
+}
+
+// forget gives back what a connection without a request holds. a.mu must be held.
+func (a *Inbound) forget(c *Connection) {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	delete(a.open, c)
+	a.used -= ConnectionBytes + c.headerBytes + c.requestBytes
+	a.garbage.add(c.headerBytes)
+	c.headerBytes, c.requestBytes = 0, 0
+	c.giveBack()
+}
+
+// giveBack wakes whoever waits for the memory of a closed request. account.mu must be held.
+func (c *Connection) giveBack() {
+	if c.released != nil {
+		close(c.released)
+		c.released = nil
+	}
+}
+
+// Close gives back what the connection holds. It may be called more than once.
+func (c *Connection) Close() {
+	if c == nil {
+		return
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.account.forget(c)
+}
+
+// markClosing marks a connection as closed to make room. account.mu must be held.
+func (c *Connection) markClosing() {
+	c.closedAs = ClosedIdle
+	switch c.state {
+	case stateBody:
+		c.closedAs = ClosedBody
+	case stateHeader:
+		c.closedAs = ClosedHeader
+	}
+	c.state = stateClosed
+	c.released = make(chan struct{})
+	close(c.closing)
+}
+
+// interrupt ends a connection that is marked as closing, or the reads of its request, and tells of it.
+func (c *Connection) interrupt() {
+	c.close(c.closedAs == ClosedBody)
+	c.account.onClose(c.closedAs)
+}
+
+// victim chooses the connection that is closed first and marks it; nil if it is self, which needs n
+// bytes, or none gives enough back. If large is set, only bodies are considered. a.mu must be held.
+func (a *Inbound) victim(self *Connection, n int64, large bool) *Connection {
+	now := time.Now()
+	connections := make([]*Connection, 0, len(a.open))
+	candidates := make([]Candidate, 0, len(a.open))
+	freeable := int64(0)
+	for c := range a.open {
+		if c.state > stateBody {
+			continue
+		}
+		held := ConnectionBytes + c.headerBytes + c.requestBytes
+		if c.body != nil {
+			held += c.body.reserved
+		}
+		if large {
+			held = 0
+			if c.body != nil {
+				held = c.body.large
+			}
+		}
+		if c != self {
+			freeable += held
+		} else {
+			held += n
+		}
+		if held > 0 {
+			connections = append(connections, c)
+			candidates = append(candidates, Candidate{c.workspace, held, c.progress.at(now), c.since})
+		}
+	}
+	if large && a.bodies+n-freeable > a.bodyLimit || a.used+n-freeable > a.limit && !large {
+		return nil
+	}
+	best := ChooseVictim(candidates)
+	if best < 0 || connections[best] == self {
+		return nil
+	}
+	connections[best].markClosing()
+	return connections[best]
+}
+
+// fits reports whether n more bytes can be reserved. a.mu must be held.
+func (a *Inbound) fits(n int64, large bool) bool {
+	return a.used+n <= a.limit && (!large || a.unfinished+n <= a.unfinishedLimit && a.bodies+n <= a.bodyLimit)
+}
+
+// makeRoom returns nil when n more bytes can be reserved for the request on c, for which it closes
+// others if necessary, or else ErrExhausted, or ErrClosed if the request is closed for another one.
+// a.mu must be held; it is released while makeRoom waits.
+func (a *Inbound) makeRoom(c *Connection, n int64, large bool) error {
+	for {
+		if c.state == stateClosed {
+			return ErrClosed
+		}
+		if a.fits(n, large) {
+			return nil
+		}
+		v := a.victim(c, n, large && a.used+n <= a.limit)
+		if v == nil {
+			return ErrExhausted
+		}
+		released := v.released
+		a.mu.Unlock()
+		v.interrupt()
+		timer := time.NewTimer(closeWait)
+		select {
+		case <-released:
+		case <-c.closing:
+		case <-timer.C:
+		}
+		timer.Stop()
+		a.mu.Lock()
+	}
+}
+
+// AddHeader reserves memory for a part of a header that was read. It returns ErrExhausted or ErrClosed
+// if the connection has to be closed. While a request is being served it does nothing.
+func (c *Connection) AddHeader(bytes, lines int) error {
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch c.state {
+	case stateClosed:
+		return ErrClosed
+	case stateBody, stateServing:
+		return nil
+	case stateIdle:
+		c.state, c.since = stateHeader, time.Now()
+	}
+	c.progress.add(time.Now(), int64(bytes))
+	n := int64(headerByteCost*bytes + headerLineCost*lines)
+	if err := a.makeRoom(c, n, false); err != nil {
+		if err == ErrExhausted {
+			a.onClose(RefusedHeader)
+		}
+		return err
+	}
+	if c.gone {
+		return ErrClosed
+	}
+	a.used += n
+	c.headerBytes += n
+	return nil
+}
+
+// BeginRequest reserves the memory of a request whose header has been read. It returns ErrExhausted or
+// ErrClosed if the request has to be refused. EndRequest must be called in any case.
+func (c *Connection) BeginRequest(workspace string) error {
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.state == stateClosed {
+		return ErrClosed
+	}
+	c.state, c.workspace = stateBody, workspace
+	if err := a.makeRoom(c, RequestBytes, false); err != nil {
+		if err == ErrExhausted {
+			a.onClose(RefusedRequest)
+		}
+		return err
+	}
+	a.used += RequestBytes
+	c.requestBytes += RequestBytes
+	return nil
+}
+
+// IsClosed reports whether the request is closed to make room for others.
+func (c *Connection) IsClosed() bool {
+	if c == nil {
+		return false
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.state == stateClosed
+}
+
+// Arrived states that the request has arrived completely, so that it is not closed any more. It returns
+// ErrClosed if that was decided before.
+func (c *Connection) Arrived() error {
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.state == stateClosed {
+		return ErrClosed
+	}
+	c.state = stateServing
+	if c.body != nil {
+		c.body.finish()
+	}
+	return nil
+}
+
+// EndRequest gives back what the request holds. Its body is given back when all others that use it have
+// released it too.
+func (c *Connection) EndRequest() {
+	if c == nil {
+		return
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := c.body; b != nil {
+		c.body = nil
+		b.finish()
+	}
+	a.used -= c.headerBytes + c.requestBytes
+	a.garbage.add(c.headerBytes)
+	c.headerBytes, c.requestBytes = 0, 0
+	c.workspace = ""
+	if c.state == stateClosed {
+		c.giveBack()
+		return
+	}
+	c.state = stateServing
+}
+
+// SetIdle states that the next bytes that are read begin a request.
+func (c *Connection) SetIdle() {
+	if c == nil {
+		return
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.state == stateServing {
+		c.state, c.since = stateIdle, time.Now()
+	}
+}
+
+// Body is the body of a request, in parts that are allocated as it arrives. It holds its memory until
+// each of its users has called Release.
+type Body struct {
+	connection *Connection
+	// parts are read only after the body has arrived.
+	parts [][]byte
+	size  int
+
+	// The following fields are guarded by account.mu. reserved is the memory of the parts, large what
+	// is beyond UnsharedBytes.
+	reserved, large int64
+	finished        bool
+	users           int
+}
+
+const (
+	// firstPartBytes and maxPartBytes are the sizes of the first part of a body and of the largest one.
+	firstPartBytes = 4 << 10
+	maxPartBytes   = 64 << 10
+)
+
+// ReadBody reads a body of at most limit bytes, or of the announced length if that is not negative,
+// to its end. It returns ErrExhausted or ErrClosed if there is no room for it. The body must be
+// released in any case.
+func (c *Connection) ReadBody(r io.Reader, announced int64) (*Body, error) {
+	b := &Body{connection: c, users: 1}
+	if c != nil {
+		c.account.mu.Lock()
+		c.body = b
+		c.account.mu.Unlock()
+	}
+	partBytes := firstPartBytes
+	for {
+		size := partBytes
+		if announced >= 0 {
+			size = int(min(int64(size), announced-int64(b.size)))
+		}
+		if size == 0 {
+			// The reader returns an error if the body is not as long as announced.
+			return b, readEnd(r)
+		}
+		if err := b.reserve(int64(size)); err != nil {
+			return b, err
+		}
+		if c != nil {
+			c.account.garbage.collect()
+		}
+		part := make([]byte, size)
+		n, err := b.readPart(r, part)
+		if n > 0 {
+			b.parts = append(b.parts, part[:n])
+		}
+		if err == io.EOF {
+			if announced >= 0 && int64(b.size) < announced {
+				return b, io.ErrUnexpectedEOF
+			}
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+		partBytes = min(2*partBytes, maxPartBytes)
+	}
+}
+
+// readEnd reads the end of a body that has arrived completely.
+func readEnd(r io.Reader) error {
+	var next [1]byte
+	for {
+		n, err := r.Read(next[:])
+		switch {
+		case err == io.EOF && n == 0:
+			return nil
+		case err != nil:
+			return err
+		case n > 0:
+			return io.ErrShortBuffer
+		}
+	}
+}
+
+// readPart fills a part of the body. It returns io.EOF at the end of the body.
+func (b *Body) readPart(r io.Reader, part []byte) (n int, err error) {
+	for n < len(part) && err == nil {
+		var k int
+		k, err = r.Read(part[n:])
+		n += k
+		b.size += k
+		if k > 0 {
+			b.addProgress(k)
+		}
+	}
+	return n, err
+}
+
+func (b *Body) addProgress(n int) {
+	if b.connection == nil {
+		return
+	}
+	a := b.connection.account
+	a.mu.Lock()
+	b.connection.progress.add(time.Now(), int64(n))
+	a.mu.Unlock()
+}
+
+// reserve reserves the memory of another part.
+func (b *Body) reserve(n int64) error {
+	c := b.connection
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b.reserved+n > a.oneBodyLimit {
+		a.onClose(RefusedRequest)
+		return ErrExhausted
+	}
+	large := b.reserved+n > UnsharedBytes
+	if err := a.makeRoom(c, n, large); err != nil {
+		if err == ErrExhausted {
+			a.onClose(RefusedRequest)
+		}
+		return err
+	}
+	a.used += n
+	b.reserved += n
+	if large {
+		a.bodies += n
+		a.unfinished += n
+		b.large += n
+	}
+	return nil
+}
+
+// finish takes the body out of those that have not arrived completely. account.mu must be held.
+func (b *Body) finish() {
+	if !b.finished {
+		b.finished = true
+		b.connection.account.unfinished -= b.large
+	}
+}
+
+// Parts returns the parts of the body. They may be used until Release.
+func (b *Body) Parts() [][]byte { return b.parts }
+
+// Size returns the length of the body in bytes.
+func (b *Body) Size() int { return b.size }
+
+// Retain adds a user of the body.
+func (b *Body) Retain() {
+	if b.connection == nil {
+		return
+	}
+	b.connection.account.mu.Lock()
+	b.users++
+	b.connection.account.mu.Unlock()
+}
+
+// Release removes a user of the body, which must not use the parts any more. The last one gives the
+// memory back.
+func (b *Body) Release() {
+	if b.connection == nil {
+		return
+	}
+	a := b.connection.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.users--
+	if b.users > 0 {
+		return
+	}
+	b.finish()
+	// The account of the connection refers to the body until the end of the request.
+	b.parts = nil
+	a.used -= b.reserved
+	a.bodies -= b.large
+	a.garbage.add(b.large)
+	b.reserved, b.large = 0, 0
+}
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -18,12 +18,18 @@
 // Budget limits the total size of buffers, beyond UnsharedBytes of each. A buffer may hold at most
 // as much of it as it leaves free. A nil *Budget limits nothing. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	limit   int64
+	used    atomic.Int64
+	garbage garbage
 }
 
+// garbageShare is the part of an account that may be given back before the garbage is collected.
+const garbageShare = 0.5
+
 // New returns a budget of the given number of bytes.
-func New(bytes int64) *Budget { return &Budget{limit: bytes} }
+func New(bytes int64) *Budget {
+	return &Budget{limit: bytes, garbage: garbage{limit: int64(garbageShare * float64(bytes))}}
+}
 
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -46,7 +52,10 @@
 		a.Budget.used.Add(-additional)
 		return ErrExhausted
 	}
+	// The buffer before is garbage once it has been copied.
+	a.Budget.garbage.add(int64(a.reserved))
 	a.reserved = size
+	a.Budget.garbage.collect()
 	return nil
 }
 
@@ -54,6 +63,7 @@
 func (a *Buffer) Release() {
 	if a.reserved > 0 {
 		a.Budget.used.Add(-int64(a.reserved))
+		a.Budget.garbage.add(int64(a.reserved))
 		a.reserved = 0
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -59,6 +59,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodyParts follow Body; together they are the body of the request.
+	BodyParts [][]byte
+	// HoldBody is called if the body is still written when Do returns. What it returns is called when
+	// the body is not used any more. It may be nil.
+	HoldBody func() (release func())
 	// NewConnection is set if no idle connection may be used.
 	NewConnection bool
 	// Matches reports whether a response with the given header answers this request.
@@ -68,6 +73,15 @@
 	Trace Trace
 }
 
+// bodyBytes returns the length of the body.
+func (r *Request) bodyBytes() int {
+	n := len(r.Body)
+	for _, part := range r.BodyParts {
+		n += len(part)
+	}
+	return n
+}
+
 // Trace records the steps of one exchange. Its methods may be called from any goroutine and must
 // not block.
 type Trace interface {
@@ -133,8 +147,28 @@
 	keepIdle time.Duration
 	// bodyRead is set once the response body has been read to its end.
 	bodyRead bool
-	// bodyWrite receives the result of writing a long request body; nil for others.
-	bodyWrite <-chan error
+	// bodyWrite is the concurrent write of a long request body; nil for others.
+	bodyWrite *bodyWrite
+}
+
+// bodyWrite is the concurrent write of a request body.
+type bodyWrite struct {
+	// done is closed when the write has ended; err is its result.
+	done chan struct{}
+	err  error
+}
+
+// succeeded reports whether the complete body has been written.
+func (w *bodyWrite) succeeded() bool {
+	if w == nil {
+		return true
+	}
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
 }
 
 // Do writes a request and reads the header of the response. The error is a *NotSentError
@@ -190,24 +224,42 @@
 
 // writeRequest writes the request. sent is true if any byte may have been sent.
 func (resp *Response) writeRequest(r *Request) (sent bool, err error) {
-	header := appendHeader(make([]byte, 0, 1024+min(len(r.Body), maxInlineBodyBytes)), r)
-	if len(r.Body) <= maxInlineBodyBytes {
-		resp.WrittenBytes, err = resp.conn.Write(append(header, r.Body...))
+	bodyBytes := r.bodyBytes()
+	header := appendHeader(make([]byte, 0, 1024+min(bodyBytes, maxInlineBodyBytes)), r, bodyBytes)
+	if bodyBytes <= maxInlineBodyBytes {
+		header = append(header, r.Body...)
+		for _, part := range r.BodyParts {
+			header = append(header, part...)
+		}
+		resp.WrittenBytes, err = resp.conn.Write(header)
 		return resp.WrittenBytes > 0, err
 	}
 	if resp.WrittenBytes, err = resp.conn.Write(header); err != nil {
 		return resp.WrittenBytes > 0, err
 	}
-	done := make(chan error, 1)
-	go func() {
-		_, err := resp.conn.Write(r.Body)
-		done <- err
-	}()
-	resp.bodyWrite = done
+	release := func() {}
+	if r.HoldBody != nil {
+		release = r.HoldBody()
+	}
+	resp.bodyWrite = &bodyWrite{done: make(chan struct{})}
+	go resp.bodyWrite.run(resp.conn, r.Body, r.BodyParts, release)
 	return true, nil
 }
 
-func appendHeader(b []byte, r *Request) []byte {
+// run writes the parts of a body.
+func (w *bodyWrite) run(c *conn, first []byte, parts [][]byte, release func()) {
+	defer close(w.done)
+	defer release()
+	_, w.err = c.Write(first)
+	for _, part := range parts {
+		if w.err != nil {
+			return
+		}
+		_, w.err = c.Write(part)
+	}
+}
+
+func appendHeader(b []byte, r *Request, bodyBytes int) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -222,9 +274,9 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+	if bodyBytes > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = strconv.AppendInt(b, int64(bodyBytes), 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
@@ -331,7 +383,7 @@
 // Close ends the exchange. The connection is reused only if the request was written
 // completely, the response was read to its end, and no data follows the response.
 func (resp *Response) Close() {
-	if !resp.stopWatchingCtx() || !resp.bodyRead || resp.keepIdle <= 0 || !resp.bodyWritten() || resp.conn.reader.Buffered() > 0 {
+	if !resp.stopWatchingCtx() || !resp.bodyRead || resp.keepIdle <= 0 || !resp.bodyWrite.succeeded() || resp.conn.reader.Buffered() > 0 {
 		resp.closeConn()
 		return
 	}
@@ -339,19 +391,6 @@
 	resp.pool.putIdle(resp.conn, resp.keepIdle)
 }
 
-// bodyWritten reports whether the complete request body has been written.
-func (resp *Response) bodyWritten() bool {
-	if resp.bodyWrite == nil {
-		return true
-	}
-	select {
-	case err := <-resp.bodyWrite:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // closeConn closes the connection.
 func (resp *Response) closeConn() {
 	resp.stopWatchingCtx()
