upstream, service, engine: partial answers and odd statuses are no answers

Cause: the error of a concurrent upload went to the goroutine that writes, so the reader saw only the end of the connection and took a part of an answer without a length for a complete one. Any three digits were taken for a status.

Change: an answer that ends with its connection is complete only if the upload was written and acknowledged, the socket shows no reset, and the end was read soon after it came. The age of the last data bounds when it came; boottime.PauseDetector recognizes suspensions from missing ticks, since both clocks go on while only the process is stopped. An idle connection to the server from before that is still open proves that it has not crashed. A status outside 100 to 599 is lost. service.Client checks the upload in the same way; engine.Client takes such a status for nothing known.

Ruled out: comparing the incarnation of the server; registrations have no start time.

Result, before:

upstream: upload_test.go:77: 25 of 40 answers taken for complete upload_test.go:78: 25 != 0 upload_test.go:77: 32 of 40 answers taken for complete upload_test.go:78: 32 != 0 upload_test.go:77: 40 of 40 answers taken for complete upload_test.go:78: 40 != 0 --- FAIL: TestAnswerBesideFailedUploadIsIncomplete (0.29s) --- FAIL: TestAnswerBesideFailedUploadIsIncomplete/reset (0.12s) --- FAIL: TestAnswerBesideFailedUploadIsIncomplete/close (0.08s) --- FAIL: TestAnswerBesideFailedUploadIsIncomplete/close_of_one_side (0.09s) --- PASS: TestFramedAnswerBesideUnreadUploadIsComplete (0.00s) --- PASS: TestUnframedAnswerToReadUploadIsComplete (0.11s) upload_test.go:120: not true: errors.As(err, &lost) --- FAIL: TestStatusOutsideRangeIsNoResponse (0.00s) FAIL FAIL github.com/figweir/figweir/upstream 0.415s FAIL end_test.go:75: true != false end_test.go:75: true != false --- FAIL: TestEndThatLayUnreadIsNoProof (6.11s) --- PASS: TestEndThatLayUnreadIsNoProof/read_at_once (1.00s) --- FAIL: TestEndThatLayUnreadIsNoProof/read_late (1.50s) --- PASS: TestEndThatLayUnreadIsNoProof/read_late,_other_connection_open (1.55s) --- FAIL: TestEndThatLayUnreadIsNoProof/after_a_pause (1.00s) --- PASS: TestEndThatLayUnreadIsNoProof/after_a_pause,_other_connection_open (1.05s) FAIL FAIL github.com/figweir/figweir/upstream 6.114s FAIL (the latter with the check of late ends taken out)

After: all pass with the race detector.

--- a/engine/client.go
+++ b/engine/client.go
@@ -62,6 +62,8 @@
 	// maxCallHeaderBytes is the maximum size of the header of a response to a short call.
 	maxCallHeaderBytes = 64 << 10
 	maxIdleConns       = 64
+	// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // NewClient returns a client with its own connection pools.
@@ -129,6 +131,8 @@
 		return nil, wrapSendError(err, ErrTruncated)
 	}
 	switch {
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus:
+		err = fmt.Errorf("%w: status %03d is not that of a response", ErrTruncated, resp.StatusCode)
 	case resp.StatusCode == http.StatusOK:
 		return newStream(resp.Body, a.ID, offset), nil
 	case resp.StatusCode == http.StatusNotFound && offset > 0:
@@ -267,11 +271,12 @@
 	}
 	defer resp.Body.Close()
 	switch {
-	case resp.StatusCode < http.StatusMultipleChoices:
+	case resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices:
 		return nil
 	case resp.StatusCode == http.StatusConflict:
 		return ErrFenced
-	case resp.StatusCode >= http.StatusInternalServerError:
+	case resp.StatusCode < http.StatusOK, resp.StatusCode >= http.StatusInternalServerError:
+		// A status below 200 is not that of a response.
 		return fmt.Errorf("%w: status %d", ErrOrderAmbiguous, resp.StatusCode)
 	default:
 		return newRefusedError(resp)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,9 @@
 	table        atomic.Pointer[core.Table]
 	registry     *backends.Registry
 	pool         *upstream.Pool
-	store        *platform.Store
+	// pauses recognizes suspensions of the process.
+	pauses *boottime.PauseDetector
+	store  *platform.Store
 	// heartbeatStore wraps store and ends watches when the store stops answering.
 	heartbeatStore *discovery.HeartbeatStore
 	// reads is what the followers read: mirrors of other nodes, or heartbeatStore.
@@ -138,7 +140,8 @@
 	log, failureLog := logging.NewLoggers(out, level)
 	log, failureLog = log.WithValues("node", s.Name), failureLog.WithValues("node", s.Name)
 	g := &Gateway{settingsFile: file, settings: s, log: log, level: level, logWriter: out, registry: backends.NewRegistry(), trueTime: boottime.NewTrueTime()}
-	g.pool = upstream.NewPool(upstream.DefaultOptions)
+	g.pool, g.pauses = upstream.NewPool(upstream.DefaultOptions), boottime.NewPauseDetector()
+	g.pool.SetPauses(g.pauses)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
 	g.store.Eras.OnChange(func(era store.Era) { g.log.Info("era of the store", "era", uint64(era)) })
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationBatchDelay, s.DrainBound(), log)
@@ -283,6 +286,7 @@
 	}
 	dutyGroup.Go(func() { g.nodes.Announce(dutyCtx, g.store) })
 	backgroundGroup.Go(func() { g.sweep(backgroundCtx) })
+	backgroundGroup.Go(func() { g.pauses.Run(backgroundCtx) })
 	backgroundGroup.Go(func() { g.sharer.Run(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.sendTotals(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
--- a/service/client.go
+++ b/service/client.go
@@ -34,6 +34,9 @@
 	MaxResponseBytes = 8 << 20
 )
 
+// minStatus and maxStatus are the range of the statuses of HTTP (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
 // Call is one call to a service.
 type Call struct {
 	Method string
@@ -108,11 +111,15 @@
 	if call.Idempotent {
 		client = c.idempotent
 	}
-	resp, err := client.Do(req)
+	upload := newUpload()
+	resp, err := client.Do(req.WithContext(upload.trace(req.Context())))
 	if err != nil {
 		return Response{}, classifySendError(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return Response{}, fmt.Errorf("%w: status %03d is not that of a response", ErrOutcomeUnknown, resp.StatusCode)
+	}
 	raw, err := c.Memory.ReadAll(resp.Body, MaxResponseBytes)
 	if errors.Is(err, membudget.ErrExhausted) {
 		return Response{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ErrResponseTooLarge)
@@ -123,6 +130,9 @@
 	if len(raw) > MaxResponseBytes {
 		return Response{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ErrResponseTooLarge)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !upload.succeeded() {
+		return Response{}, fmt.Errorf("%w: %s", ErrOutcomeUnknown, "the response ended before the call was written completely")
+	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -109,6 +109,9 @@
 // read the complete body.
 const maxInlineBodyBytes = 16 << 10
 
+// minStatus and maxStatus are the range of the statuses of HTTP (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
 // maxMismatchedResponses is how many responses to other requests are skipped.
 const maxMismatchedResponses = 2
 
@@ -323,6 +326,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, fmt.Errorf("status %03d is not that of a response", resp.StatusCode)
+		}
 		interim := resp.StatusCode >= 100 && resp.StatusCode < 200
 		if !interim {
 			return resp, nil
@@ -363,7 +369,8 @@
 	return p.options.IdleTimeout
 }
 
-// bodyReader records whether the body was read to its end.
+// bodyReader records whether the body was read to its end. It returns an error in place of io.EOF if
+// nothing but the end of the connection ends the body, and that does not show that it is complete.
 type bodyReader struct {
 	response *Response
 	body     io.ReadCloser
@@ -371,7 +378,13 @@
 
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
+	begun := time.Now()
 	n, err := b.body.Read(p)
+	if err == io.EOF && !b.response.Delimited {
+		if cause := b.response.checkEnd(begun); cause != nil {
+			err = cause
+		}
+	}
 	if err == io.EOF {
 		b.response.bodyRead = true
 	} else if err != nil && b.response.ctx.Err() != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -55,6 +55,8 @@
 type Pool struct {
 	options Options
 	dialer  net.Dialer
+	// pauses tells when the process did not run; nil if that is not known.
+	pauses Pauses
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -68,6 +70,10 @@
 	return p
 }
 
+// SetPauses lets the pool treat the end of a response as unproven if it was read after a pause of the
+// process. It must be called before the pool is used.
+func (p *Pool) SetPauses(pauses Pauses) { p.pauses = pauses }
+
 // NewDialer returns a dialer whose connections fail within userTimeout, even while idle,
 // if the peer stops responding.
 func NewDialer(dialTimeout, userTimeout time.Duration) net.Dialer {
