core: a body that will not be sent again is released before its answer is read

Cause: the body of a request that may run once stayed until the first event or the end of its answer, though only a refusal lets it be sent again.

Change: ReleaseBody is called when an answer has begun and no attempt is left; for streams of reads at the first event, after which they are not sent elsewhere.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -44,6 +44,9 @@
 	e.updateHandle(o)
 	switch o := o.(type) {
 	case Answered:
+		if !e.mayRunAgain() {
+			e.request.releaseBody()
+		}
 		return e.relay(ctx, &sentAttempt{a, choice, sentAt, liftLimit, watch}, o.Answer)
 	case Refused:
 		choice.Refused(time.Now())
--- a/core/relay.go
+++ b/core/relay.go
@@ -31,9 +31,6 @@
 	}
 	defer answer.Close()
 	choice := a.choice
-	if !e.mayRunAgain() {
-		e.request.releaseBody()
-	}
 	body, err := answer.ReadAll()
 	e.meterStart(a.sentAt)
 	head := answer.Head()
@@ -84,7 +81,8 @@
 	if err != nil && err != io.EOF {
 		return e.onLost(ctx, a.choice, err, a.sentAt, a.watch)
 	}
-	if !e.route.Resumable || !e.mayRunAgain() {
+	if !e.route.Resumable {
+		// The stream has begun, so it is not sent to another server.
 		e.request.releaseBody()
 	}
 	a.liftLimit()
