--- a/core/relay.go
+++ b/core/relay.go
@@ -81,6 +81,10 @@
 	if err != nil && err != io.EOF {
 		return e.onLost(ctx, a.choice, err, a.sentAt, a.watch)
 	}
+	if !e.route.Resumable {
+		// The stream has begun, so it is not sent to another server.
+		e.request.releaseBody()
+	}
 	a.liftLimit()
 	e.recordFirstEvent(a.choice)
 	head := answer.Head()
@@ -175,6 +179,9 @@
 		}
 		answer, a := e.resumeOn(ctx, choice, lastID)
 		if answer != nil {
+			if !e.mayRunAgain() {
+				e.request.releaseBody()
+			}
 			e.record.Resumes++
 			e.record.Reason = ""
 			return answer, a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// responseBufferFraction is the fraction of the VM's memory for buffering
 	// responses of backend servers.
 	responseBufferFraction = 0.125
+	// inboundFraction is the fraction of the VM's memory for what callers send. With the responses
+	// and the 20 MB of an idle node it leaves room below heapFraction for garbage.
+	inboundFraction = 0.25
 )
 
 // Gateway is one node with all its components.
@@ -76,7 +79,9 @@
 	table        atomic.Pointer[core.Table]
 	registry     *backends.Registry
 	pool         *upstream.Pool
-	store        *platform.Store
+	// pauses recognizes suspensions of the process.
+	pauses *boottime.PauseDetector
+	store  *platform.Store
 	// heartbeatStore wraps store and ends watches when the store stops answering.
 	heartbeatStore *discovery.HeartbeatStore
 	// reads is what the followers read: mirrors of other nodes, or heartbeatStore.
@@ -121,6 +126,8 @@
 	limits *rateLimits
 	// quotas keeps requests within the quotas of workspaces.
 	quotas *quotas
+	// inbound accounts for what callers send.
+	inbound *membudget.Inbound
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
 	ready    atomic.Bool
@@ -135,7 +142,8 @@
 	log, failureLog := logging.NewLoggers(out, level)
 	log, failureLog = log.WithValues("node", s.Name), failureLog.WithValues("node", s.Name)
 	g := &Gateway{settingsFile: file, settings: s, log: log, level: level, logWriter: out, registry: backends.NewRegistry(), trueTime: boottime.NewTrueTime()}
-	g.pool = upstream.NewPool(upstream.DefaultOptions)
+	g.pool, g.pauses = upstream.NewPool(upstream.DefaultOptions), boottime.NewPauseDetector()
+	g.pool.SetPauses(g.pauses)
 	g.store = platform.NewStore(s.Store.Address, storeTimeout)
 	g.store.Eras.OnChange(func(era store.Era) { g.log.Info("era of the store", "era", uint64(era)) })
 	g.servers = discovery.NewServers(g.registry, platform.ServersPrefix, platform.DecodeServer, g.registrationBatchDelay, s.DrainBound(), log)
@@ -165,6 +173,7 @@
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
+	g.inbound = membudget.NewInbound(memoryFraction(inboundFraction, s.Limits.MemoryMB), maxCallerConnections(descriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection, OnSocketError: g.observer.logSocketError}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
@@ -285,6 +294,7 @@
 	}
 	dutyGroup.Go(func() { g.nodes.Announce(dutyCtx, g.store) })
 	backgroundGroup.Go(func() { g.sweep(backgroundCtx) })
+	backgroundGroup.Go(func() { g.pauses.Run(backgroundCtx) })
 	backgroundGroup.Go(func() { g.sharer.Run(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.sendTotals(backgroundCtx, loadConn) })
 	backgroundGroup.Go(func() { g.runQuarantine(backgroundCtx, loadConn) })
@@ -296,6 +306,7 @@
 
 	callerListener := platform.NewListener(baseListener, &g.table)
 	callerListener.OnSocketError = g.observer.logSocketError
+	callerListener.Inbound = g.inbound
 	callerServer := &http.Server{
 		Handler: g.callerRoutes(), ConnContext: platform.ConnContext, ConnState: platform.TrackConnState,
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -37,8 +37,10 @@
 	// malformedLoads limits the lines on load headers that are not used.
 	malformedLoads *rate.Limiter
 
-	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges, callersLeft, notRun, silentStreams *expvar.Map
-	socketErrorOnce                                                                                                          sync.Once
+	requests, refusals, attempts, droppedLines, quarantineChanges, notices, limitChanges *expvar.Map
+	callersLeft, notRun, silentStreams, inbound                                          *expvar.Map
+
+	socketErrorOnce sync.Once
 
 	firstEvent, totalTime, prefillTime, longestPause, unread *metrics.Histogram
 	// eventPause is the mean pause between the events of recent streams.
@@ -52,7 +54,7 @@
 func newObserver(log, failureLog logr.Logger, linesPerSecond int) *observer {
 	o := &observer{
 		log: log, failureLog: failureLog, requests: newCounterMap(), refusals: newCounterMap(), attempts: newCounterMap(), droppedLines: newCounterMap(),
-		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(), silentStreams: newCounterMap(),
+		quarantineChanges: newCounterMap(), notices: newCounterMap(), limitChanges: newCounterMap(), callersLeft: newCounterMap(), notRun: newCounterMap(), silentStreams: newCounterMap(), inbound: newCounterMap(),
 		firstEvent: metrics.NewHistogram(), totalTime: metrics.NewHistogram(), prefillTime: metrics.NewHistogram(),
 		longestPause: metrics.NewHistogram(), unread: metrics.NewHistogram(),
 		logLimiter: rate.NewLimiter(0, 0), malformedLoads: rate.NewLimiter(rate.Every(malformedLoadInterval), 1),
@@ -205,7 +207,7 @@
 		vars *expvar.Map
 	}{
 		{"requests_total", o.requests}, {"refusals_total", o.refusals}, {"attempts_total", o.attempts}, {"log_lines_dropped_total", o.droppedLines},
-		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun}, {"silent_streams_total", o.silentStreams},
+		{"quarantine_changes_total", o.quarantineChanges}, {"server_notices_total", o.notices}, {"rate_limit_changes_total", o.limitChanges}, {"callers_left_total", o.callersLeft}, {"not_run_total", o.notRun}, {"silent_streams_total", o.silentStreams}, {"inbound_limits_total", o.inbound},
 	} {
 		m.vars.Do(func(kv expvar.KeyValue) { b = fmt.Appendf(b, "%s{kind=%q} %s\n", m.name, kv.Key, kv.Value) })
 	}
