backends: load plain servers evenly if they state their speed

Cause: a node hears of the load of its cell only (about nine nodes) while all nodes use the same few plain servers, and what it hears is older than a call takes.

Change: for plain servers that state their speed, a node draws how many requests it does not see, between 0 and twice the mean that these servers report. Engines keep the choice by speed: with a draw the busiest engine is not less busy and delays are longer. The slack for the preferred engine of a prompt grows with the slowdown of that engine, since shared parts were read 5% more often with stated speeds.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -35,7 +34,9 @@
 	promptTokens atomic.Uint64
 	prefillRate  capacity.PromptRate
 	decodeRate   capacity.PromptRate
-	eventTimes   eventTimes
+	observed     observations
+	// unseenShare is the constant of that name; simulations change it.
+	unseenShare float64
 	// limits are the rate limits of the servers.
 	limits RateLimits
 }
@@ -55,7 +56,7 @@
 // the current cell of the node, and onLoadChange is called after each change of its
 // load.
 func NewBalancer(r *Registry, failureDomain string, peerLoad PeerLoad, cell func() Cell, onLoadChange func()) *Balancer {
-	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange, limits: noRateLimits{}}
+	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange, limits: noRateLimits{}, unseenShare: unseenShare}
 }
 
 // load estimates the requests in progress and the unprocessed prompt tokens on a
@@ -169,12 +170,15 @@
 func (b *Balancer) leastLoaded(now time.Time, servers []*Server) *Server {
 	var best *Server
 	bestScore := 0.0
+	rng := newRandom()
+	spread := b.unseenShare * b.observed.of(servers[0].Service).reported[RoleNone].load()
 	for _, s := range servers {
 		slots := float64(max(1, s.Slots))
 		requests, _ := b.load(now, s)
+		draw := rng.float64()
 		score := requests / slots
 		if s.stats.model.StatesSpeed() {
-			score = scaledShare(requests, slots, s.stats.model.Slowdown(now))
+			score = scaledShare(requests+spread*draw, slots, s.stats.model.Slowdown(now))
 		}
 		score += failurePenalty * s.stats.failedShare()
 		if s.FailureDomain != b.failureDomain {
@@ -184,7 +188,7 @@
 			score += limitedPenalty
 		}
 		// Equal scores are decided at random.
-		score += 1e-6 * rand.Float64()
+		score += 1e-6 * draw
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -261,7 +265,7 @@
 		}
 	}
 	rate := usualRate
-	var estimate capacity.Estimate
+	estimate := capacity.Estimate{Slowdown: 1}
 	if s.stats.model.StatesSpeed() {
 		estimate = s.stats.model.At(now)
 		rate = promptRate(&estimate, usualRate)
@@ -283,7 +287,9 @@
 	}
 	if preferred {
 		slack := max(minPreferredSlack, time.Duration(preferredSlackShare*float64(criteria.TargetLatency)))
-		c.totalMillis -= float64(slack / time.Millisecond)
+		// The queue of a slow engine is longer in time. It is waited for as much longer, since
+		// otherwise its shared parts would be processed on other engines too.
+		c.totalMillis -= float64(slack/time.Millisecond) * max(1, estimate.Slowdown)
 	}
 	if criteria.Prefilled && s.FailureDomain != criteria.HandleDomain {
 		c.totalMillis += float64(transferSetupDelay / time.Millisecond)
@@ -359,12 +365,13 @@
 func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
 	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
-	rate, eventTime := b.usualPromptRate(role), b.eventTimes.of(criteria.Service)
+	rng := newRandom()
+	rate, eventTime := b.usualPromptRate(role), &b.observed.of(criteria.Service).eventTime
 	var best engineCost
 	consider := func(s *Server) {
 		c := b.engineCost(now, s, criteria, s == preferred[0], rate, eventTime)
 		// Equal costs are decided at random.
-		c.totalMillis += 1e-3 * rand.Float64()
+		c.totalMillis += 1e-3 * rng.float64()
 		if best.server == nil || c.totalMillis+c.pausePenalty < best.totalMillis+best.pausePenalty {
 			best = c
 		}
--- a/backends/bench_test.go
+++ b/backends/bench_test.go
@@ -6,6 +6,31 @@
 	"time"
 )
 
+// BenchmarkChooseService measures one choice among plain servers.
+func BenchmarkChooseService(b *testing.B) {
+	for _, servers := range []int{60, 300} {
+		for _, speed := range []bool{false, true} {
+			balancer, r := newBalancer(serviceServers(servers), nil)
+			now := time.Now()
+			for _, s := range r.View().All() {
+				if speed {
+					stateSpeed(s, now.Add(-time.Duration(s.Hash%5000)*time.Millisecond), 70+int(s.Hash%100))
+				}
+			}
+			b.Run(fmt.Sprintf("servers=%d/speed=%v", servers, speed), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					c, err := balancer.Choose(now, &Criteria{Service: "s"})
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Done()
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkChoose measures one choice among half prefill and half decode engines: for a new
 // request and for one whose prompt has been processed. With speed=true the servers state theirs.
 func BenchmarkChoose(b *testing.B) {
--- a/backends/choice.go
+++ b/backends/choice.go
@@ -39,6 +39,7 @@
 		FirstEventEstimate: time.Duration(p.estimateMillis * float64(time.Millisecond)),
 		engineIdle:         s.stats.prefillTokens.Load() == 0,
 	}
+	b.observeReport(s)
 	s.stats.inflight.Add(1)
 	c.pendingTokens.Store(int64(uncached))
 	s.stats.prefillTokens.Add(int64(uncached))
--- a/backends/speed.go
+++ b/backends/speed.go
@@ -1,7 +1,10 @@
 package backends
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/figweir/figweir/capacity"
@@ -18,18 +21,68 @@
 	// minEventInterval is the shortest interval that counts as one between events. Events that
 	// arrive closer together were sent together.
 	minEventInterval = time.Millisecond
+	// unseenShare bounds the requests that a plain server may have besides those that this node
+	// knows of, as a multiple of the mean that servers report. A number up to it is drawn for
+	// each server, since all nodes choose by knowledge that is old compared with the time of a
+	// call: without it they choose the same server. In the simulation the variation of load is
+	// least from 2 to 3, and each step sends more requests to other failure domains.
+	unseenShare = 2.0
+	// reportWeight is the weight of one report in the mean of them.
+	reportWeight = 0.1
 )
 
-// eventTimes holds the event times by service: engines of one service are of one type.
-type eventTimes struct{ byService sync.Map }
+// observations holds what was observed of the servers of each service.
+type observations struct{ byService sync.Map }
 
-// of returns the event times of a service.
-func (t *eventTimes) of(service string) *capacity.EventTime {
-	if v, ok := t.byService.Load(service); ok {
-		return v.(*capacity.EventTime)
+// observation is what was observed of the servers of one service. Engines of one service are of
+// one type.
+type observation struct {
+	eventTime capacity.EventTime
+	// reported is the mean number of requests that a server reports, by role.
+	reported [RoleDecode + 1]meanRequests
+}
+
+// of returns the observations of a service.
+func (o *observations) of(service string) *observation {
+	if v, ok := o.byService.Load(service); ok {
+		return v.(*observation)
 	}
-	v, _ := t.byService.LoadOrStore(service, new(capacity.EventTime))
-	return v.(*capacity.EventTime)
+	v, _ := o.byService.LoadOrStore(service, new(observation))
+	return v.(*observation)
+}
+
+// meanRequests is a moving mean of numbers of requests, as the bits of a float64. If two numbers
+// are added at the same time, one of them may be lost.
+type meanRequests struct{ bits atomic.Uint64 }
+
+func (m *meanRequests) load() float64 { return math.Float64frombits(m.bits.Load()) }
+
+func (m *meanRequests) add(requests float64) {
+	mean := m.load()
+	m.bits.Store(math.Float64bits(mean + reportWeight*(requests-mean)))
+}
+
+// observeReport adds the last report of a server that was chosen to the mean of its service.
+func (b *Balancer) observeReport(s *Server) {
+	if r := s.stats.report.Load(); r != nil && s.stats.model.StatesSpeed() {
+		b.observed.of(s.Service).reported[s.Role].add(float64(r.running + r.waiting))
+	}
+}
+
+// random draws numbers for the candidates of one choice. It is cheaper than the global source,
+// which counts for hundreds of candidates.
+type random struct{ source rand.PCG }
+
+// newRandom returns a source with a random seed.
+func newRandom() (r random) {
+	r.source.Seed(rand.Uint64(), 0)
+	return r
+}
+
+// float64 returns a number from 0 up to but not including 1.
+func (r *random) float64() float64 {
+	const bits = 53
+	return float64(r.source.Uint64()>>(64-bits)) * (1.0 / (1 << bits))
 }
 
 // scaledShare returns the share of busy slots of a service, scaled by the slowdown of the server
@@ -101,7 +154,7 @@
 	prompts := time.Duration(queued / promptRate(&e, b.usualPromptRate(s.Role)) * float64(time.Millisecond))
 	// How much of the queue falls into this interval is not known exactly.
 	steps := max(interval-prompts, interval/2)
-	times := b.eventTimes.of(s.Service)
+	times := &b.observed.of(s.Service).eventTime
 	model.RecordEvent(now, steps, times.Millis(inflight))
 	times.Observe(steps, inflight, e.Slowdown)
 }
@@ -121,3 +174,29 @@
 	}
 	return low, high, ok
 }
+
+// OwnLoadSpread returns the requests of this node at the busiest server over the mean of the
+// servers of its service and role; of several services and roles the greatest such ratio. It is 0
+// without requests.
+func (v *View) OwnLoadSpread() float64 {
+	type group struct{ most, sum, servers int64 }
+	type key struct {
+		service string
+		role    Role
+	}
+	groups := make(map[key]group)
+	for service, servers := range v.services {
+		for _, s := range servers {
+			k := key{service, s.Role}
+			g, requests := groups[k], s.stats.inflight.Load()
+			groups[k] = group{max(g.most, requests), g.sum + requests, g.servers + 1}
+		}
+	}
+	spread := 0.0
+	for _, g := range groups {
+		if g.sum > 0 {
+			spread = max(spread, float64(g.most*g.servers)/float64(g.sum))
+		}
+	}
+	return spread
+}
--- a/backends/speed_test.go
+++ b/backends/speed_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,7 +72,7 @@
 	cost, _ := b.cheapestEngine(now, criteria, []*Server{s}, RoleDecode)
 	is.True(math.Abs(cost.totalMillis-30*runningRequestMillis) < 0.01)
 	is.Equal(cost.pausePenalty, 0.0)
-	is.Equal(b.eventTimes.of("s").Millis(1), 0.0)
+	is.Equal(b.observed.of("s").eventTime.Millis(1), 0.0)
 }
 
 // TestDecodeEngineIsChosenByPause guards against streams with pauses above the target, while a
@@ -85,7 +87,7 @@
 	// An event takes 20 ms and 4 ms for each request, at the usual speed.
 	for i := range 400 {
 		running := float64(i % 40)
-		b.eventTimes.of("s").Observe(time.Duration(20+4*running)*time.Millisecond, running, 1)
+		b.observed.of("s").eventTime.Observe(time.Duration(20+4*running)*time.Millisecond, running, 1)
 	}
 	criteria := engineCriteria(prompt("", 0, 6000))
 	criteria.Prefilled, criteria.HandleDomain = true, "near"
@@ -117,7 +119,7 @@
 			c.Event(now.Add(10 * time.Microsecond))
 		}
 	}
-	millis := b.eventTimes.of("s").Millis(20)
+	millis := b.observed.of("s").eventTime.Millis(20)
 	is.True(millis > 66 && millis < 72) // 50 and 1 for each request
 	is.True(s.Capacity(now).EventMillis > 130)
 }
@@ -138,3 +140,65 @@
 	low, high, ok := r.View().SlowdownRange(now)
 	is.Equal(fmt.Sprint(low, high, ok), "0 0 false")
 }
+
+// TestSharedPartsAreReadAsRarely simulates engines with little room for shared parts and speeds
+// from 0.7 to 1.7 that flicker. It guards against nodes that send the same shared part to other
+// engines than before because they know different speeds.
+func TestSharedPartsAreReadAsRarely(t *testing.T) {
+	is := is.New(t)
+	stated, unstated := sharedPartsRead(true), sharedPartsRead(false)
+	t.Logf("shared parts read: %d with stated speed, %d without", stated, unstated)
+	is.True(float64(stated) <= 1.05*float64(unstated))
+}
+
+// sharedPartsRead returns how many times an engine had to process a shared part.
+func sharedPartsRead(statesSpeed bool) int {
+	const nodes, servers, keys, cacheSize, prompts = 20, 20, 150, 10, 6000
+	const shared, own, interval = 4000, 4000, 8 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 2))
+	queued := peerLoadsByHash{}
+	var balancers []*Balancer
+	for range nodes {
+		b, r := newBalancer(engines(servers, 2), nil)
+		b.peerLoad = queued
+		for i, s := range r.View().Servers("s") {
+			// Half of the nodes know the speed of half of the engines only.
+			if statesSpeed && (len(balancers)%2 == 0 || i%2 == 0) {
+				stateSpeed(s, time.Now(), 70+100*(i%servers)/servers+rng.IntN(30)-15)
+			}
+		}
+		balancers = append(balancers, b)
+	}
+	now, read := time.Now(), 0
+	cached, free := map[string][]string{}, map[string]time.Time{}
+	for range prompts {
+		now = now.Add(interval)
+		key := fmt.Sprint(int(keys * math.Pow(rng.Float64(), 3)))
+		c, err := balancers[rng.IntN(nodes)].Choose(now, engineCriteria(prompt(key, shared, own)))
+		if err != nil || !c.Prefill {
+			continue
+		}
+		id := c.Server.ID
+		tokens := own
+		if i := slices.Index(cached[id], key); i >= 0 {
+			cached[id] = slices.Delete(cached[id], i, i+1)
+		} else {
+			read, tokens = read+1, tokens+shared
+		}
+		cached[id] = append(cached[id], key)
+		cached[id] = cached[id][max(0, len(cached[id])-cacheSize):]
+		var number int
+		_, _ = fmt.Sscanf(id, "p%d", &number)
+		millis := float64(tokens) / prefillTokensPerMilli * (0.7 + float64(number)/servers)
+		if free[id].Before(now) {
+			free[id] = now
+		}
+		free[id] = free[id].Add(time.Duration(millis * float64(time.Millisecond)))
+		c.Done()
+		for _, s := range balancers[0].registry.View().Servers("s") {
+			waiting := max(0, free[s.ID].Sub(now).Seconds()*1000*prefillTokensPerMilli)
+			queued[s.Hash] = [2]int64{0, int64(waiting)}
+		}
+	}
+	return read
+}
--- a/capacity/model.go
+++ b/capacity/model.go
@@ -66,21 +66,27 @@
 )
 
 // Model is what a node knows of one incarnation of a server. The zero value knows nothing.
-// It is safe for use by many goroutines; At takes no lock.
+// It is safe for use by many goroutines. At and Slowdown take no lock; they may see a statement
+// whose effect is stored in part, which lies between the states before and after it. The fields
+// that every choice reads for every server stand together.
 type Model struct {
-	speed  atomic.Pointer[speed]
-	events atomic.Pointer[events]
+	// current and usual are the means of the stated slowdown, as the bits of float64, and
+	// statedAt is the time of the last statement, see sinceEpoch; 0 if there was none.
+	current, usual atomic.Uint64
+	statedAt       atomic.Int64
 	// usualRate is the rate of prompt processing at a slowdown of 1.
 	usualRate PromptRate
-	// mu serializes the changes of speed and events.
+	events    atomic.Pointer[events]
+	// mu serializes the changes of the other fields.
 	mu sync.Mutex
 }
 
-// speed is the state after a statement of the slowdown.
-type speed struct {
-	current, usual float64
-	at             time.Time
-}
+// epoch is the reference for times that are stored as nanoseconds. It lies before the start, so
+// that the differences to it are not 0.
+var epoch = time.Now().Add(-time.Hour)
+
+// sinceEpoch returns the nanoseconds from epoch to t.
+func sinceEpoch(t time.Time) int64 { return int64(t.Sub(epoch)) }
 
 // events is the state after an interval between events.
 type events struct {
@@ -96,20 +102,26 @@
 	}
 	const percent = 100
 	stated := float64(r.SlowdownPercent) / percent
+	at := sinceEpoch(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	last := m.speed.Load()
-	if last == nil {
-		m.speed.Store(&speed{stated, stated, now})
+	last := m.statedAt.Load()
+	if last == 0 {
+		m.current.Store(math.Float64bits(stated))
+		m.usual.Store(math.Float64bits(stated))
+		m.statedAt.Store(at)
 		return
 	}
-	elapsed := max(0, now.Sub(last.at))
-	current := last.current + min(weightAfter(elapsed, currentTime), maxReportWeight)*(stated-last.current)
+	elapsed := time.Duration(max(0, at-last))
+	current, usual := math.Float64frombits(m.current.Load()), math.Float64frombits(m.usual.Load())
+	current += min(weightAfter(elapsed, currentTime), maxReportWeight) * (stated - current)
 	if elapsed > currentEnd {
 		current = stated // the last statement tells nothing about the present
 	}
-	usual := last.usual + weightAfter(elapsed, usualTime)*(stated-last.usual)
-	m.speed.Store(&speed{current, usual, now})
+	usual += weightAfter(elapsed, usualTime) * (stated - usual)
+	m.current.Store(math.Float64bits(current))
+	m.usual.Store(math.Float64bits(usual))
+	m.statedAt.Store(max(at, last))
 }
 
 // weightAfter returns the weight of a sample in an exponential mean with a time constant.
@@ -145,40 +157,41 @@
 }
 
 // StatesSpeed reports whether the server has stated its speed.
-func (m *Model) StatesSpeed() bool { return m.speed.Load() != nil }
+func (m *Model) StatesSpeed() bool { return m.statedAt.Load() != 0 }
 
 // Slowdown returns how much longer than usual work takes; 1 if the server does not state it.
 func (m *Model) Slowdown(now time.Time) float64 {
-	s := m.speed.Load()
-	if s == nil {
+	at := m.statedAt.Load()
+	if at == 0 {
 		return 1
 	}
-	return s.slowdown(now.Sub(s.at))
+	return m.slowdown(time.Duration(sinceEpoch(now) - at))
 }
 
 // slowdown returns the estimate at an age of the last statement.
-func (s *speed) slowdown(age time.Duration) float64 {
-	expected := s.usual + (s.current-s.usual)*validity(age, currentFull, currentEnd)
-	return 1 + (expected-1)*validity(age, usualFull, usualEnd)
+func (m *Model) slowdown(age time.Duration) float64 {
+	if age <= currentFull {
+		return math.Float64frombits(m.current.Load())
+	}
+	usual := math.Float64frombits(m.usual.Load())
+	if age < currentEnd {
+		return usual + (math.Float64frombits(m.current.Load())-usual)*validity(age, currentFull, currentEnd)
+	}
+	return 1 + (usual-1)*validity(age, usualFull, usualEnd)
 }
 
-// validity returns 1 up to the age full, 0 from the age end, and falls linearly between.
+// validity returns 1 up to the age full, 0 from the age end, and falls linearly between. The
+// quotient is inlined as a constant, since a division for each server would be noticed.
 func validity(age, full, end time.Duration) float64 {
-	switch {
-	case age <= full:
-		return 1
-	case age >= end:
-		return 0
-	}
-	return float64(end-age) / float64(end-full)
+	return max(0, min(1, float64(end-age)*(1/float64(end-full))))
 }
 
 // At returns the estimate at a moment.
 func (m *Model) At(now time.Time) Estimate {
 	e := Estimate{Slowdown: 1, EventRatio: 1}
-	if s := m.speed.Load(); s != nil {
-		e.StatesSpeed, e.Age = true, now.Sub(s.at)
-		e.Slowdown = s.slowdown(e.Age)
+	if at := m.statedAt.Load(); at != 0 {
+		e.StatesSpeed, e.Age = true, time.Duration(sinceEpoch(now)-at)
+		e.Slowdown = m.slowdown(e.Age)
 	}
 	e.PromptTokensPerMilli = m.usualRate.TokensPerMilli(0) / e.Slowdown
 	if v := m.events.Load(); v != nil {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -40,6 +40,7 @@
 	if age, ok := g.servers.ResponseAge(); ok {
 		gauges["registrations_answer_age_ms"] = float64(age.Milliseconds())
 	}
+	gauges["own_load_spread"] = g.registry.View().OwnLoadSpread()
 	if low, high, ok := g.registry.View().SlowdownRange(time.Now()); ok {
 		gauges["server_slowdown_min"], gauges["server_slowdown_max"] = low, high
 	}
