--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -37,7 +36,9 @@
 	promptTokenSquares atomic.Uint64
 	prefillRate        capacity.PromptRate
 	decodeRate         capacity.PromptRate
-	eventTimes         eventTimes
+	observed           observations
+	// unseenShare is the constant of that name; simulations change it.
+	unseenShare float64
 	// limits are the rate limits of the servers.
 	limits RateLimits
 }
@@ -68,7 +69,7 @@
 // the current cell of the node, and onLoadChange is called after each change of its
 // load.
 func NewBalancer(r *Registry, failureDomain string, peerLoad PeerLoad, cell func() Cell, onLoadChange func()) *Balancer {
-	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange, limits: noRateLimits{}}
+	return &Balancer{registry: r, failureDomain: failureDomain, peerLoad: peerLoad, cell: cell, onLoadChange: onLoadChange, limits: noRateLimits{}, unseenShare: unseenShare}
 }
 
 // load estimates the requests in progress and the unprocessed prompt tokens on a
@@ -182,12 +183,15 @@
 func (b *Balancer) leastLoaded(now time.Time, servers []*Server) *Server {
 	var best *Server
 	bestScore := 0.0
+	rng := newRandom()
+	spread := b.unseenShare * b.observed.of(servers[0].Service).reported[RoleNone].load()
 	for _, s := range servers {
 		slots := float64(max(1, s.Slots))
 		requests, _ := b.load(now, s)
+		draw := rng.float64()
 		score := requests / slots
 		if s.stats.model.StatesSpeed() {
-			score = scaledShare(requests, slots, s.stats.model.Slowdown(now))
+			score = scaledShare(requests+spread*draw, slots, s.stats.model.Slowdown(now))
 		}
 		score += failurePenalty * s.stats.failedShare()
 		if s.FailureDomain != b.failureDomain {
@@ -197,7 +201,7 @@
 			score += limitedPenalty
 		}
 		// Equal scores are decided at random.
-		score += 1e-6 * rand.Float64()
+		score += 1e-6 * draw
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -254,8 +258,14 @@
 	// promptMillis is the time to process the tokens that are not cached.
 	promptMillis float64
 	// pauseMillis is the expected time between the events of streams there, without the effect
-	// of this prompt; 0 if unknown. pausePenalty is the latency that is accepted to avoid it.
-	pauseMillis, pausePenalty float64
+	// of this prompt; 0 if unknown.
+	pauseMillis float64
+	// choicePenalty counts in comparisons with other engines of the role only: the latency that
+	// is accepted to avoid long pauses, and for requests that this node does not see.
+	choicePenalty float64
+	// requestMillis is the delay that each running request adds; 0 if the engine does not state
+	// its speed.
+	requestMillis float64
 }
 
 // engineCost estimates the cost of a request on an engine. preferred is set for the
@@ -274,7 +284,7 @@
 		}
 	}
 	rate := usualRate
-	var estimate capacity.Estimate
+	estimate := capacity.Estimate{Slowdown: 1}
 	if s.stats.model.StatesSpeed() {
 		estimate = s.stats.model.At(now)
 		rate = promptRate(&estimate, usualRate)
@@ -296,7 +306,9 @@
 	}
 	if preferred {
 		slack := max(minPreferredSlack, time.Duration(preferredSlackShare*float64(criteria.TargetLatency)))
-		c.totalMillis -= float64(slack / time.Millisecond)
+		// The queue of a slow engine is longer in time. It is waited for as much longer, since
+		// otherwise its shared parts would be processed on other engines too.
+		c.totalMillis -= float64(slack/time.Millisecond) * max(1, estimate.Slowdown)
 	}
 	if criteria.Prefilled && s.FailureDomain != criteria.HandleDomain {
 		c.totalMillis += float64(transferSetupDelay / time.Millisecond)
@@ -372,13 +384,20 @@
 func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
 	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
-	rate, eventTime := b.usualPromptRate(role), b.eventTimes.of(criteria.Service)
+	rng := newRandom()
+	observed := b.observed.of(criteria.Service)
+	rate, eventTime := b.usualPromptRate(role), &observed.eventTime
+	unseen := b.unseenShare * observed.reported[RoleDecode].load()
 	var best engineCost
 	consider := func(s *Server) {
 		c := b.engineCost(now, s, criteria, s == preferred[0], rate, eventTime)
 		// Equal costs are decided at random.
-		c.totalMillis += 1e-3 * rand.Float64()
-		if best.server == nil || c.totalMillis+c.pausePenalty < best.totalMillis+best.pausePenalty {
+		draw := rng.float64()
+		c.totalMillis += 1e-3 * draw
+		if role == RoleDecode {
+			c.choicePenalty += unseen * draw * c.requestMillis
+		}
+		if best.server == nil || c.totalMillis+c.choicePenalty < best.totalMillis+best.choicePenalty {
 			best = c
 		}
 	}
