backends: prefer decode engines whose expected pause is below 0.4 of the target

Cause: the longest pause of a stream counts, and it is more than twice the mean; at 0.6 of the target pause many streams on slow engines were late. Change: the expected pause costs nothing up to 0.4 of the target. Only services whose servers state their speed are concerned.

--- a/backends/speed.go
+++ b/backends/speed.go
@@ -15,9 +15,9 @@
 
 const (
 	// eventPauseShare is the share of the target pause up to which the expected time between
-	// events costs nothing. The longest of some dozens of pauses counts, so the expected one
-	// must stay well below the target.
-	eventPauseShare = 0.6
+	// events costs nothing. A stream has some dozens of pauses and its longest one counts, which
+	// is more than twice the mean.
+	eventPauseShare = 0.4
 	// minEventInterval is the shortest interval that counts as one between events. Events that
 	// arrive closer together were sent together.
 	minEventInterval = time.Millisecond
