quota: starts, late permits and waits; permits of denied retries

Cause: a restarted granter took all nodes for reachable and granted the whole rate for a time; late datagrams made nodes use their share although permits were on their way; a held refusal told callers to come back before the bucket had anything; requests were refused for up to half a second after a first quota; a retry that the budget denied kept its permit; a wait with a tiny rate did not fit into a Duration. Change: after a start nodes count as unreachable until they answer a probe, and requests wait for that up to 150 ms; a late permit is used if its request still waits; a refusal keeps the wait of the bucket; a configuration with the first quota passes the list of nodes on and starts the ticks; the permit of a denied retry is returned; waits are at most an hour.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -118,8 +118,17 @@
 // acquireRepeat acquires what a further attempt needs. The quota comes first: a retry can't be given
 // back to the budget.
 func (e *exchange) acquireRepeat(ctx context.Context) bool {
-	acquired, _ := e.acquireQuota(ctx)
-	return acquired && e.RetryBudget.Retry(e.record.Service)
+	before := e.quotaPermits
+	if acquired, _ := e.acquireQuota(ctx); !acquired {
+		return false
+	}
+	if e.RetryBudget.Retry(e.record.Service) {
+		return true
+	}
+	if e.quotaPermits > before {
+		e.returnPermit()
+	}
+	return false
 }
 
 // retryDeniedReason returns the refusal reason for a request whose next attempt was
--- a/core/core.go
+++ b/core/core.go
@@ -137,7 +137,7 @@
 	Observer     Observer
 	// Quarantine blocks requests whose prompt parts crash backend servers.
 	Quarantine *quarantine.Tracker
-	// Quotas is used for workspaces with a quota; it may be nil if there are none.
+	// Quotas enforces the quotas of workspaces; if it is nil, they are not enforced.
 	Quotas Quotas
 	// Draining is the planned stop of the node; nil if it never stops.
 	Draining *Drain
--- a/core/quota.go
+++ b/core/quota.go
@@ -9,7 +9,7 @@
 // has one that no attempt has used. An attempt that has not run leaves its permit to the next one;
 // each further run needs one more.
 func (e *exchange) acquireQuota(ctx context.Context) (acquired bool, retryAfter time.Duration) {
-	if e.workspace == nil || e.workspace.Quota == nil || e.quotaPermits > e.counts.mayHaveRun {
+	if e.Quotas == nil || e.workspace == nil || e.workspace.Quota == nil || e.quotaPermits > e.counts.mayHaveRun {
 		return true, 0
 	}
 	acquired, retryAfter = e.Quotas.Acquire(ctx, e.workspace.Name, e.workspace.Quota.Amount(e.request.Prompt))
@@ -41,6 +41,12 @@
 // returnQuota gives the permit of a request back if nothing was sent to a backend server.
 func (e *exchange) returnQuota() {
 	if e.quotaPermits > 0 && e.chargedAttempts == 0 {
-		e.Quotas.Return(e.workspace.Name, e.workspace.Quota.Amount(e.request.Prompt))
+		e.returnPermit()
 	}
 }
+
+// returnPermit gives one permit back.
+func (e *exchange) returnPermit() {
+	e.quotaPermits--
+	e.Quotas.Return(e.workspace.Name, e.workspace.Quota.Amount(e.request.Prompt))
+}
--- a/core/quota_test.go
+++ b/core/quota_test.go
@@ -108,6 +108,19 @@
 	is.Equal(q.returned, []int64{50})
 }
 
+// TestPermitOfDeniedRetryIsReturned guards against a quota that is used up by retries that the retry
+// budget denies.
+func TestPermitOfDeniedRetryIsReturned(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(Safe, false, Lost{}, answer(200, "x"))
+	f.budget.retries = 0
+	q := limitWorkspace(f, 9)
+	s := f.serve(nil)
+	is.Equal(s.refusal.Verdict(), MayHaveRun)
+	is.Equal(len(q.acquired), 2)
+	is.Equal(len(q.returned), 1)
+}
+
 // TestCallerLeavesWhileItWaitsForAPermit guards against a refusal over quota that is counted for a
 // caller that has left.
 func TestCallerLeavesWhileItWaitsForAPermit(t *testing.T) {
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -34,6 +37,32 @@
 	}
 }
 
+// checkRefusalOverQuota sends requests to one node until one is refused, and checks that it says when
+// to come back. At most the given number runs.
+func (d *deployment) checkRefusalOverQuota(most int) {
+	is := is.New(d.t)
+	for i := range most + 1 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+d.hosts[0]+"/stream/x", http.NoBody)
+		is.NoErr(err)
+		r.Host = backendsim.Host
+		backendsim.SetCallerHeaders(r.Header, fmt.Sprint("refused", i), "key-a", 3*time.Second)
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		if resp.StatusCode == http.StatusOK {
+			continue
+		}
+		is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds > 0)
+		return
+	}
+	d.t.Fatalf("%d requests were not refused", most+1)
+}
+
 // TestQuotaHoldsForAllNodesTogether guards against nodes that let a workspace send its quota through
 // each of them, against requests over the quota that run, and against a lower quota that does not
 // become binding. The load: requests through five nodes in turn as fast as they are answered.
@@ -54,12 +83,14 @@
 		}
 		return count
 	}
+	time.Sleep(burst * time.Second / perSecond) // the bucket fills
 	began := time.Now()
 	count := flood(3 * time.Second)
 	elapsed := time.Since(began)
 	t.Logf("%d requests in %v", count, elapsed)
 	is.True(float64(count) <= (perSecond*elapsed.Seconds()+burst)*1.05+1)
-	is.True(count >= burst/2) // the quota is used
+	is.True(count >= burst) // the burst was usable
+	d.checkRefusalOverQuota(burst)
 	d.setQuota(3, 2, 2)
 	began = time.Now()
 	count = flood(3 * time.Second)
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -39,6 +39,10 @@
 	applied atomic.Pointer[core.Table]
 	// applyMu guards changes of applied.
 	applyMu sync.Mutex
+	// nodes returns the addresses of all listed nodes.
+	nodes func() []string
+	// wake is signaled when workspaces have a quota for the first time.
+	wake chan struct{}
 	// reachable is the fraction of nodes that was last logged. Only the goroutine that ticks
 	// uses it.
 	reachable  float64
@@ -50,6 +54,7 @@
 	options := quota.Options{Window: g.settings.QuotaWindow(), Overage: b.QuotaOverage, Tolerance: b.QuotaTolerance}
 	g.quotas = &quotas{
 		limiter: quota.New(g.loadAddress(), incarnation, options), incarnation: incarnation, table: &g.table, log: g.log,
+		nodes: g.nodes.AllLoadAddresses, wake: make(chan struct{}, 1),
 		reachable: 1, reachLines: rate.NewLimiter(rate.Every(quotaReachLogInterval), 1),
 	}
 }
@@ -69,6 +74,13 @@
 	for name, w := range table.Quotas {
 		limits[name] = quota.Limit{PerSecond: w.PerSecond, Burst: w.Burst}
 	}
+	if len(limits) > 0 {
+		q.limiter.SetNodes(now, q.nodes())
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
 	q.limiter.SetLimits(now, limits)
 	before := q.applied.Swap(table)
 	if len(limits) > 0 || before != nil && len(before.Quotas) > 0 {
@@ -103,6 +115,8 @@
 		case now := <-timer.C:
 			g.tickQuotas(now)
 			timer.Reset(g.quotas.tickInterval())
+		case <-g.quotas.wake:
+			timer.Reset(quota.TickInterval)
 		case <-limiter.Pending():
 		}
 		g.sendQuotaMessages(conn)
@@ -130,7 +144,7 @@
 	if !g.quotas.limiter.Active() {
 		return
 	}
-	g.quotas.limiter.SetNodes(now, g.nodes.AllLoadAddresses())
+	g.quotas.limiter.SetNodes(now, g.quotas.nodes())
 	g.quotas.limiter.SetStoreReachable(now, g.config.Following())
 	g.quotas.limiter.Tick(now)
 	if reachable, part := g.quotas.limiter.Reach(); reachable != g.quotas.reachable && g.quotas.reachLines.AllowN(now, 1) {
--- a/permit/bucket.go
+++ b/permit/bucket.go
@@ -1,8 +1,6 @@
 package permit
 
-import (
-	"time"
-)
+import "time"
 
 // Bucket is a token bucket. The zero value is empty; it fills from the first call of Fill.
 type Bucket struct {
@@ -27,7 +25,17 @@
 	b.Tokens = max(b.Tokens-tokens, -maxDebt)
 }
 
-// Wait returns the time until the bucket holds the given number of tokens.
+// maxWait bounds waits: the quotient of a small rate does not fit into a Duration.
+const maxWait = time.Hour
+
+// Wait returns the time until the bucket holds the given number of tokens, at most an hour.
 func (b *Bucket) Wait(tokens, perSecond float64) time.Duration {
-	return time.Duration(max(0, tokens-b.Tokens) / perSecond * float64(time.Second))
+	missing := max(0, tokens-b.Tokens)
+	if missing > perSecond*maxWait.Seconds() {
+		return maxWait
+	}
+	if missing == 0 {
+		return 0
+	}
+	return time.Duration(missing / perSecond * float64(time.Second))
 }
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	tellInterval = 5 * time.Millisecond
 	// stateTimeout is how long a granter waits for the state of the others.
 	stateTimeout = 250 * time.Millisecond
-	// answerInterval is the time between two signs of life to those who tell of their grants.
+	// answerInterval is the time between two heartbeats to nodes that tell of their grants.
 	answerInterval = 100 * time.Millisecond
 	// lossTime is the time within which the sum that a granter tells makes up for lost messages.
 	// What it granted while it was unreachable for longer came out of its part of the rate, and is
@@ -211,8 +212,8 @@
 			l.expectAnswer(now, other)
 		}
 	}
-	for other, at := range w.toldBy {
-		if now.Sub(at) > l.options.Window {
+	for _, other := range slices.Sorted(maps.Keys(w.toldBy)) {
+		if at := w.toldBy[other]; now.Sub(at) > l.options.Window {
 			delete(w.toldBy, other)
 		} else if !slices.Contains(w.choice, other) {
 			l.send(Message{To: other, Granted: g})
@@ -263,8 +264,8 @@
 	}
 	if now.Sub(w.answeredAt) >= answerInterval {
 		w.answeredAt = now
-		for other, at := range w.toldBy {
-			if now.Sub(at) < answerInterval {
+		for _, other := range slices.Sorted(maps.Keys(w.toldBy)) {
+			if now.Sub(w.toldBy[other]) < answerInterval {
 				l.send(Message{To: other, Heartbeat: &Heartbeat{Answer: true}})
 			}
 		}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -62,7 +62,7 @@
 	reach         atomic.Pointer[reach]
 	heartbeatsAt  time.Time
 	nextHeartbeat int
-	censusAt      time.Time
+	probedAllAt   time.Time
 	// startedAt is when the list of nodes was first known, in nanoseconds; 0 before.
 	startedAt atomic.Int64
 	// storeReadAt is when the list of nodes could last be read, if storeWatched is set.
@@ -158,7 +158,7 @@
 	l.nodesMu.Lock()
 	if now.Sub(l.reachAt) >= reachInterval {
 		l.reachAt = now
-		l.askSilent(now)
+		l.probeSilent(now)
 		l.updateReach(now)
 	}
 	l.sendHeartbeats(now)
--- a/quota/reach.go
+++ b/quota/reach.go
@@ -15,17 +15,17 @@
 	maxHeartbeatsPerSecond = 60
 	// missedHeartbeats is the number of intervals after which a node counts as unreachable.
 	missedHeartbeats = 2.5
-	// answerTimeout is the time after which a node counts as unreachable that was asked for a
-	// sign of life. It is asked again every askInterval. After suspectTime without an answer all
-	// nodes are asked, at most once per censusInterval: if the network is partitioned, both sides
-	// grant the whole rate until they know.
-	answerTimeout  = 400 * time.Millisecond
-	askInterval    = 100 * time.Millisecond
-	suspectTime    = 200 * time.Millisecond
-	censusInterval = 2 * time.Second
-	// settleTime is how long requests wait for the first signs of life after a start.
+	// answerTimeout is the time after which a node counts as unreachable that does not answer a
+	// probe, and probeInterval the time between two probes of it. After suspectTime without an
+	// answer all nodes are probed, at most once per probeAllInterval: if the network is
+	// partitioned, both sides grant the whole rate until they know.
+	answerTimeout    = 400 * time.Millisecond
+	probeInterval    = 100 * time.Millisecond
+	suspectTime      = 200 * time.Millisecond
+	probeAllInterval = 2 * time.Second
+	// settleTime is how long requests wait for the first heartbeats after a start.
 	settleTime = 150 * time.Millisecond
-	// lostTime is how long a silent node is counted that left the list without a word. It may be
+	// lostTime is how long a silent node is counted that left the list and did not say that it stops. It may be
 	// cut off from the store and from this node and go on with its part of the rate, which it
 	// does for offlineTime.
 	lostTime    = 5 * time.Second
@@ -43,8 +43,8 @@
 	// heardAt is the time of the last datagram from the node, in nanoseconds. A node that joins
 	// counts as heard, but none does when this node has just started.
 	heardAt atomic.Int64
-	// askedAt is when the node was asked for a sign of life that has not come; 0 if it has.
-	askedAt atomic.Int64
+	// probedAt is when the node was first probed since its last datagram; 0 if it was not.
+	probedAt atomic.Int64
 	// left is set once the node has said that it stops.
 	left atomic.Bool
 
@@ -53,15 +53,16 @@
 	// listed is false if the node is not in the list any more, or not yet. It may still be
 	// running, without access to the store.
 	listed bool
-	// asks is the number of repeated asks, and suspected is set once a census was requested.
-	asks      int64
+	// probes is the number of repeated probes, and suspected is set once that made this node
+	// probe all nodes.
+	probes    int64
 	suspected bool
 }
 
 // reachable reports whether the node counts as reachable.
 func (p *peer) reachable(now time.Time, timeout time.Duration) bool {
-	askedAt := p.askedAt.Load()
-	return now.UnixNano()-p.heardAt.Load() <= int64(timeout) && (askedAt == 0 || now.UnixNano()-askedAt <= int64(answerTimeout))
+	probedAt := p.probedAt.Load()
+	return now.UnixNano()-p.heardAt.Load() <= int64(timeout) && (probedAt == 0 || now.UnixNano()-probedAt <= int64(answerTimeout))
 }
 
 // reach is the set of nodes that this node can reach. It is immutable.
@@ -103,7 +104,7 @@
 			if starting {
 				peers[a].heardAt.Store(0)
 			}
-			peers[a].askedAt.Store(now.UnixNano())
+			peers[a].probedAt.Store(now.UnixNano())
 			l.send(Message{To: a, Heartbeat: &Heartbeat{Ask: true}})
 		}
 		peers[a].listed = true
@@ -183,7 +184,7 @@
 func (l *Limiter) Heard(now time.Time, from string) {
 	if p := (*l.peers.Load())[from]; p != nil {
 		p.heardAt.Store(now.UnixNano())
-		p.askedAt.Store(0)
+		p.probedAt.Store(0)
 		if p.left.Load() {
 			p.left.Store(false)
 		}
@@ -205,50 +206,52 @@
 	}
 }
 
-// settling reports whether this node has just started and waits for the first signs of life.
+// settling reports whether this node has just started and waits for the first heartbeats.
 func (l *Limiter) settling(now time.Time) bool {
 	startedAt := l.startedAt.Load()
 	return startedAt != 0 && now.UnixNano()-startedAt < int64(settleTime) && l.reach.Load().fraction < 1
 }
 
-// expectAnswer makes a node that was just sent a message count as unreachable if it gives no sign of
-// life. Its state may be asked for repeatedly.
+// expectAnswer makes a node that was just sent a message count as unreachable if nothing comes from
+// it. It is probed meanwhile.
 func (l *Limiter) expectAnswer(now time.Time, address string) {
 	if p := (*l.peers.Load())[address]; p != nil {
-		p.askedAt.CompareAndSwap(0, now.UnixNano())
+		p.probedAt.CompareAndSwap(0, now.UnixNano())
 	}
 }
 
-// askSilent asks nodes again that have not given a sign of life, and all nodes if one of them is
-// suspected of being unreachable. l.nodesMu must be held.
-func (l *Limiter) askSilent(now time.Time) {
+// probeSilent probes nodes from which an answer is missing, and all nodes if one of them is suspected
+// of being unreachable. l.nodesMu must be held.
+func (l *Limiter) probeSilent(now time.Time) {
 	peers, suspicion := *l.peers.Load(), false
 	timeout := reachTimeout(len(peers))
-	for _, p := range peers {
-		askedAt := p.askedAt.Load()
-		if askedAt == 0 {
-			p.asks, p.suspected = 0, false
-			if now.UnixNano()-p.heardAt.Load() > int64(timeout/2) && p.askedAt.CompareAndSwap(0, now.UnixNano()) {
+	for _, a := range l.order {
+		p := peers[a]
+		probedAt := p.probedAt.Load()
+		if probedAt == 0 {
+			p.probes, p.suspected = 0, false
+			if now.UnixNano()-p.heardAt.Load() > int64(timeout/2) && p.probedAt.CompareAndSwap(0, now.UnixNano()) {
 				l.send(Message{To: p.address, Heartbeat: &Heartbeat{Ask: true}})
 			}
 			continue
 		}
-		silent := time.Duration(now.UnixNano() - askedAt)
-		if n := int64(silent / askInterval); n > p.asks && silent < answerTimeout {
-			p.asks = n
+		silent := time.Duration(now.UnixNano() - probedAt)
+		if n := int64(silent / probeInterval); n > p.probes && silent < answerTimeout {
+			p.probes = n
 			l.send(Message{To: p.address, Heartbeat: &Heartbeat{Ask: true}})
 		}
 		if silent >= suspectTime && !p.suspected {
 			p.suspected, suspicion = true, true
 		}
 	}
-	if !suspicion || now.Sub(l.censusAt) < censusInterval {
+	if !suspicion || now.Sub(l.probedAllAt) < probeAllInterval {
 		return
 	}
-	l.censusAt = now
-	for _, p := range peers {
-		if p.askedAt.CompareAndSwap(0, now.UnixNano()) {
-			// The answers of a census must not start the next one.
+	l.probedAllAt = now
+	for _, a := range l.order {
+		p := peers[a]
+		if p.probedAt.CompareAndSwap(0, now.UnixNano()) {
+			// A missing answer to this probe must not start the next round.
 			p.suspected = true
 			l.send(Message{To: p.address, Heartbeat: &Heartbeat{Ask: true}})
 		}
@@ -328,8 +331,8 @@
 func (l *Limiter) excusePause(now time.Time, pause time.Duration) {
 	for _, p := range *l.peers.Load() {
 		heardAt := p.heardAt.Load()
-		if p.askedAt.Load() != 0 {
-			p.askedAt.Store(now.UnixNano())
+		if p.probedAt.Load() != 0 {
+			p.probedAt.Store(now.UnixNano())
 		}
 		if now.UnixNano()-heardAt-int64(pause) <= int64(reachTimeout(len(l.order))) {
 			p.heardAt.CompareAndSwap(heardAt, now.UnixNano()-int64(reachTimeout(len(l.order))/2))
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Request asks for a permit to send an amount for a workspace. done is called once, perhaps before
 // Request returns, and must not block or call the limiter. The returned id is for Cancel.
@@ -15,7 +18,7 @@
 	defer w.mu.Unlock()
 	r := &waiting{amount: uint64(min(max(amount, 1), maxAmount)), done: done}
 	if r.amount >= w.refusedAmount && now.Before(w.refusedUntil) {
-		l.finish(w, r, false, w.refusedUntil.Sub(now))
+		l.finish(w, r, false, w.availableAt.Sub(now))
 		return 0
 	}
 	return l.ask(now, w, r)
@@ -30,11 +33,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r := w.waiting[id]; r != nil {
-		delete(w.waiting, id)
-		w.abandoned[id] = abandoned{r.amount, now.Add(abandonedTime)}
+		r.finished = true
+		w.abandon(now, r)
 	}
 }
 
+// abandon stops waiting for the answer to the last message of a request. w.mu must be held.
+func (w *workspace) abandon(now time.Time, r *waiting) {
+	delete(w.waiting, r.id)
+	w.abandoned[r.id] = abandoned{r, now.Add(abandonedTime)}
+}
+
 // Return gives back a permit with which nothing was sent.
 func (l *Limiter) Return(now time.Time, name string, amount int64) {
 	w := l.find(name)
@@ -66,7 +75,7 @@
 	if l.settling(now) {
 		id = l.ids.Add(1)
 		r.deadline = now.Add(reachInterval)
-		w.waiting[id] = r
+		w.waiting[id], r.id = r, id
 		return id
 	}
 	choice := l.granters(now, w)
@@ -100,7 +109,7 @@
 	}
 	id = l.ids.Add(1)
 	r.deadline = now.Add(requestTimeout)
-	w.waiting[id] = r
+	w.waiting[id], r.id = r, id
 	l.expectAnswer(now, r.to)
 	l.send(Message{To: r.to, Request: &Request{ID: id, Workspace: w.key, Amount: r.amount}})
 	return id
@@ -127,6 +136,7 @@
 
 // finish ends a request. w.mu must be held.
 func (l *Limiter) finish(w *workspace, r *waiting, granted bool, wait time.Duration) {
+	r.finished = true
 	if granted {
 		w.counts.Granted++
 		r.done(true, 0)
@@ -138,16 +148,21 @@
 
 // expire ends what waited too long. w.mu must be held.
 func (l *Limiter) expire(now time.Time, w *workspace) {
+	var due []uint64
 	for id, r := range w.waiting {
-		if now.Before(r.deadline) {
-			continue
+		if !now.Before(r.deadline) {
+			due = append(due, id)
 		}
-		delete(w.waiting, id)
+	}
+	slices.Sort(due) // the earliest request first
+	for _, id := range due {
+		r := w.waiting[id]
 		if r.to == "" {
-			l.ask(now, w, r) // it has waited for the first signs of life
+			delete(w.waiting, id)
+			l.ask(now, w, r) // it has waited for the first heartbeats
 			continue
 		}
-		w.abandoned[id] = abandoned{r.amount, now.Add(abandonedTime)}
+		w.abandon(now, r)
 		w.counts.TimedOut++
 		l.askNext(now, w, r, 0)
 	}
@@ -166,10 +181,7 @@
 	}
 	r := w.waiting[g.ID]
 	if r == nil {
-		if a, ok := w.abandoned[g.ID]; ok && g.Granted {
-			delete(w.abandoned, g.ID)
-			l.giveBack(now, w, a.amount)
-		}
+		l.receiveLateGrant(now, w, g)
 		return
 	}
 	delete(w.waiting, g.ID)
@@ -183,11 +195,27 @@
 		if now.After(w.refusedUntil) || r.amount < w.refusedAmount {
 			w.refusedAmount = r.amount
 		}
-		w.refusedUntil = hold
+		w.refusedUntil, w.availableAt = hold, now.Add(g.Wait)
 	}
 	l.finish(w, r, g.Granted, g.Wait)
 }
 
+// receiveLateGrant handles the answer to a message that was abandoned. Its permit is used if the
+// request still waits for another granter, and given back otherwise. w.mu must be held.
+func (l *Limiter) receiveLateGrant(now time.Time, w *workspace, g *Grant) {
+	a, ok := w.abandoned[g.ID]
+	if !ok || !g.Granted {
+		return
+	}
+	delete(w.abandoned, g.ID)
+	if a.request.finished {
+		l.giveBack(now, w, a.request.amount)
+		return
+	}
+	w.abandon(now, a.request)
+	l.finish(w, a.request, true, 0)
+}
+
 // takeShare takes a permit from this node's share of the rate. w.mu must be held.
 func (l *Limiter) takeShare(now time.Time, w *workspace, amount uint64) (granted bool, wait time.Duration) {
 	counted := l.reach.Load().counted
--- a/quota/workspace.go
+++ b/quota/workspace.go
@@ -17,7 +17,8 @@
 
 	// The fields up to share serve the requests of this node.
 
-	// waiting holds the requests that wait for a granter, abandoned those that no longer do.
+	// waiting holds the requests that wait for a granter, by the ids of their messages, and
+	// abandoned the messages that were not answered in time.
 	waiting   map[uint64]*waiting
 	abandoned map[uint64]abandoned
 	// rank is the index of the granter that is asked first; 0 again from rankUntil on.
@@ -28,6 +29,8 @@
 	// refusedAmount is the smallest amount that was refused; refusals hold until refusedUntil.
 	refusedAmount uint64
 	refusedUntil  time.Time
+	// availableAt is when the bucket may hold what was refused.
+	availableAt time.Time
 	// share is the part of the rate that this node may use if it reaches no granter.
 	share     permit.Bucket
 	shareSent windowSum
@@ -54,7 +57,7 @@
 	others           permit.Totals
 	// toldBy holds the time at which another node last told of grants.
 	toldBy map[string]time.Time
-	// answeredAt is when those who tell of their grants last got a sign of life.
+	// answeredAt is when nodes that tell of their grants were last sent a heartbeat.
 	answeredAt time.Time
 	// seen holds the requests and returns that were counted, so that a datagram that comes twice
 	// is counted once.
@@ -91,13 +94,16 @@
 	// wait is the shortest wait that a granter has stated; 0 if none has.
 	wait     time.Duration
 	deadline time.Time
+	// id is that of the last message, and finished is set once done has been called.
+	id       uint64
+	finished bool
 	done     func(granted bool, retryAfter time.Duration)
 }
 
-// abandoned is a request whose grant would come too late.
+// abandoned is a message that was not answered in time.
 type abandoned struct {
-	amount uint64
-	until  time.Time
+	request *waiting
+	until   time.Time
 }
 
 // messageID identifies a Request or a Return.
@@ -164,6 +170,7 @@
 	defer w.mu.Unlock()
 	for id, r := range w.waiting {
 		delete(w.waiting, id)
+		r.finished = true
 		r.done(true, 0)
 	}
 }
