quota: shorter tests with common checks

Cause: the tests of single failures repeated how they check both sides. Change: fleet.checkServed and fleet.others; the checks are the same.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -98,7 +97,6 @@
 // TestGranterDies guards against a workspace that is refused, or gets its quota twice, because its
 // granter has crashed. The list of nodes shows that 3 s later.
 func TestGranterDies(t *testing.T) {
-	is := is.New(t)
 	for _, nodes := range []int{3, 7, 87} {
 		for _, perSecond := range []float64{below, above} {
 			f := newFleet(t, nodes, limit)
@@ -107,24 +105,12 @@
 			dead := f.granter()
 			f.nodes[dead].up = false
 			f.run(3*time.Second, f.flow(perSecond, 1))
-			for i, n := range f.nodes {
-				var view []int
-				for _, k := range n.view {
-					if k != dead {
-						view = append(view, k)
-					}
-				}
-				if i != dead {
-					f.setView(i, view)
-				}
+			for _, i := range f.others(dead) {
+				f.setView(i, f.others(dead))
 			}
 			f.run(10*time.Second, f.flow(perSecond, 1))
 			f.checkBound()
-			if perSecond == below {
-				is.Equal(f.refused, 0)
-			} else {
-				is.True(f.total() >= 0.85*limit.PerSecond*13)
-			}
+			f.checkServed(perSecond, 13, 0)
 		}
 	}
 }
@@ -156,7 +142,6 @@
 	for _, nodes := range []int{7, 87} {
 		for _, cut := range []int{1, nodes / 3, nodes / 2} {
 			t.Run(fmt.Sprintf("%d of %d", cut, nodes), func(t *testing.T) {
-				is := is.New(t)
 				for _, perSecond := range []float64{below, above} {
 					f := newFleet(t, nodes, limit)
 					f.run(4*time.Second, f.flow(perSecond, 1))
@@ -171,11 +156,7 @@
 					}
 					f.run(8*time.Second, f.flow(perSecond, 1))
 					f.checkBound()
-					if perSecond == below {
-						is.True(float64(f.refused) <= 0.01*below*20)
-					} else {
-						is.True(f.total() >= 0.85*limit.PerSecond*20)
-					}
+					f.checkServed(perSecond, 20, 0.01)
 				}
 			})
 		}
@@ -193,17 +174,8 @@
 		f.nodes[i].side, f.nodes[i].storeAway = 1, true
 	}
 	f.run(3*time.Second, f.flow(above, 1))
-	for i := range f.nodes {
-		if slices.Contains(cut, i) {
-			continue
-		}
-		var view []int
-		for k := range f.nodes {
-			if !slices.Contains(cut, k) {
-				view = append(view, k)
-			}
-		}
-		f.setView(i, view)
+	for _, i := range f.others(cut...) {
+		f.setView(i, f.others(cut...))
 	}
 	f.run(20*time.Second, f.flow(above, 1))
 	f.checkBound()
@@ -232,7 +204,6 @@
 // TestDatagramsAreLostLateOrRepeated guards against permits that are counted twice, and against a
 // workspace that is refused because of a lost message.
 func TestDatagramsAreLostLateOrRepeated(t *testing.T) {
-	is := is.New(t)
 	for _, c := range []struct {
 		loss, repeat float64
 		maxDelay     time.Duration
@@ -244,11 +215,7 @@
 			f.run(20*time.Second, f.flow(perSecond, 1))
 			t.Logf("loss %v, repeat %v, delay %v", c.loss, c.repeat, c.maxDelay)
 			f.checkBound()
-			if perSecond == below {
-				is.True(float64(f.refused) <= 0.01*below*20)
-			} else {
-				is.True(f.total() >= 0.85*limit.PerSecond*20)
-			}
+			f.checkServed(perSecond, 20, 0.01)
 		}
 	}
 }
@@ -256,37 +223,25 @@
 // TestNodesWithDifferentLists guards against granters that don't know of each other, because some
 // nodes don't know the first granter and others know a node that is gone.
 func TestNodesWithDifferentLists(t *testing.T) {
-	is := is.New(t)
 	for _, perSecond := range []float64{below, above} {
 		f := newFleet(t, 9, limit)
 		first := f.granter()
 		for i := range f.nodes {
 			if i != first && i%2 == 0 {
-				var view []int
-				for k := range f.nodes {
-					if k != first {
-						view = append(view, k)
-					}
-				}
-				f.setView(i, view)
+				f.setView(i, f.others(first))
 			}
 		}
 		f.run(3*time.Second, f.flow(perSecond, 1))
 		f.forget()
 		f.run(16*time.Second, f.flow(perSecond, 1))
 		f.checkBound()
-		if perSecond == below {
-			is.Equal(f.refused, 0)
-		} else {
-			is.True(f.total() >= 0.85*limit.PerSecond*16)
-		}
+		f.checkServed(perSecond, 16, 0)
 	}
 }
 
 // TestHalfOfTheNodesRestart guards against nodes that grant a burst again after a restart, and
 // against a workspace that is refused until they know what was granted.
 func TestHalfOfTheNodesRestart(t *testing.T) {
-	is := is.New(t)
 	for _, nodes := range []int{7, 87} {
 		for _, perSecond := range []float64{below, above} {
 			for _, with := range []int{0, 1} { // with the granter or without it
@@ -308,11 +263,7 @@
 				}
 				f.run(8*time.Second, f.flow(perSecond, 1))
 				f.checkBound()
-				if perSecond == below {
-					is.Equal(f.refused, 0)
-				} else {
-					is.True(f.total() >= 0.85*limit.PerSecond*16)
-				}
+				f.checkServed(perSecond, 16, 0)
 			}
 		}
 	}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -106,6 +106,17 @@
 	f.list(i)
 }
 
+// others returns all nodes but the given ones.
+func (f *fleet) others(excluded ...int) []int {
+	var list []int
+	for i := range f.nodes {
+		if !slices.Contains(excluded, i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // setLimit changes the quota at all nodes at once.
 func (f *fleet) setLimit(limit Limit) {
 	f.limit = limit
@@ -258,6 +269,18 @@
 	}
 }
 
+// checkServed fails the test if, under a load of perSecond for some seconds, more than the given
+// fraction of the requests below the quota was refused, or less than 85% of the quota was used.
+func (f *fleet) checkServed(perSecond, seconds, refused float64) {
+	f.t.Helper()
+	if perSecond < f.limit.PerSecond && float64(f.refused) > refused*perSecond*seconds {
+		f.t.Fatalf("%d of %.0f requests below the quota were refused", f.refused, perSecond*seconds)
+	}
+	if perSecond >= f.limit.PerSecond && f.total() < 0.85*f.limit.PerSecond*seconds {
+		f.t.Fatalf("%.0f of %.0f were sent", f.total(), f.limit.PerSecond*seconds)
+	}
+}
+
 // forget starts the counts anew.
 func (f *fleet) forget() { f.sent, f.refused = nil, 0 }
 
--- a/quota/troubles_test.go
+++ b/quota/troubles_test.go
@@ -71,13 +71,9 @@
 			// Two nodes that never list each other grant the whole rate each.
 			return
 		}
-		var view []int
-		for k := range f.nodes {
-			if k == i || k != missing {
-				view = append(view, k)
-			}
+		if missing != i {
+			f.nodes[missing].storeAway = true
+			f.setView(i, f.others(missing))
 		}
-		f.nodes[missing].storeAway = missing != i
-		f.setView(i, view)
 	}
 }
