gateway: check the duty before each order of a round

Cause: a call to the cloud interface can take two seconds, and the orders after it were sent under the token of the start of the round. After a call without an answer a refusal in the same round led to further calls.

Change: each order is sent only while the duty is held under the same token. A round ends at the first call without an answer.

--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -14,27 +14,10 @@
 // orderServers sends the orders that the controller of a service decides on. A refusal
 // changes the decision, so the controller is asked once more.
 func (a *autoscaler) orderServers(ctx context.Context, token uint64, service *core.Service, c *scaler.Controller, v *plan.ScalingView) {
-	sent := false
-	for range 2 {
-		refused := false
-		for _, o := range c.Orders(time.Now(), v, &a.demand) {
-			sent = true
-			outcome := a.sendOrder(ctx, token, service.Name, c, v, o)
-			refused = refused || outcome == scaler.Refused
-			if outcome == scaler.Refused && !o.Reclaimable {
-				// Standard servers are always available, so the conflict means a newer holder.
-				a.duty.MarkLost()
-				return
-			}
-			if outcome == scaler.Unknown {
-				// Each further call could block the sampling of the demand as long. What is
-				// still due follows in the next round, with the servers known then.
-				break
-			}
-		}
-		if !refused {
-			break
-		}
+	sent, again := a.sendOrders(ctx, token, service.Name, c, v)
+	if again {
+		more, _ := a.sendOrders(ctx, token, service.Name, c, v)
+		sent = sent || more
 	}
 	if sent {
 		total, ordered := c.State()
@@ -42,6 +25,31 @@
 	}
 }
 
+// sendOrders sends the orders of one decision. again is true if reclaimable servers were
+// refused and this node still holds the duty.
+func (a *autoscaler) sendOrders(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView) (sent, again bool) {
+	for _, o := range c.Orders(time.Now(), v, &a.demand) {
+		// The call before may have taken longer than the lease.
+		if current, held := a.duty.FencingToken(); !held || current != token {
+			return sent, false
+		}
+		sent = true
+		switch outcome := a.sendOrder(ctx, token, service, c, v, o); {
+		case outcome == scaler.Refused && !o.Reclaimable:
+			// Standard servers are always available, so the conflict means a newer holder.
+			a.duty.MarkLost()
+			return sent, false
+		case outcome == scaler.Refused:
+			again = true
+		case outcome == scaler.Unknown:
+			// Each further call could block the sampling of the demand as long. What is
+			// still due follows in the next round, with the servers known then.
+			return sent, false
+		}
+	}
+	return sent, again
+}
+
 // sendOrder sends one order and records its outcome.
 func (a *autoscaler) sendOrder(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView, o scaler.Order) scaler.Outcome {
 	err := a.cloud.OrderServers(ctx, token, platform.ServerOrder{
