--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -17,27 +17,11 @@
 // orderServers sends the orders that the controller of a service decides on. The
 // controller is asked again after a probe or a refusal, which change the decision.
 func (a *autoscaler) orderServers(ctx context.Context, token uint64, service *core.Service, c *scaler.Controller, v *plan.ScalingView) {
-	sent := false
-	for range maxOrderRounds {
-		again := false
-		for _, o := range c.Orders(time.Now(), v, &a.demand) {
-			sent = true
-			outcome := a.sendOrder(ctx, token, service.Name, c, v, o)
-			again = again || outcome == scaler.Refused || o.Probe
-			if outcome == scaler.Refused && !o.Reclaimable {
-				// Standard servers are always available, so the conflict means a newer holder.
-				a.duty.MarkLost()
-				return
-			}
-			if outcome == scaler.Unknown {
-				// Each further call could block the sampling of the demand as long. What is
-				// still due follows in the next round, with the servers known then.
-				break
-			}
-		}
-		if !again {
-			break
-		}
+	sent, again := false, true
+	for round := 0; again && round < maxOrderRounds; round++ {
+		var more bool
+		more, again = a.sendOrders(ctx, token, service.Name, c, v)
+		sent = sent || more
 	}
 	if sent {
 		total, ordered := c.State()
@@ -45,6 +29,31 @@
 	}
 }
 
+// sendOrders sends the orders of one decision. again is true if one of them was a probe, or
+// reclaimable servers were refused, and this node still holds the duty.
+func (a *autoscaler) sendOrders(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView) (sent, again bool) {
+	for _, o := range c.Orders(time.Now(), v, &a.demand) {
+		// The call before may have taken longer than the lease.
+		if current, held := a.duty.FencingToken(); !held || current != token {
+			return sent, false
+		}
+		sent = true
+		switch outcome := a.sendOrder(ctx, token, service, c, v, o); {
+		case outcome == scaler.Refused && !o.Reclaimable:
+			// Standard servers are always available, so the conflict means a newer holder.
+			a.duty.MarkLost()
+			return sent, false
+		case outcome == scaler.Unknown:
+			// Each further call could block the sampling of the demand as long. What is
+			// still due follows in the next round, with the servers known then.
+			return sent, false
+		case outcome == scaler.Refused || o.Probe:
+			again = true
+		}
+	}
+	return sent, again
+}
+
 // sendOrder sends one order and records its outcome.
 func (a *autoscaler) sendOrder(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView, o scaler.Order) scaler.Outcome {
 	err := a.cloud.OrderServers(ctx, token, platform.ServerOrder{
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -67,7 +67,7 @@
 	was, wasFirst := w.granting, w.first
 	w.granting = slices.Contains(w.choice, l.self)
 	if w.granting && !was {
-		tokens := l.options.startTokens(w.limit)
+		tokens := l.options.restartTokens(w.limit)
 		if reach.fraction < 1 {
 			// Nodes become unreachable one after the other, and several become granters.
 			tokens = 0
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -31,6 +31,10 @@
 // which keeps callers served meanwhile.
 func (o *Options) startTokens(l Limit) float64 { return o.slack(l) / 8 }
 
+// restartTokens is startTokens for a granter that hears from all nodes, so that it is the only one
+// that begins. All nodes may have restarted, and their callers come back at once.
+func (o *Options) restartTokens(l Limit) float64 { return o.slack(l) / 2 }
+
 // capacity returns the capacity of the bucket of a granter that hears from all nodes.
 func (o *Options) capacity(l Limit) float64 {
 	return max(l.Burst, min(o.slack(l)/8, l.PerSecond*minBurstTime.Seconds()))
