e2e: tests of uncontrolled callers don't wait for watches of the store

The tests log how long the node's start, the crowd and the ordinary request took, and a readiness probe has a timeout. Crowd, bounds and checks are unchanged.

--- a/e2e/uncontrolled/callers_test.go
+++ b/e2e/uncontrolled/callers_test.go
@@ -27,6 +27,7 @@
 // node may close the connection at any time.
 func runCrowd(t *testing.T, callers int, send func(c net.Conn, id string)) {
 	t.Helper()
+	begun := time.Now()
 	var wait sync.WaitGroup
 	for i := range callers {
 		wait.Go(func() {
@@ -40,6 +41,7 @@
 		})
 	}
 	wait.Wait()
+	t.Logf("the crowd took %v", time.Since(begun))
 }
 
 // writeAll writes the texts and reports whether all were written.
--- a/e2e/uncontrolled/process_test.go
+++ b/e2e/uncontrolled/process_test.go
@@ -88,7 +88,8 @@
 	router := chi.NewRouter()
 	kvserver.Register(router, st)
 	platform := httptest.NewServer(router)
-	t.Cleanup(platform.Close)
+	// A watch of the store may last half a minute; Close would wait for it.
+	t.Cleanup(func() { platform.CloseClientConnections(); platform.Close() })
 	backend := httptest.NewServer(server)
 	t.Cleanup(backend.Close)
 	put := func(key string, raw []byte, err error) {
@@ -143,13 +144,16 @@
 // awaitReady waits until the node's readiness probe succeeds.
 func (n *node) awaitReady(t *testing.T) {
 	t.Helper()
-	for deadline := time.Now().Add(giveUpTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		resp, err := http.Get("http://" + nodeAddress + ":8101/-/readiness")
+	begun := time.Now()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	for deadline := begun.Add(giveUpTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + nodeAddress + ":8101/-/readiness")
 		if err != nil {
 			continue
 		}
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
+			t.Logf("ready after %v", time.Since(begun))
 			return
 		}
 	}
@@ -197,7 +201,10 @@
 	if peak > memoryMB {
 		t.Errorf("the process has had %d MB, its limit is %d MB", peak, memoryMB)
 	}
-	if err := callOnce(); err != nil {
+	begun := time.Now()
+	err := callOnce()
+	t.Logf("an ordinary request took %v", time.Since(begun))
+	if err != nil {
 		t.Errorf("an ordinary request is not answered: %v", err)
 	}
 }
