--- a/plan/utilization.go
+++ b/plan/utilization.go
@@ -28,8 +28,8 @@
 	// pauseShare is the share of the target pause that the mean pause may take.
 	pauseShare = 0.5
 	// minPrefillLoad and maxPrefillLoad, minDecodeLoad and maxDecodeLoad limit the
-	// computed utilization. The busiest engine has 1.5 to 1.6 times the mean work, so
-	// it is full at about 0.65 of the mean.
+	// computed utilization. Work is never spread evenly, so the busiest engine is full
+	// long before the mean is.
 	minPrefillLoad, maxPrefillLoad = 0.3, 0.65
 	minDecodeLoad, maxDecodeLoad   = 0.15, 0.5
 	// decodeLoadStep is the step of the computed utilization. Measured pauses vary, and
