explain, gateway: ask a node which server a request would get now

Cause: operators could not see why a node prefers a server, or how old its knowledge is.

Nothing is sent or counted.

--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -173,20 +173,8 @@
 	rng := newRandom()
 	spread := b.unseenShare * b.observed.of(servers[0].Service).reported[RoleNone].load()
 	for _, s := range servers {
-		slots := float64(max(1, s.Slots))
-		requests, _ := b.load(now, s)
 		draw := rng.float64()
-		score := requests / slots
-		if s.stats.model.StatesSpeed() {
-			score = scaledShare(requests+spread*draw, slots, s.stats.model.Slowdown(now))
-		}
-		score += failurePenalty * s.stats.failedShare()
-		if s.FailureDomain != b.failureDomain {
-			score += crossDomainPenalty
-		}
-		if _, limited := b.limits.Limit(s.Incarnation); limited {
-			score += limitedPenalty
-		}
+		score := b.serviceScore(now, s, spread*draw)
 		// Equal scores are decided at random.
 		score += 1e-6 * draw
 		if best == nil || score < bestScore {
@@ -196,6 +184,25 @@
 	return best
 }
 
+// serviceScore returns the score of a plain server with the given number of requests that this
+// node does not see, which counts only if the server states its speed.
+func (b *Balancer) serviceScore(now time.Time, s *Server, unseen float64) float64 {
+	slots := float64(max(1, s.Slots))
+	requests, _ := b.load(now, s)
+	score := requests / slots
+	if s.stats.model.StatesSpeed() {
+		score = scaledShare(requests+unseen, slots, s.stats.model.Slowdown(now))
+	}
+	score += failurePenalty * s.stats.failedShare()
+	if s.FailureDomain != b.failureDomain {
+		score += crossDomainPenalty
+	}
+	if _, limited := b.limits.Limit(s.Incarnation); limited {
+		score += limitedPenalty
+	}
+	return score
+}
+
 const (
 	// prefillTokensPerMilli and decodeTokensPerMilli are the rates at which an engine
 	// is assumed to process prompts in each role until a rate has been measured.
@@ -370,7 +377,6 @@
 // overload worse.
 func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
-	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
 	rng := newRandom()
 	observed := b.observed.of(criteria.Service)
 	rate, eventTime := b.usualPromptRate(role), &observed.eventTime
@@ -388,7 +394,7 @@
 			best = c
 		}
 	}
-	if preferredOnly {
+	if preferredOnly(role, criteria, preferred) {
 		for _, s := range preferred {
 			if s != nil {
 				consider(s)
@@ -404,6 +410,11 @@
 	return best, best.server != nil
 }
 
+// preferredOnly reports whether only preferred servers of a role may get the prompt.
+func preferredOnly(role Role, criteria *Criteria, preferred [preferredServerCount]*Server) bool {
+	return role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
+}
+
 // serves reports whether the server serves a model. A server without a list of models
 // serves all.
 func (s *Server) serves(model string) bool {
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -50,7 +50,7 @@
 	Drain      drainCommand      `cmd:"" help:"Give a backend server no new work."`
 	Undrain    undrainCommand    `cmd:"" help:"Give a drained backend server new work again."`
 	Order      orderCommand      `cmd:"" help:"Give an order to an engine."`
-	Explain    explainCommand    `cmd:"" help:"Follow one request through the logs of nodes."`
+	Explain    explainCommand    `cmd:"" help:"Follow one request through the logs of nodes, or ask where one would go."`
 	Report     reportCommand     `cmd:"" help:"Print a report of a node."`
 	Quarantine quarantineCommand `cmd:"" help:"Prompt parts that crash backend servers."`
 	Load       loadCommand       `cmd:"" help:"Send open-loop load to nodes and print one JSON result."`
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -49,13 +49,15 @@
 	return r
 }
 
-// adminRoutes serves metrics, the burn report, the suspected prompt parts, and the rate limits.
+// adminRoutes serves metrics, the burn report, the suspected prompt parts, the rate limits, and
+// explanations of choices.
 func (g *Gateway) adminRoutes() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", g.observer.serveMetrics)
 	r.Get("/burn", g.observer.burn.serve)
 	r.Get("/quarantine", g.listSuspicions)
 	r.Get("/limits", g.listLimits)
+	r.Get("/explain", g.explainChoice)
 	r.Delete("/quarantine/{part}", g.liftSuspicion)
 	return r
 }
