--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -186,20 +186,8 @@
 	rng := newRandom()
 	spread := b.unseenShare * b.observed.of(servers[0].Service).reported[RoleNone].load()
 	for _, s := range servers {
-		slots := float64(max(1, s.Slots))
-		requests, _ := b.load(now, s)
 		draw := rng.float64()
-		score := requests / slots
-		if s.stats.model.StatesSpeed() {
-			score = scaledShare(requests+spread*draw, slots, s.stats.model.Slowdown(now))
-		}
-		score += failurePenalty * s.stats.failedShare()
-		if s.FailureDomain != b.failureDomain {
-			score += crossDomainPenalty
-		}
-		if _, limited := b.limits.Limit(s.Incarnation); limited {
-			score += limitedPenalty
-		}
+		score := b.serviceScore(now, s, spread*draw)
 		// Equal scores are decided at random.
 		score += 1e-6 * draw
 		if best == nil || score < bestScore {
@@ -208,3 +196,22 @@
 	}
 	return best
 }
+
+// serviceScore returns the score of a plain server with the given number of requests that this
+// node does not see, which counts only if the server states its speed.
+func (b *Balancer) serviceScore(now time.Time, s *Server, unseen float64) float64 {
+	slots := float64(max(1, s.Slots))
+	requests, _ := b.load(now, s)
+	score := requests / slots
+	if s.stats.model.StatesSpeed() {
+		score = scaledShare(requests+unseen, slots, s.stats.model.Slowdown(now))
+	}
+	score += failurePenalty * s.stats.failedShare()
+	if s.FailureDomain != b.failureDomain {
+		score += crossDomainPenalty
+	}
+	if _, limited := b.limits.Limit(s.Incarnation); limited {
+		score += limitedPenalty
+	}
+	return score
+}
--- a/backends/engines.go
+++ b/backends/engines.go
@@ -180,7 +180,6 @@
 // overload worse.
 func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
-	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
 	rng := newRandom()
 	observed := b.observed.of(criteria.Service)
 	rate, eventTime := b.usualPromptRate(role), &observed.eventTime
@@ -198,7 +197,7 @@
 			best = c
 		}
 	}
-	if preferredOnly {
+	if preferredOnly(role, criteria, preferred) {
 		for _, s := range preferred {
 			if s != nil {
 				consider(s)
@@ -214,6 +213,11 @@
 	return best, best.server != nil
 }
 
+// preferredOnly reports whether only preferred servers of a role may get the prompt.
+func preferredOnly(role Role, criteria *Criteria, preferred [preferredServerCount]*Server) bool {
+	return role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
+}
+
 // serves reports whether the server serves a model. A server without a list of models
 // serves all.
 func (s *Server) serves(model string) bool {
