core: test that a moved stream needs a permit of its quota

Cause: acquireRetry asks for a permit also when a watch has acquired the retry, and no test covered it. Without that request, a stream that moves from a silent server runs a second time with the permit of its first run.

Change: TestMovedStreamNeedsAPermit moves streams that are silent before their head and after their first event, with and without a further permit.

Result: with the request for the permit taken out of acquireRetry all four cases fail (2 runs in place of 1 without a permit, 1 permit in place of 2 with one); with it, go test ./core -run 'MovedStream|Quota|Permit' passes.

--- a/core/quota_test.go
+++ b/core/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -134,6 +135,44 @@
 	is.Equal(f.upstream.runs, 0)
 }
 
+// TestMovedStreamNeedsAPermit guards against a stream that moves from a silent server to another one
+// without a permit: its watch has acquired the retry, so that the next attempt asks the budget for
+// none, and must still ask the quota.
+func TestMovedStreamNeedsAPermit(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		first   *pacedAnswer
+		permits int
+		runs    int
+	}{
+		{"silent before its head, no permit", nil, 1, 1},
+		{"silent after its first event, no permit", paced(0, false, "1"), 1, 1},
+		{"silent before its head, one permit", nil, 2, 2},
+		{"silent after its first event, one permit", paced(0, false, "1"), 2, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newStallFixture(true, test.first, paced(0, true, "2"))
+				q := limitWorkspace(f.fixture, test.permits)
+				s := f.serve(nil)
+				is.Equal(f.observer.counts[StreamMoved], 1)
+				is.Equal(len(f.paced.sent), test.runs)
+				is.Equal(len(q.acquired), test.runs)
+				is.Equal(len(q.returned), 0)
+				is.Equal(s.ended, test.runs == 2)
+				if s.refusal != nil {
+					is.Equal(s.refusal.Verdict(), MayHaveRun)
+				}
+				for _, a := range f.paced.sent {
+					requests, _ := a.Server.OwnLoad()
+					is.Equal(requests, int64(0)) // no reserved server stays reserved
+				}
+			})
+		})
+	}
+}
+
 // TestAmounts guards against requests that are free because they state no tokens.
 func TestAmounts(t *testing.T) {
 	is := is.New(t)
