core, stall: the outcome of an attempt is handled by a function of its own

Comments of the watch of streams named a function that does not exist (sinceEpoch), and some were figurative.

Change: onOutcome holds the switch over the outcomes. presumedSound is presumedResponsive. Comments are reworded; no behavior changes.

Result: go vet and go test pass for ./core and ./stall.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -37,19 +37,26 @@
 	defer watch.End()
 	stream := e.watchStream(a, false, cancel)
 	defer e.endWatch(stream)
-	sentAt := time.Now()
+	sent := &sentAttempt{a, choice, time.Now(), liftLimit, watch, stream}
 	a.TimeLeft = time.Until(e.deadline)
 	a.KVSource = e.handle
 	o := e.Upstream.Send(attemptCtx, a)
 	e.recordOutcome(choice.Server, o)
 	e.chargeAttempt(o)
 	e.updateHandle(o)
+	return e.onOutcome(ctx, context.Cause(attemptCtx), sent, o)
+}
+
+// onOutcome handles the outcome of an attempt and reports whether the request is settled. canceled is
+// the cause for which the attempt was canceled; nil if it was not.
+func (e *exchange) onOutcome(ctx context.Context, canceled error, a *sentAttempt, o Outcome) bool {
+	choice := a.choice
 	switch o := o.(type) {
 	case Answered:
 		if !e.mayRunAgain() {
 			e.request.releaseBody()
 		}
-		return e.relay(ctx, &sentAttempt{a, choice, sentAt, liftLimit, watch, stream}, o.Answer)
+		return e.relay(ctx, a, o.Answer)
 	case Refused:
 		choice.Refused(time.Now())
 		return e.onRefused(choice.Server)
@@ -57,7 +64,7 @@
 		e.abandon(choice.Server)
 		return false
 	case NotSent:
-		if errors.Is(context.Cause(attemptCtx), errQuarantined) {
+		if errors.Is(canceled, errQuarantined) {
 			return e.onQuarantined(choice.Server, errQuarantined)
 		}
 		if ctx.Err() == nil {
@@ -65,7 +72,7 @@
 		}
 		return e.onNotSent(choice.Server, o.Cause)
 	case Lost:
-		return e.onLost(ctx, choice, o.Cause, sentAt, watch)
+		return e.onLost(ctx, choice, o.Cause, a.sentAt, a.watch)
 	}
 	return true
 }
@@ -89,7 +96,7 @@
 	}
 }
 
-// sentAttempt is an attempt that a backend server has begun to respond to.
+// sentAttempt is an attempt that is sent to a backend server.
 type sentAttempt struct {
 	*Attempt
 	choice *backends.Choice
@@ -98,7 +105,7 @@
 	liftLimit func()
 	// watch is told what arrives of the answer.
 	watch *quarantine.Attempt
-	// stream is told of the events; nil if the attempt is not watched for silence.
+	// stream is the watch for silence; nil if the attempt has none.
 	stream *streamWatch
 }
 
@@ -124,8 +131,8 @@
 	return acquired
 }
 
-// acquireRepeat acquires what a further attempt needs. The quota comes first: a retry can't be given
-// back to the budget.
+// acquireRepeat acquires a permit, if a further attempt needs one, and a retry. The permit comes first: a
+// retry can't be given back to the budget.
 func (e *exchange) acquireRepeat(ctx context.Context) bool {
 	before := e.quotaPermits
 	if acquired, _ := e.acquireQuota(ctx); !acquired {
--- a/core/core.go
+++ b/core/core.go
@@ -323,8 +323,8 @@
 	}
 }
 
-// reportEvent reports an event to the choice of its server. The events after a stream was resumed
-// elsewhere are not reported.
+// reportEvent reports an event to the choice of its server. The events that follow once a stream was
+// resumed on another server are not reported.
 func (e *exchange) reportEvent(now time.Time) {
 	if e.choice != nil && e.choice.Server == e.record.Server {
 		e.choice.Event(now)
--- a/core/silentstreams.go
+++ b/core/silentstreams.go
@@ -23,16 +23,17 @@
 	stall.ReasonSilent: errServerSilent, stall.ReasonCrashed: errServerCrashed, stall.ReasonReplaced: errServerReplaced,
 }
 
-// StreamEvent is what a node did about a silent stream.
+// StreamEvent is what a node has done about a silent stream.
 type StreamEvent string
 
 // The events of silent streams.
 const (
 	// StreamMoved means that the stream continues on another server.
 	StreamMoved StreamEvent = "moved"
-	// StreamEnded means that the stream can't be saved.
+	// StreamEnded means that the stream was ended: its server is lost, and no other one may
+	// continue it.
 	StreamEnded StreamEvent = "ended"
-	// StreamServerChecked means that the server was asked for a connection. Streams that are
+	// StreamServerChecked means that the node tried to connect to the server. Streams that are
 	// silent together share one check.
 	StreamServerChecked StreamEvent = "checked"
 	// StreamKeptWaiting means that the stream would continue on another server, and the retry
@@ -53,7 +54,7 @@
 type serverStreams struct {
 	running, silent atomic.Int64
 	// checkedAt is when the last check whether the server accepts connections began, and
-	// refusedAt that of the last one that the server refused; see sinceEpoch.
+	// refusedAt that of the last one that the server refused; see sinceStart.
 	checkedAt, refusedAt atomic.Int64
 	// eventAt is when an event of one of the streams was received, to within eventResolution.
 	eventAt atomic.Int64
@@ -85,7 +86,8 @@
 // processStart is the reference of times that are stored as nanoseconds.
 var processStart = time.Now()
 
-// noTime is before all times that are stored as nanoseconds.
+// noTime means that there is no time yet. It is before all times that are stored as nanoseconds, and
+// halved so that differences don't overflow.
 const noTime = math.MinInt64 / 2
 
 // sinceStart returns the nanoseconds from processStart to t. It is not 0, see streamWatch.waitingSince.
--- a/core/streamwatch.go
+++ b/core/streamwatch.go
@@ -171,7 +171,7 @@
 	return choice, retryAcquired
 }
 
-// releaseChoice gives the chosen server up. w.mu must be held.
+// releaseChoice ends the reservation of the chosen server. w.mu must be held.
 func (w *streamWatch) releaseChoice() {
 	if w.choice != nil {
 		w.choice.Done()
@@ -179,7 +179,7 @@
 	}
 }
 
-// tick decides about the stream and starts the timer again unless the attempt has ended.
+// tick makes the decision that is due and starts the timer again unless the attempt has ended.
 func (w *streamWatch) tick() {
 	w.mu.Lock()
 	late := time.Since(w.dueAt) > maxTimerDelay
@@ -234,7 +234,7 @@
 		Resumable: w.route.Resumable && (!w.begun.Load() || w.hasID.Load()), AttemptsLeft: w.attemptsLeft, Moved: w.moved,
 	}
 	if w.prefill && !s.Resumable {
-		// It leaves a crashed engine only: the prompt of a slow one would be read twice.
+		// It leaves a lost engine only: the prompt of a slow one would be processed twice.
 		s.Resumable, s.Moved = true, true
 	}
 	if silence < w.firstCheck() {
@@ -290,8 +290,8 @@
 	return registered, false
 }
 
-// check asks whether the server accepts connections, unless since the last check of this stream
-// another one has asked or got an event. Checks of one server at the same time are one.
+// check tries to connect to the server, unless another stream has done so, or has received an event
+// from it, since the last check of this stream. Concurrent checks of one server share one connection.
 func (w *streamWatch) check() {
 	before := w.checkedAt
 	w.checkedAt = sinceStart(time.Now())
@@ -300,7 +300,7 @@
 	}
 	crashed, _, _ := w.crashChecks.Do(w.server.ID, func() (any, error) {
 		if w.isAnswered(before) {
-			// Another stream has asked since the look above.
+			// Another stream has checked the server since the call above.
 			return w.counts.refusedAt.Load() >= w.sentAt, nil
 		}
 		w.Observer.StreamSilent(StreamServerChecked, SilentStream{Request: w.request, Server: w.server})
@@ -314,8 +314,8 @@
 	}
 }
 
-// isAnswered reports whether another stream has recently learned how the server is, after the given
-// last check of this one.
+// isAnswered reports whether another stream has recently checked the server or received an event from
+// it, after the given last check of this stream.
 func (w *streamWatch) isAnswered(before int64) bool {
 	last := max(w.counts.checkedAt.Load(), w.counts.eventAt.Load())
 	return last > max(before, w.sentAt) && w.checkedAt-last < int64(w.firstCheck())
@@ -381,8 +381,8 @@
 	return true
 }
 
-// endWatch stops the watch of an attempt that has ended. The retry and the server that it has
-// acquired are for the next attempt of the request.
+// endWatch stops the watch of an attempt that has ended. The next attempt of the request uses the retry
+// and the server that the watch has acquired.
 func (e *exchange) endWatch(w *streamWatch) {
 	choice, retryAcquired := w.stop()
 	e.retryAcquired = e.retryAcquired || retryAcquired
@@ -392,7 +392,7 @@
 	}
 }
 
-// releaseChoice gives the server up that a watch has chosen for the next attempt.
+// releaseChoice ends the reservation of the server that a watch has chosen for the next attempt.
 func (e *exchange) releaseChoice() {
 	if e.nextChoice != nil {
 		e.nextChoice.Done()
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -28,9 +28,9 @@
 	// maxStalledShare is the share of streams at other servers that are silent as well above
 	// which none continues elsewhere: the other servers are as slow.
 	maxStalledShare = 0.5
-	// presumedSound is added to the streams at other servers, so that one silent stream among
+	// presumedResponsive is how many streams with events are added to those at other servers, so that one silent stream among
 	// one or two is not taken for a slow deployment.
-	presumedSound = 2
+	presumedResponsive = 2
 	// blockedShare divides the caller gap for the interval at which a blocked continuation is
 	// tried again.
 	blockedShare = 16
@@ -41,7 +41,7 @@
 	return max(minCallerGap, callerGapTargets*targetLatency, callerGapPauses*targetPause)
 }
 
-// FirstCheck returns the silence below which nothing is decided. begun is set after the first event.
+// FirstCheck returns the silence below which Decide returns Wait. begun is set after the first event.
 func FirstCheck(begun bool, targetLatency, targetPause time.Duration) time.Duration {
 	check := CallerGap(targetLatency, targetPause) / checkShare
 	if begun {
@@ -84,7 +84,7 @@
 	TimeLeft time.Duration
 	// Resumable is set if the rest of the stream may run on another server.
 	Resumable bool
-	// AttemptsLeft is on how many other servers it may still run.
+	// AttemptsLeft is the number of other servers on which it may still run.
 	AttemptsLeft int
 	// Moved is set if the stream has left a silent server before.
 	Moved bool
@@ -195,14 +195,14 @@
 	if s.Server == Draining {
 		return first
 	}
-	share := float64(s.SilentElsewhere) / float64(s.RunningElsewhere+presumedSound)
+	share := float64(s.SilentElsewhere) / float64(s.RunningElsewhere+presumedResponsive)
 	if share > maxStalledShare {
 		return never
 	}
 	return first + scale(last-first, share/maxStalledShare)
 }
 
-// never is above all silences.
+// never is longer than any silence.
 const never = time.Duration(1<<63 - 1)
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
