--- a/peer/quota.go
+++ b/peer/quota.go
@@ -32,8 +32,8 @@
 	return u
 }
 
-// DecodeQuota returns the message that was received. It returns false if the message has no part or
-// holds a sum that is not a finite number.
+// DecodeQuota returns the message that u holds. It returns false if u is empty or has a number of tokens
+// that is not finite.
 func DecodeQuota(u *figweirv1.QuotaUpdate) (m quota.Message, ok bool) {
 	switch {
 	case u.GetHeartbeat() != nil:
--- a/permit/doc.go
+++ b/permit/doc.go
@@ -1,4 +1,5 @@
-// Package permit holds what the packages share that keep the sum over all nodes within a rate: the
-// choice of the nodes that grant permits, the token bucket from which they grant, and the sums that
-// granters tell each other. It does no I/O.
+// Package permit holds what the packages quota and ratelimit share. Both keep what all nodes send
+// together within a rate: some nodes, the granters, grant permits to all nodes. The package has the
+// choice of the granters, their token bucket, and the sums of grants that they send to each other. It
+// does no I/O.
 package permit
--- a/permit/granters.go
+++ b/permit/granters.go
@@ -2,7 +2,7 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// GranterCount is how many nodes grant permits for a key: one, and two that replace it.
+// GranterCount is how many nodes grant permits for a key: one, and two standbys.
 const GranterCount = 3
 
 // Granters returns those of the given nodes that grant permits for a key, the first choice first,
@@ -41,7 +41,7 @@
 }
 
 // Jitter returns a number in [0, 1) that depends only on its arguments. It spreads the retries of
-// those who were told to wait for the same permit.
+// requesters that were told to wait for the same permit.
 func Jitter(incarnation, id uint64) float64 {
 	var b [16]byte
 	for i := range 8 {
--- a/permit/totals.go
+++ b/permit/totals.go
@@ -3,8 +3,8 @@
 // maxTotals bounds the memory for granters that are gone.
 const maxTotals = 32
 
-// Totals holds the sums of what other granters have granted, by incarnation. A sum that arrives
-// includes what lost messages told.
+// Totals holds the sums of what other granters have granted, by their incarnations. Each message has
+// the sum of all grants, so that a later message makes up for lost ones.
 type Totals map[uint64]uint64
 
 // Add records the last grant of a granter and the sum of all of them. It returns how much of the
--- a/quota/granter.go
+++ b/quota/granter.go
@@ -9,14 +9,15 @@
 )
 
 const (
-	// tellInterval is the shortest time between two messages of a granter to the others about
+	// notifyInterval is the shortest time between two messages of a granter to the others about
 	// its grants for one workspace.
-	tellInterval = 5 * time.Millisecond
+	notifyInterval = 5 * time.Millisecond
 	// stateTimeout is how long a granter waits for the state of the others.
 	stateTimeout = 250 * time.Millisecond
-	// answerInterval is the time between two heartbeats to nodes that tell of their grants.
+	// answerInterval is the shortest time between two heartbeats to nodes that notify this one of
+	// grants.
 	answerInterval = 100 * time.Millisecond
-	// lossTime is the time within which the sum that a granter tells makes up for lost messages.
+	// lossTime is the time within which the sum in a granter's message makes up for lost ones.
 	// What it granted while it was unreachable for longer came out of its part of the rate, and is
 	// not subtracted here.
 	lossTime = time.Second
@@ -34,20 +35,21 @@
 	case m.Request != nil:
 		l.receiveRequest(now, from, m.Request)
 	case m.Grant != nil:
-		l.with(m.Grant.Workspace, func(w *workspace) { l.receiveGrant(now, w, m.Grant) })
+		l.withWorkspace(m.Grant.Workspace, func(w *workspace) { l.receiveGrant(now, w, m.Grant) })
 	case m.Granted != nil:
-		l.with(m.Granted.Workspace, func(w *workspace) { l.receiveGranted(now, w, from, m.Granted) })
+		l.withWorkspace(m.Granted.Workspace, func(w *workspace) { l.receiveGranted(now, w, from, m.Granted) })
 	case m.Return != nil:
-		l.with(m.Return.Workspace, func(w *workspace) { l.receiveReturn(now, w, from, m.Return) })
+		l.withWorkspace(m.Return.Workspace, func(w *workspace) { l.receiveReturn(now, w, from, m.Return) })
 	case m.StateRequest != nil:
-		l.with(m.StateRequest.Workspace, func(w *workspace) { l.receiveStateRequest(now, w, from) })
+		l.withWorkspace(m.StateRequest.Workspace, func(w *workspace) { l.receiveStateRequest(now, w, from) })
 	case m.State != nil:
-		l.with(m.State.Workspace, func(w *workspace) { l.receiveState(now, w, m.State) })
+		l.withWorkspace(m.State.Workspace, func(w *workspace) { l.receiveState(now, w, m.State) })
 	}
 }
 
-// with calls f with a workspace while its lock is held, if it has a quota here.
-func (l *Limiter) with(key uint64, f func(*workspace)) {
+// withWorkspace calls f with the workspace of a key while its lock is held. It does nothing if the
+// workspace has no quota.
+func (l *Limiter) withWorkspace(key uint64, f func(*workspace)) {
 	if w := (*l.byKey.Load())[key]; w != nil {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -64,9 +66,9 @@
 	}
 	l.fill(now, w)
 	w.choice, w.choiceOf = permit.Granters(w.key, reach.nodes), reach
-	was, wasFirst := w.granting, w.first
+	wasGranting, wasFirst := w.granting, w.first
 	w.granting = slices.Contains(w.choice, l.self)
-	if w.granting && !was {
+	if w.granting && !wasGranting {
 		tokens := l.options.restartTokens(w.limit)
 		if reach.fraction < 1 {
 			// Nodes become unreachable one after the other, and several become granters.
@@ -84,7 +86,7 @@
 }
 
 // startGranting makes this node grant with at most the given tokens until the other granters have
-// told what they have. w.mu must be held.
+// sent their states. w.mu must be held.
 func (l *Limiter) startGranting(now time.Time, w *workspace, tokens float64) {
 	if w.bucket.UpdatedAt.IsZero() {
 		w.bucket.Tokens = tokens
@@ -100,8 +102,8 @@
 	}
 }
 
-// maxDebt bounds how long a wrong count of another granter, or one large request, can block a
-// workspace. w.mu must be held.
+// maxDebt returns the largest debt of a bucket: the rate for one window. It bounds how long a wrong
+// count of another granter, or one large request, can block a workspace. w.mu must be held.
 func (l *Limiter) maxDebt(w *workspace) float64 {
 	return w.limit.PerSecond * l.options.Window.Seconds()
 }
@@ -147,13 +149,13 @@
 	return 0, true
 }
 
-// grant takes a permit from the bucket and tells the other granters. w.mu must be held.
+// grant takes a permit from the bucket and notifies the other granters. w.mu must be held.
 func (l *Limiter) grant(now time.Time, w *workspace, amount uint64) (granted bool, wait time.Duration) {
 	l.fill(now, w)
 	rate, capacity, part := l.rates(w)
 	a := float64(amount)
 	large := a > capacity/2
-	if !large && l.largeWaits(now, w) {
+	if !large && l.smallBlocked(now, w) {
 		return false, w.bucket.Wait(capacity, rate)
 	}
 	wait, ok := l.fits(now, w, &w.bucket, &w.sent, a, rate, capacity, part)
@@ -180,14 +182,14 @@
 	w.sent.add(now, l.options.Window, a)
 	w.total += amount
 	w.counts.GrantedAmount += amount
-	l.tell(now, w)
+	l.notifyGranters(now, w)
 	return true, 0
 }
 
-// largeWaits reports whether small requests wait so that a large one gets its turn: large ones have
-// been refused for a window, and still ask. Without that, a steady flow of small requests would keep
-// the bucket too empty for ever. w.mu must be held.
-func (l *Limiter) largeWaits(now time.Time, w *workspace) bool {
+// smallBlocked reports whether small requests have to wait for a large one: large ones have been refused
+// for a window, and still arrive. Otherwise a steady flow of small requests would keep the bucket below
+// the amount of a large one for good. w.mu must be held.
+func (l *Limiter) smallBlocked(now time.Time, w *workspace) bool {
 	if w.largeRefusedSince.IsZero() {
 		return false
 	}
@@ -198,10 +200,10 @@
 	return now.Sub(w.largeRefusedSince) > l.options.Window
 }
 
-// tell tells the other granters, and nodes that grant too, what this node has granted since the
-// last time. w.mu must be held.
-func (l *Limiter) tell(now time.Time, w *workspace) {
-	if w.total == w.toldTotal || now.Sub(w.toldAt) < tellInterval {
+// notifyGranters sends the other granters, and other nodes that grant, what this node has granted since
+// the last message. w.mu must be held.
+func (l *Limiter) notifyGranters(now time.Time, w *workspace) {
+	if w.total == w.toldTotal || now.Sub(w.toldAt) < notifyInterval {
 		return
 	}
 	g := &Granted{Workspace: w.key, Incarnation: l.incarnation, Amount: w.total - w.toldTotal, Total: w.total, Tokens: w.bucket.Tokens}
@@ -225,7 +227,7 @@
 func (l *Limiter) receiveRequest(now time.Time, from string, r *Request) {
 	g := &Grant{ID: r.ID, Workspace: r.Workspace, NotGranter: true}
 	repeated := false
-	l.with(r.Workspace, func(w *workspace) {
+	l.withWorkspace(r.Workspace, func(w *workspace) {
 		l.granters(now, w)
 		if !w.granting {
 			return
@@ -297,7 +299,7 @@
 	w.bucket.Tokens = min(w.bucket.Tokens+float64(min(r.Amount, maxAmount)), capacity)
 }
 
-// receiveStateRequest tells a new granter what the bucket of this one holds. w.mu must be held.
+// receiveStateRequest sends a new granter what the bucket of this one holds. w.mu must be held.
 func (l *Limiter) receiveStateRequest(now time.Time, w *workspace, from string) {
 	l.granters(now, w)
 	w.toldBy[from] = now
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -27,12 +27,12 @@
 	return o.Overage*(l.PerSecond*o.Window.Seconds()+l.Burst) + o.Tolerance
 }
 
-// startTokens returns what a granter may grant at once when it knows nothing of earlier grants,
-// which keeps callers served meanwhile.
+// startTokens returns what a node may grant at once while another granter may do the same: a standby,
+// a granter that replaces one that can't be reached, or a node that uses its share.
 func (o *Options) startTokens(l Limit) float64 { return o.slack(l) / 8 }
 
-// restartTokens is startTokens for a granter that hears from all nodes, so that it is the only one
-// that begins. All nodes may have restarted, and their callers come back at once.
+// restartTokens returns what a new granter may grant at once that hears from all nodes, so that it is
+// the only new one. All nodes may have restarted, and their callers come back at once.
 func (o *Options) restartTokens(l Limit) float64 { return o.slack(l) / 2 }
 
 // capacity returns the capacity of the bucket of a granter that hears from all nodes.
@@ -45,7 +45,7 @@
 	return l.PerSecond*o.Window.Seconds() + l.Burst + o.slack(l)/2
 }
 
-// windowSlots is the number of parts in which a window sum forgets.
+// windowSlots is the number of parts in which amounts leave a window sum.
 const windowSlots = 16
 
 // windowSum is the sum over the last window, rounded up by at most one slot.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -17,7 +17,7 @@
 	requestTimeout = 150 * time.Millisecond
 	// failoverTime is how long the next granter is asked after one did not answer.
 	failoverTime = 2 * time.Second
-	// abandonedTime is how long a late grant is given back.
+	// abandonedTime is how long after a timeout a late grant is still given back.
 	abandonedTime = 2 * time.Second
 	// maxRefusalHold is how long a refusal of a granter answers further requests of this node
 	// that ask for as much. It bounds the messages of callers that retry without waiting.
@@ -25,6 +25,8 @@
 	// pauseTime is the time between two ticks after which this node counts as having been
 	// paused.
 	pauseTime = 500 * time.Millisecond
+	// noNodesWait is the wait that requests are told before the list of nodes is known.
+	noNodesWait = 500 * time.Millisecond
 	// minRetryAfter is the shortest time that callers are told to wait, and retryJitter the
 	// fraction by which it is spread.
 	minRetryAfter = 50 * time.Millisecond
@@ -35,7 +37,7 @@
 	maxOutbox = 8192
 	// maxAmount bounds the amount of one request, so that sums can't overflow.
 	maxAmount = 1 << 40
-	// reachInterval is the time between two looks at which nodes are reachable.
+	// reachInterval is the time between two updates of the set of reachable nodes.
 	reachInterval = 50 * time.Millisecond
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 20 * time.Millisecond
@@ -120,8 +122,8 @@
 // sends nothing.
 func (l *Limiter) Active() bool { return len(*l.byName.Load()) > 0 }
 
-// Acquire waits for a permit to send an amount for a workspace. If there is none it returns after
-// what time there may be one, or 0 if ctx has ended.
+// Acquire waits for a permit to send an amount for a workspace. If there is none, retryAfter is the
+// time after which there may be one, or 0 if ctx has ended.
 func (l *Limiter) Acquire(ctx context.Context, workspace string, amount int64) (granted bool, retryAfter time.Duration) {
 	type result struct {
 		granted    bool
@@ -167,7 +169,7 @@
 		w.mu.Lock()
 		l.granters(now, w)
 		l.expire(now, w)
-		l.tell(now, w)
+		l.notifyGranters(now, w)
 		w.mu.Unlock()
 	}
 }
@@ -181,7 +183,7 @@
 		return
 	}
 	l.nodesMu.Lock()
-	l.excusePause(now, pause)
+	l.adjustForPause(now, pause)
 	l.nodesMu.Unlock()
 	for _, w := range *l.byName.Load() {
 		w.mu.Lock()
--- a/quota/message.go
+++ b/quota/message.go
@@ -18,17 +18,17 @@
 	Granted   bool
 	// Wait is the time after which there may be a permit.
 	Wait time.Duration
-	// NotGranter means that the next granter is to be asked. If Wait is 0, the node grants no
+	// NotGranter means that the next granter should be asked. If Wait is 0, the node grants no
 	// permits for the workspace; otherwise it has none, and another granter may have some.
 	NotGranter bool
 }
 
-// Granted tells the other granters what a granter has granted.
+// Granted notifies the other granters of grants.
 type Granted struct {
 	Workspace uint64
 	// Incarnation identifies the run of the granter.
 	Incarnation uint64
-	// Amount is that of the last grant, and Total the sum of all of them.
+	// Amount is what was granted since the last message, and Total the sum of all grants.
 	Amount, Total uint64
 	// Tokens is what the bucket of the granter holds.
 	Tokens float64
--- a/quota/reach.go
+++ b/quota/reach.go
@@ -25,9 +25,9 @@
 	probeAllInterval = 2 * time.Second
 	// settleTime is how long requests wait for the first heartbeats after a start.
 	settleTime = 150 * time.Millisecond
-	// lostTime is how long a silent node is counted that left the list and did not say that it stops. It may be
-	// cut off from the store and from this node and go on with its part of the rate, which it
-	// does for offlineTime.
+	// lostTime is how long a silent node is counted that left the list without saying that it
+	// stops. It may be cut off from the store and from this node, and goes on granting its part
+	// of the rate for offlineTime.
 	lostTime    = 5 * time.Second
 	offlineTime = 3 * time.Second
 	// partOverage is the fraction of the overage that a granter grants beyond the part of the
@@ -78,7 +78,7 @@
 	fraction, part float64
 }
 
-// SetNodes sets the addresses of all listed nodes. This one may be among them.
+// SetNodes sets the addresses of all listed nodes. The address of this node may be among them.
 func (l *Limiter) SetNodes(now time.Time, addresses []string) {
 	l.nodesMu.Lock()
 	defer l.nodesMu.Unlock()
@@ -244,10 +244,15 @@
 			p.suspected, suspicion = true, true
 		}
 	}
-	if !suspicion || now.Sub(l.probedAllAt) < probeAllInterval {
-		return
+	if suspicion && now.Sub(l.probedAllAt) >= probeAllInterval {
+		l.probeAll(now)
 	}
+}
+
+// probeAll probes all nodes that are not being probed. l.nodesMu must be held.
+func (l *Limiter) probeAll(now time.Time) {
 	l.probedAllAt = now
+	peers := *l.peers.Load()
 	for _, a := range l.order {
 		p := peers[a]
 		if p.probedAt.CompareAndSwap(0, now.UnixNano()) {
@@ -326,9 +331,9 @@
 	l.heartbeatsAt = now
 }
 
-// excusePause makes nodes count as heard that were reachable before this node was paused: what they
-// have sent meanwhile is not read yet. l.nodesMu must be held.
-func (l *Limiter) excusePause(now time.Time, pause time.Duration) {
+// adjustForPause keeps nodes reachable that were reachable before this node was paused: what they have
+// sent meanwhile is not read yet. l.nodesMu must be held.
+func (l *Limiter) adjustForPause(now time.Time, pause time.Duration) {
 	for _, p := range *l.peers.Load() {
 		heardAt := p.heardAt.Load()
 		if p.probedAt.Load() != 0 {
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -146,7 +146,8 @@
 	r.done(false, l.retryAfter(wait))
 }
 
-// expire ends what waited too long. w.mu must be held.
+// expire handles the messages that were not answered in time: their requests ask the next granter.
+// w.mu must be held.
 func (l *Limiter) expire(now time.Time, w *workspace) {
 	var due []uint64
 	for id, r := range w.waiting {
@@ -159,7 +160,7 @@
 		r := w.waiting[id]
 		if r.to == "" {
 			delete(w.waiting, id)
-			l.ask(now, w, r) // it has waited for the first heartbeats
+			l.ask(now, w, r) // the request has waited for the first heartbeats
 			continue
 		}
 		w.abandon(now, r)
@@ -221,7 +222,7 @@
 	counted := l.reach.Load().counted
 	if counted == 0 {
 		// The share is not known before the list of nodes is.
-		return false, pauseTime
+		return false, noNodesWait
 	}
 	part := min(1/float64(counted), l.reach.Load().part)
 	rate, capacity := w.limit.PerSecond*part, l.options.capacity(w.limit)*part
@@ -237,6 +238,6 @@
 	w.counts.Share++
 	// Granters that are reachable after all subtract it.
 	w.total += amount
-	l.tell(now, w)
+	l.notifyGranters(now, w)
 	return true, 0
 }
--- a/quota/workspace.go
+++ b/quota/workspace.go
@@ -51,13 +51,13 @@
 	asking      bool
 	askingUntil time.Time
 	// total is the sum of the amounts that this node has granted, and toldTotal what the other
-	// granters were told at toldAt.
+	// granters were sent at toldAt.
 	total, toldTotal uint64
 	toldAt           time.Time
 	others           permit.Totals
-	// toldBy holds the time at which another node last told of grants.
+	// toldBy holds the time of the last message about grants from each other node.
 	toldBy map[string]time.Time
-	// answeredAt is when nodes that tell of their grants were last sent a heartbeat.
+	// answeredAt is when the nodes in toldBy were last sent a heartbeat.
 	answeredAt time.Time
 	// seen holds the requests and returns that were counted, so that a datagram that comes twice
 	// is counted once.
@@ -81,8 +81,8 @@
 // waiting is a request that waits for a granter.
 type waiting struct {
 	amount uint64
-	// first is the index of the granter that was asked first, and to the address of the one that
-	// was asked last, after tries other ones.
+	// first is the index of the granter that was asked first, to the address of the one that was
+	// asked last, and tries the number of granters that were asked before that one.
 	first, tries int
 	to           string
 	// choiceOf is the set of nodes from which the granters were chosen. The request starts over
