--- a/boottime/pauses.go
+++ b/boottime/pauses.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// tick records that the process runs.
 func (d *PauseDetector) tick(now int64) {
 	if now-d.lastTick.Load() >= int64(minPause) {
 		d.pauseEnd.Store(now)
--- a/membudget/garbage.go
+++ b/membudget/garbage.go
@@ -18,8 +18,8 @@
 // add counts bytes that were given back.
 func (g *garbage) add(bytes int64) { g.bytes.Add(bytes) }
 
-// collect runs the garbage collector if more than the limit was given back. Whoever is about to
-// allocate calls it, and waits.
+// collect runs the garbage collector if more than the limit was given back. It is called before an
+// allocation and blocks until the collection has ended.
 func (g *garbage) collect() {
 	if g.bytes.Load() <= g.limit {
 		return
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"sync"
 	"time"
 )
@@ -36,15 +35,15 @@
 type state int
 
 const (
-	// stateIdle: there is no request.
+	// stateIdle means that there is no request.
 	stateIdle state = iota
-	// stateHeader: a part of the header has arrived.
+	// stateHeader means that a part of the header has arrived.
 	stateHeader
-	// stateBody: the header has arrived, the body has not arrived completely.
+	// stateBody means that the header has arrived, and the body has not arrived completely.
 	stateBody
-	// stateServing: the request has arrived completely, or is being refused.
+	// stateServing means that the request has arrived completely, or is being refused.
 	stateServing
-	// stateClosed: the connection or its request is being closed to make room.
+	// stateClosed means that the connection or its request is being closed to make room.
 	stateClosed
 )
 
@@ -55,7 +54,8 @@
 type Inbound struct {
 	limit, unfinishedLimit, bodyLimit, oneBodyLimit int64
 	maxConnections                                  int
-	// onClose is called with what was closed or refused. It must not block.
+	// onClose is called with what was closed or refused, perhaps with mu held. It must not block or
+	// call the account.
 	onClose func(what string)
 	garbage garbage
 
@@ -77,7 +77,8 @@
 )
 
 // NewInbound returns an account of the given number of bytes for at most maxConnections connections.
-// onClose is called with what is closed or refused for want of room; it must not block.
+// onClose is called with what is closed or refused for lack of memory or connections. It must not block
+// or call the account.
 func NewInbound(bytes int64, maxConnections int, onClose func(what string)) *Inbound {
 	share := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
 	return &Inbound{
@@ -163,7 +164,7 @@
 		v = a.victim(nil, 0, false)
 	}
 	if v != nil && v.closedAs != ClosedBody {
-		// Nobody handles a request on it, so it gives its place back at once.
+		// No request is being handled on it, so its memory is free at once.
 		a.forget(v)
 	}
 	ok := len(a.open) < a.maxConnections && a.used+ConnectionBytes <= a.limit
@@ -182,7 +183,7 @@
 	return c
 }
 
-// forget gives back what a connection without a request holds. a.mu must be held.
+// forget removes a connection that has no request and gives back what it holds. a.mu must be held.
 func (a *Inbound) forget(c *Connection) {
 	if c.gone {
 		return
@@ -192,11 +193,11 @@
 	a.used -= ConnectionBytes + c.headerBytes + c.requestBytes
 	a.garbage.add(c.headerBytes)
 	c.headerBytes, c.requestBytes = 0, 0
-	c.giveBack()
+	c.signalRelease()
 }
 
-// giveBack wakes whoever waits for the memory of a closed request. account.mu must be held.
-func (c *Connection) giveBack() {
+// signalRelease wakes the request that waits for the memory of a closed one. account.mu must be held.
+func (c *Connection) signalRelease() {
 	if c.released != nil {
 		close(c.released)
 		c.released = nil
@@ -227,7 +228,8 @@
 	close(c.closing)
 }
 
-// interrupt ends a connection that is marked as closing, or the reads of its request, and tells of it.
+// interrupt ends a connection that is marked as closing, or the reads of its request, and reports it to
+// onClose. account.mu must not be held.
 func (c *Connection) interrupt() {
 	c.close(c.closedAs == ClosedBody)
 	c.account.onClose(c.closedAs)
@@ -413,7 +415,7 @@
 	c.headerBytes, c.requestBytes = 0, 0
 	c.workspace = ""
 	if c.state == stateClosed {
-		c.giveBack()
+		c.signalRelease()
 		return
 	}
 	c.state = stateServing
@@ -430,184 +432,3 @@
 		c.state, c.since = stateIdle, time.Now()
 	}
 }
-
-// Body is the body of a request, in parts that are allocated as it arrives. It holds its memory until
-// each of its users has called Release.
-type Body struct {
-	connection *Connection
-	// parts are read only after the body has arrived.
-	parts [][]byte
-	size  int
-
-	// The following fields are guarded by account.mu. reserved is the memory of the parts, large what
-	// is beyond UnsharedBytes.
-	reserved, large int64
-	finished        bool
-	users           int
-}
-
-const (
-	// firstPartBytes and maxPartBytes are the sizes of the first part of a body and of the largest one.
-	firstPartBytes = 4 << 10
-	maxPartBytes   = 64 << 10
-)
-
-// ReadBody reads a body of at most limit bytes, or of the announced length if that is not negative,
-// to its end. It returns ErrExhausted or ErrClosed if there is no room for it. The body must be
-// released in any case.
-func (c *Connection) ReadBody(r io.Reader, announced int64) (*Body, error) {
-	b := &Body{connection: c, users: 1}
-	if c != nil {
-		c.account.mu.Lock()
-		c.body = b
-		c.account.mu.Unlock()
-	}
-	partBytes := firstPartBytes
-	for {
-		size := partBytes
-		if announced >= 0 {
-			size = int(min(int64(size), announced-int64(b.size)))
-		}
-		if size == 0 {
-			// The reader returns an error if the body is not as long as announced.
-			return b, readEnd(r)
-		}
-		if err := b.reserve(int64(size)); err != nil {
-			return b, err
-		}
-		if c != nil {
-			c.account.garbage.collect()
-		}
-		part := make([]byte, size)
-		n, err := b.readPart(r, part)
-		if n > 0 {
-			b.parts = append(b.parts, part[:n])
-		}
-		if err == io.EOF {
-			if announced >= 0 && int64(b.size) < announced {
-				return b, io.ErrUnexpectedEOF
-			}
-			return b, nil
-		}
-		if err != nil {
-			return b, err
-		}
-		partBytes = min(2*partBytes, maxPartBytes)
-	}
-}
-
-// readEnd reads the end of a body that has arrived completely.
-func readEnd(r io.Reader) error {
-	var next [1]byte
-	for {
-		n, err := r.Read(next[:])
-		switch {
-		case err == io.EOF && n == 0:
-			return nil
-		case err != nil:
-			return err
-		case n > 0:
-			return io.ErrShortBuffer
-		}
-	}
-}
-
-// readPart fills a part of the body. It returns io.EOF at the end of the body.
-func (b *Body) readPart(r io.Reader, part []byte) (n int, err error) {
-	for n < len(part) && err == nil {
-		var k int
-		k, err = r.Read(part[n:])
-		n += k
-		b.size += k
-		if k > 0 {
-			b.addProgress(k)
-		}
-	}
-	return n, err
-}
-
-func (b *Body) addProgress(n int) {
-	if b.connection == nil {
-		return
-	}
-	a := b.connection.account
-	a.mu.Lock()
-	b.connection.progress.add(time.Now(), int64(n))
-	a.mu.Unlock()
-}
-
-// reserve reserves the memory of another part.
-func (b *Body) reserve(n int64) error {
-	c := b.connection
-	if c == nil {
-		return nil
-	}
-	a := c.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if b.reserved+n > a.oneBodyLimit {
-		a.onClose(RefusedRequest)
-		return ErrExhausted
-	}
-	large := b.reserved+n > UnsharedBytes
-	if err := a.makeRoom(c, n, large); err != nil {
-		if err == ErrExhausted {
-			a.onClose(RefusedRequest)
-		}
-		return err
-	}
-	a.used += n
-	b.reserved += n
-	if large {
-		a.bodies += n
-		a.unfinished += n
-		b.large += n
-	}
-	return nil
-}
-
-// finish takes the body out of those that have not arrived completely. account.mu must be held.
-func (b *Body) finish() {
-	if !b.finished {
-		b.finished = true
-		b.connection.account.unfinished -= b.large
-	}
-}
-
-// Parts returns the parts of the body. They may be used until Release.
-func (b *Body) Parts() [][]byte { return b.parts }
-
-// Size returns the length of the body in bytes.
-func (b *Body) Size() int { return b.size }
-
-// Retain adds a user of the body.
-func (b *Body) Retain() {
-	if b.connection == nil {
-		return
-	}
-	b.connection.account.mu.Lock()
-	b.users++
-	b.connection.account.mu.Unlock()
-}
-
-// Release removes a user of the body, which must not use the parts any more. The last one gives the
-// memory back.
-func (b *Body) Release() {
-	if b.connection == nil {
-		return
-	}
-	a := b.connection.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	b.users--
-	if b.users > 0 {
-		return
-	}
-	b.finish()
-	// The account of the connection refers to the body until the end of the request.
-	b.parts = nil
-	a.used -= b.reserved
-	a.bodies -= b.large
-	a.garbage.add(b.large)
-	b.reserved, b.large = 0, 0
-}
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -52,7 +52,7 @@
 		a.Budget.used.Add(-additional)
 		return ErrExhausted
 	}
-	// The buffer before is garbage once it has been copied.
+	// The previous buffer is garbage once it has been copied.
 	a.Budget.garbage.add(int64(a.reserved))
 	a.reserved = size
 	a.Budget.garbage.collect()
--- a/membudget/victim.go
+++ b/membudget/victim.go
@@ -16,7 +16,7 @@
 
 // ChooseVictim returns the index of the candidate that is closed first, or -1 if closing none gives
 // anything back. A workspace that holds more than an equal share of what all candidates hold is first,
-// so that a crowd in one workspace doesn't displace the requests of others; within it the candidate
+// so that many requests of one workspace don't displace those of others; within it the candidate
 // with the least progress is first, and of those the oldest.
 func ChooseVictim(candidates []Candidate) int {
 	held := make(map[string]int64)
--- a/service/client.go
+++ b/service/client.go
@@ -131,7 +131,7 @@
 		return Response{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ErrResponseTooLarge)
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !upload.succeeded() {
-		return Response{}, fmt.Errorf("%w: %s", ErrOutcomeUnknown, "the response ended before the call was written completely")
+		return Response{}, fmt.Errorf("%w: the response ended before the call was written completely", ErrOutcomeUnknown)
 	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: raw}, nil
 }
--- a/service/upload.go
+++ b/service/upload.go
@@ -20,7 +20,7 @@
 
 func newUpload() *upload { return &upload{written: make(chan struct{})} }
 
-// trace returns a context for the call.
+// trace returns a context for the call that reports the end of its writing to u.
 func (u *upload) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		if info.Err == nil {
@@ -29,7 +29,7 @@
 	}})
 }
 
-// succeeded reports whether the call has been written completely.
+// succeeded reports whether the call has been written completely. It waits for that up to uploadEndWait.
 func (u *upload) succeeded() bool {
 	select {
 	case <-u.written:
--- a/upstream/end.go
+++ b/upstream/end.go
@@ -10,7 +10,7 @@
 // Errors of responses that end with their connection and are not known to be complete.
 var (
 	errUploadUnfinished = errors.New("the response ended before the request was written completely")
-	errConnectionReset  = errors.New("the connection was reset behind the end of the response")
+	errConnectionReset  = errors.New("the connection was reset after the end of the response")
 	errEndReadLate      = errors.New("the end of the response was read too late to tell it from a crash of the server")
 )
 
@@ -25,7 +25,7 @@
 	minReadWait = time.Millisecond
 )
 
-// Pauses tells of times at which the process did not run.
+// Pauses reports pauses of the process.
 type Pauses interface {
 	// PausedSince reports whether the process did not run for maxEndAge or longer at some time since t.
 	PausedSince(t time.Time) bool
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -55,7 +55,7 @@
 type Pool struct {
 	options Options
 	dialer  net.Dialer
-	// pauses tells when the process did not run; nil if that is not known.
+	// pauses reports pauses of the process; nil if they are not known.
 	pauses Pauses
 
 	mu    sync.Mutex
