--- a/core/attempt.go
+++ b/core/attempt.go
@@ -237,19 +237,29 @@
 	a.TimeLeft = time.Until(e.deadline)
 	handle, o := e.Upstream.Prefill(attemptCtx, a)
 	if handle != nil {
-		if e.prefilled {
-			e.chargeAttempt(nil)
-		} else {
-			// The first separate prefill that an engine accepts is not charged to the
-			// retry budget, so a retry that was acquired for it is left for the next
-			// attempt.
-			e.retryAcquired = e.chargedAttempts > 0
-		}
-		choice.Prefilled(time.Now())
-		e.record.PrefilledAfter = time.Since(e.request.ArrivedAt)
-		e.handle, e.handleUses, e.prefilled = handle, 0, true
-		return
+		e.onPrefilled(choice, handle)
+	} else {
+		e.onPrefillFailed(ctx, choice, watch, o)
 	}
+}
+
+// onPrefilled keeps the handle of a completed separate prefill for the next attempt.
+func (e *exchange) onPrefilled(choice *backends.Choice, handle *KVHandle) {
+	if e.prefilled {
+		e.chargeAttempt(nil)
+	} else {
+		// The first separate prefill that an engine accepts is not charged to the
+		// retry budget, so a retry that was acquired for it is left for the next
+		// attempt.
+		e.retryAcquired = e.chargedAttempts > 0
+	}
+	choice.Prefilled(time.Now())
+	e.record.PrefilledAfter = time.Since(e.request.ArrivedAt)
+	e.handle, e.handleUses, e.prefilled = handle, 0, true
+}
+
+// onPrefillFailed excludes the engine of a separate prefill that returned no handle.
+func (e *exchange) onPrefillFailed(ctx context.Context, choice *backends.Choice, watch *quarantine.Attempt, o Outcome) {
 	e.chargeAttempt(o)
 	if _, abandoned := o.(Abandoned); abandoned {
 		e.abandon(choice.Server)
