core: the test of moved streams leaves open whether a stream without a permit leaves its server

Cause: TestMovedStreamNeedsAPermit also required that a stream without a permit leaves its silent server. That is what the code does, but no promise: a watch that asked for the permit first would keep the stream waiting.

Change: the number of moves is checked where a permit is left. The number of runs and of permits is checked in all cases, as before.

--- a/core/quota_test.go
+++ b/core/quota_test.go
@@ -156,8 +156,10 @@
 				f := newStallFixture(true, test.first, paced(0, true, "2"))
 				q := limitWorkspace(f.fixture, test.permits)
 				s := f.serve(nil)
-				is.Equal(f.observer.counts[StreamMoved], 1)
 				is.Equal(len(f.paced.sent), test.runs)
+				if test.runs == 2 {
+					is.Equal(f.observer.counts[StreamMoved], 1)
+				}
 				is.Equal(len(q.acquired), test.runs)
 				is.Equal(len(q.returned), 0)
 				is.Equal(s.ended, test.runs == 2)
