plan, plan/scaler: plainer comments, shorter functions

Cause: some comments named what is computed figuratively ("orders what is missing", "read again"), fields of ScalingView did not tell which rules use them, and addKey and place each did two things. Change: comments reworded; checkMinPerClass, placeMinimum, dueOrders and setForDemand split off; deficit is belowOrder, firstSeen is firstGrowth.

--- a/plan/scaler/bycount.go
+++ b/plan/scaler/bycount.go
@@ -6,9 +6,9 @@
 	"github.com/figweir/figweir/plan"
 )
 
-// ordersByCount returns the orders for a service whose engines don't state their speeds, or that
-// offers no reclaimable servers. The number of servers follows the greatest demand since the duty
-// was taken: without speeds it is not known what the running ones can do, so that a lower number
+// ordersByCount returns the orders for a service whose engines don't state their speeds, or for
+// which no reclaimable servers are offered. The number of servers follows the greatest demand since
+// the duty was taken: without speeds it is not known what the running ones can do, so a lower number
 // is not safe.
 func (c *Controller) ordersByCount(now time.Time, v *plan.ScalingView) []Order {
 	if c.minimum == 0 {
@@ -47,7 +47,7 @@
 	return append(append(lower, reclaimable...), standard...)
 }
 
-// orderByCount returns an order, and whether it is due.
+// orderByCount returns the order that sets a key to count servers, and whether it is due.
 func (c *Controller) orderByCount(now time.Time, v *plan.ScalingView, k Key, count int) (o Order, due bool) {
 	o = Order{Key: k, Count: count, Present: v.RunningEngines(k.FailureDomain, k.Reclaimable), Reason: c.need.Reason}
 	if k.Reclaimable && count == 0 && !c.tracker.HasOrder(k) {
@@ -56,8 +56,8 @@
 	return o, c.tracker.Due(now, k, count, o.Present)
 }
 
-// probes returns orders of one more reclaimable server for the failure domains where none were
-// available recently, to be sent before any standard server is released.
+// probes returns orders of one more reclaimable server for the failure domains where such an order
+// was refused and refusalTime has passed. They are sent before any standard server is released.
 func (c *Controller) probes(now time.Time, v *plan.ScalingView) []Order {
 	var orders []Order
 	for _, d := range v.FailureDomains {
--- a/plan/scaler/controller.go
+++ b/plan/scaler/controller.go
@@ -22,8 +22,8 @@
 	releaseDelay = 3 * time.Second
 )
 
-// Key identifies what an order sets the number of: the servers of one class in one
-// failure domain.
+// Key identifies the servers that an order concerns: those of one class in one failure
+// domain.
 type Key struct {
 	FailureDomain string
 	Reclaimable   bool
@@ -91,7 +91,7 @@
 	// keeps a failure domain until an order there is accepted.
 	refusedUntil map[string]time.Time
 	// initial is the number of engines that ran or were starting when the duty was taken;
-	// -1 until the first decision. takenOver is set if a previous holder had ordered some.
+	// -1 until the first decision. takenOver is set if orders of a previous holder are known.
 	initial   int
 	takenOver bool
 	// minPerClass is set once the platform has kept the minimum of a failure domain for
@@ -102,7 +102,7 @@
 	// demands are the needs for the demand over keepWindow.
 	demands []timedValue
 	need    Need
-	// minimum is the number of engines that ordersByCount keeps.
+	// minimum is the number of engines that ordersByCount keeps; 0 until it is known.
 	minimum int
 	// lastDecode and lastPrefill are when engines were last changed to these roles.
 	lastDecode, lastPrefill time.Time
@@ -110,9 +110,9 @@
 
 // NewController returns a controller for a holder that took the duty at the given time.
 // restored holds the counts that the previous holder had ordered, and total the engines
-// that it had decided on; both may be empty. They are not reasons to order anything where
-// reclaimable servers are offered: total may be too high, and it says nothing of the
-// demand.
+// that it had decided on; both may be empty. Only ordersByCount orders servers because of
+// total. Otherwise neither is a reason to order any: total may be too high, and it says
+// nothing about the demand.
 func NewController(heldSince time.Time, total int, restored map[Key]int) *Controller {
 	c := &Controller{
 		heldSince: heldSince, initial: -1, takenOver: len(restored) > 0, minimum: total, orders: make(map[Key]*keyState),
@@ -189,15 +189,20 @@
 	t.releaseStandard()
 	t.releaseReclaimable()
 	t.applyLimits()
+	return c.dueOrders(t)
+}
+
+// dueOrders returns the orders that are due for the targets, the lower counts first.
+func (c *Controller) dueOrders(t *targets) []Order {
 	var lower, raise []Order
-	for _, domain := range v.FailureDomains {
+	for _, domain := range t.v.FailureDomains {
 		for _, reclaimable := range []bool{false, true} {
 			key := Key{domain, reclaimable}
 			count, running := t.count[key], t.running[key]
 			if count == running || reclaimable && count > running && !t.available[domain] {
 				continue
 			}
-			if !c.tracker.Due(now, key, count, running) {
+			if !c.tracker.Due(t.now, key, count, running) {
 				continue
 			}
 			o := Order{Key: key, Count: count, Present: running, Reason: t.reason[key]}
@@ -249,7 +254,7 @@
 			continue
 		}
 		switch {
-		case v.Streams <= 0: // idle engines change without harm
+		case v.Streams <= 0: // no stream is affected, so no later change is held back
 		case change.Prefill:
 			c.lastPrefill = now
 		default:
--- a/plan/scaler/demand.go
+++ b/plan/scaler/demand.go
@@ -49,6 +49,7 @@
 	recent   []timedValue
 }
 
+// timedValue is a value of a series and its time.
 type timedValue struct {
 	at    time.Time
 	value float64
@@ -87,22 +88,25 @@
 // not expected to be cached there, and the number of running streams. The zero value has
 // no samples.
 type Demand struct {
-	firstSeen, lastSample time.Time
-	lastTokenCount        uint64
-	tokens, streams       series
+	// firstGrowth is when the token count first grew; samples before it are not used.
+	firstGrowth, lastSample time.Time
+	lastTokenCount          uint64
+	tokens, streams         series
 }
 
-// Observe adds a sample: the tokens sent so far and the streams that run now.
+// Observe adds a sample: the tokens sent so far and the streams that run now. A sample is
+// ignored if it follows the last one too closely; if the token count falls, for example because a node
+// has left, it only sets the reference for the next one.
 func (d *Demand) Observe(now time.Time, tokenCount uint64, streams int) {
 	elapsed := now.Sub(d.lastSample)
 	if elapsed < minSampleGap {
 		return
 	}
 	if !d.lastSample.IsZero() && tokenCount >= d.lastTokenCount {
-		if d.firstSeen.IsZero() && tokenCount > d.lastTokenCount {
-			d.firstSeen = now
+		if d.firstGrowth.IsZero() && tokenCount > d.lastTokenCount {
+			d.firstGrowth = now
 		}
-		if !d.firstSeen.IsZero() {
+		if !d.firstGrowth.IsZero() {
 			d.tokens.observe(now, float64(tokenCount-d.lastTokenCount)/elapsed.Seconds())
 			d.streams.observe(now, float64(streams))
 		}
@@ -121,5 +125,5 @@
 
 // Settled reports whether the demand was observed over a full period of the load.
 func (d *Demand) Settled(now time.Time) bool {
-	return !d.firstSeen.IsZero() && now.Sub(d.firstSeen) > warmup
+	return !d.firstGrowth.IsZero() && now.Sub(d.firstGrowth) > warmup
 }
--- a/plan/scaler/need.go
+++ b/plan/scaler/need.go
@@ -13,13 +13,10 @@
 	// maxForecastGrowth limits how far the need may exceed the recent peak because the
 	// demand grows. The slope of a wave predicts more than its crest.
 	maxForecastGrowth = 1.15
-	// hardPrefillLoad and hardDecodeLoad are the utilization that a failure domain's
-	// reclaim may cause until replacements run. The prompts whose cache was lost there are
-	// read again meanwhile, so that a higher one would let queues grow without bound.
+	// hardPrefillLoad and hardDecodeLoad are the utilization that the reclaim of a failure
+	// domain may cause until replacements run. Prompts whose cache was lost there are
+	// processed again meanwhile, so a higher utilization would let queues grow without bound.
 	hardPrefillLoad, hardDecodeLoad = 0.7, 0.55
-)
-
-const (
 	// highestShare is the fraction of the highest need of the tenure that is kept also when
 	// there is no traffic, so that traffic that returns finds engines while others start.
 	// highestDecay is how much the highest need falls at each decision; it halves in about
@@ -59,18 +56,7 @@
 	tokens, streams := d.PromptTokens(), d.Streams()
 	known := v.Slots > 0 && v.PrefillTokensPerSecond > 0 && tokens.RecentPeak > 0
 	if known {
-		rate, slots := v.PrefillTokensPerSecond, float64(v.Slots)
-		prefill := forecast(tokens, v.StartupTime) / (rate * n.PrefillLoad)
-		decode := forecast(streams, v.StartupTime) / (slots * n.DecodeLoad)
-		n.Running = prefill + max(decode, float64(len(v.FailureDomains)))
-		n.Hard = tokens.RecentPeak/(rate*hardPrefillLoad) + streams.RecentPeak/(slots*hardDecodeLoad)
-		// With the engines spread evenly, the reclaim of one failure domain leaves the
-		// rest.
-		if domains := float64(len(v.FailureDomains)); domains > 1 {
-			if reserve := n.Hard * domains / (domains - 1); reserve > n.Running {
-				n.Running, n.Reason = reserve, "reserve for a reclaim"
-			}
-		}
+		n.setForDemand(v, tokens, streams)
 	}
 	c.demands = append(c.demands, timedValue{now, n.Running})
 	for now.Sub(c.demands[0].at) > keepWindow {
@@ -100,6 +86,21 @@
 	c.need = n
 }
 
+// setForDemand sets Running and Hard to what the demand requires.
+func (n *Need) setForDemand(v *plan.ScalingView, tokens, streams Estimate) {
+	rate, slots := v.PrefillTokensPerSecond, float64(v.Slots)
+	prefill := forecast(tokens, v.StartupTime) / (rate * n.PrefillLoad)
+	decode := forecast(streams, v.StartupTime) / (slots * n.DecodeLoad)
+	n.Running = prefill + max(decode, float64(len(v.FailureDomains)))
+	n.Hard = tokens.RecentPeak/(rate*hardPrefillLoad) + streams.RecentPeak/(slots*hardDecodeLoad)
+	// With the engines spread evenly, the reclaim of one failure domain must leave Hard.
+	if domains := float64(len(v.FailureDomains)); domains > 1 {
+		if reserve := n.Hard * domains / (domains - 1); reserve > n.Running {
+			n.Running, n.Reason = reserve, "reserve for a reclaim"
+		}
+	}
+}
+
 // forecast returns the demand to provide for when a server ordered now accepts requests.
 func forecast(e Estimate, startup time.Duration) float64 {
 	return max(e.RecentPeak, min(e.Mean+e.Slope*startup.Seconds(), e.RecentPeak*maxForecastGrowth))
--- a/plan/scaler/scaler_test.go
+++ b/plan/scaler/scaler_test.go
@@ -134,7 +134,7 @@
 	s.events = append(s.events, event{s.now.Add(none), func() { s.refuses[domain] = false }})
 }
 
-// run plays the load for a time, measuring from the given start on.
+// run advances the simulation until the given time after its start.
 func (s *simulation) run(until time.Duration) {
 	for s.now.Sub(s.start) < until {
 		s.now = s.now.Add(tick)
@@ -192,7 +192,7 @@
 }
 
 // wave is a load of 800,000 tokens a second and 350 streams on average, with the period
-// and the amplitude of a uneven day. It begins after 10 s.
+// and the amplitude of an uneven load. It begins after 10 s.
 func wave(at time.Duration) (float64, int) {
 	if at < 10*time.Second {
 		return 0, 0
@@ -204,7 +204,7 @@
 // steadyNeed is the number of engines that the wave requires at its targets.
 const steadyNeed = 48
 
-// Guards against a day of sixty standard engines, and against servers that are given back
+// Guards against sixty standard engines throughout, and against servers that are released
 // in each trough of a wave and ordered again.
 func TestWave(t *testing.T) {
 	is := is.New(t)
--- a/plan/scaler/targets.go
+++ b/plan/scaler/targets.go
@@ -65,11 +65,13 @@
 		for _, reclaimable := range []bool{false, true} {
 			t.addKey(Key{domain, reclaimable})
 		}
+		t.checkMinPerClass(domain)
 	}
 	return t
 }
 
-// setMinStandard sets minStandard and keepStandard.
+// setMinStandard sets minStandard and keepStandard. One standard server in each failure domain
+// keeps it serving through a reclaim.
 func (t *targets) setMinStandard() {
 	t.minStandard = 1
 	if len(t.v.FailureDomains) == 1 {
@@ -99,7 +101,14 @@
 			t.certain += float64(starting)
 		}
 	}
-	if k.Reclaimable || s.outcome != Accepted || s.restored || s.count >= t.v.MinPerDomain || running < t.v.MinPerDomain {
+}
+
+// checkMinPerClass sets minPerClass if the minimum of a failure domain still runs as standard
+// servers after an accepted order of fewer had time to take effect.
+func (t *targets) checkMinPerClass(domain string) {
+	k := Key{domain, false}
+	s := t.c.orders[k]
+	if s == nil || s.outcome != Accepted || s.restored || s.count >= t.v.MinPerDomain || t.running[k] < t.v.MinPerDomain {
 		return
 	}
 	// An earlier order of more servers can be carried out late.
@@ -135,15 +144,14 @@
 	return 1
 }
 
-// place orders what is missing: reclaimable engines where they are available, standard
-// ones elsewhere only for what the demand needs at least.
+// place raises the targets by what is missing: reclaimable engines where they are available,
+// standard ones elsewhere only up to Need.Hard.
 func (t *targets) place() {
 	need, excess := t.c.need, 0
 	for _, d := range t.v.FailureDomains {
 		excess += t.excess(d)
 	}
-	// Standard engines that are to be replaced don't count, except where the least need
-	// is concerned.
+	// Standard engines that are to be replaced don't count, except towards need.Hard.
 	lasting := t.expected - float64(excess)*t.meanSpeed
 	lacking := need.Total - lasting
 	if excess == 0 && lacking < raiseMargin*need.Total {
@@ -168,6 +176,11 @@
 		lacking := int(math.Ceil(need.Hard - t.certain - float64(placed) - 1e-9))
 		t.placeStandard(min(unplaced, lacking))
 	}
+	t.placeMinimum()
+}
+
+// placeMinimum raises the targets to the minimum of each failure domain.
+func (t *targets) placeMinimum() {
 	for _, d := range t.v.FailureDomains {
 		if lacking := t.v.MinPerDomain - t.total(d); lacking > 0 {
 			t.add(Key{d, t.available[d]}, lacking, "minimum of the failure domain")
@@ -199,7 +212,7 @@
 
 // placeReclaimable raises reclaimable targets by n in all and returns how many found no
 // room. Each engine goes to the cheapest failure domain whose reclaim would still leave
-// what the demand needs at least, otherwise to the one with the fewest.
+// Need.Hard, otherwise to the one with the fewest.
 func (t *targets) placeReclaimable(n int, reason string) (unplaced int) {
 	for ; n > 0; n-- {
 		best := ""
@@ -223,7 +236,7 @@
 func (t *targets) firstToOrder(a, b string) bool {
 	// Where servers were lost, the platform may still have them: the order there is then
 	// met without new ones.
-	if lostA, lostB := t.deficit(a), t.deficit(b); lostA != lostB {
+	if lostA, lostB := t.belowOrder(a), t.belowOrder(b); lostA != lostB {
 		return lostA
 	}
 	return t.better(a, b)
@@ -243,9 +256,9 @@
 	return cmp.Or(cmp.Compare(t.price(a), t.price(b)), cmp.Compare(ka, kb)) < 0
 }
 
-// deficit reports whether the target of reclaimable engines is below the last order that
-// was accepted.
-func (t *targets) deficit(d string) bool {
+// belowOrder reports whether the target of reclaimable engines of a failure domain is below
+// the last order, if that was accepted.
+func (t *targets) belowOrder(d string) bool {
 	s := t.c.orders[Key{d, true}]
 	return s != nil && s.outcome == Accepted && t.count[Key{d, true}] < s.count
 }
@@ -291,9 +304,9 @@
 	return domains
 }
 
-// swap makes room once the reclaimable engines that found some run. It stops standard
-// engines in failure domains that are full, a third of the missing ones at a time, and
-// orders as many reclaimable engines there. It returns how many are still missing.
+// swap lowers the standard targets in failure domains that are full, by a third of the missing
+// engines at a time, and raises the reclaimable ones by as much. It waits until no reclaimable
+// engine is starting. It returns how many are still missing.
 func (t *targets) swap(missing int) int {
 	for k, n := range t.starting {
 		if k.Reclaimable && n > 0 {
@@ -327,8 +340,8 @@
 }
 
 // releaseStandard releases standard engines whose replacements run, the most expensive
-// first, as long as the rest carries the need, also without the largest group of
-// reclaimable engines.
+// first, as long as the rest meets Need.Running, and Need.Hard also without the largest
+// group of reclaimable engines.
 func (t *targets) releaseStandard() {
 	need := t.c.need
 	spare := int(math.Floor((t.speed-need.Running)/t.meanSpeed + 1e-9))
--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -15,12 +15,12 @@
 	Reclaimable bool
 	// Requests is the number of requests in progress.
 	Requests int
-	// Speed is the measured speed of the engine relative to a usual one; 0 counts as 1.
+	// Speed is the speed that the engine states, relative to a usual one; 0 counts as 1.
 	Speed float64
 }
 
-// minSpeed limits how slow an engine may count. An engine that measures slower than a
-// tenth of the usual speed has stopped rather than become slow, and it may recover.
+// minSpeed limits how slow an engine may count. An engine below a tenth of the usual speed
+// has probably stopped rather than become slow, and it may recover.
 const minSpeed = 0.1
 
 // RelativeSpeed returns the speed of the engine relative to a usual one.
@@ -46,14 +46,15 @@
 	// the price of a standard one; 0 if the platform offers none.
 	ReclaimablePrice float64
 	// Unavailable holds the failure domains that currently offer no reclaimable
-	// engines.
+	// engines. Only TargetCapacity uses it.
 	Unavailable map[string]bool
-	// PromptTokensPerSecond is the recent peak of the prefill demand; 0 if
+	// PromptTokensPerSecond is the prefill demand, as a peak that decays slowly; 0 if
 	// unknown.
 	PromptTokensPerSecond float64
-	// MinEngines is the number of engines to keep regardless of the demand.
+	// MinEngines is the number of engines to keep regardless of the demand. Only
+	// EnginesPerDomain uses it.
 	MinEngines int
-	// Streams is the recent peak of the number of running streams; 0 if
+	// Streams is the number of running streams, as a peak that decays slowly; 0 if
 	// unknown.
 	Streams float64
 	// DemandSettled is true if the demand was observed long enough to reduce the
@@ -61,7 +62,7 @@
 	DemandSettled bool
 	// Slots is the number of streams that one engine decodes concurrently.
 	Slots int
-	// SpeedsKnown is true if engines of the service state their speeds.
+	// SpeedsKnown is true if at least one engine of the service has stated its speed.
 	SpeedsKnown bool
 	// PrefillTokensPerSecond is the prompt throughput of one prefill engine of speed 1.
 	PrefillTokensPerSecond float64
@@ -98,7 +99,8 @@
 	defaultDecodeShare = 0.4
 )
 
-// TargetCapacity returns the target capacity of each failure domain. Each failure domain
+// TargetCapacity returns the target capacity of each failure domain for a service that is
+// scaled by the number of its engines, without their speeds. Each failure domain
 // keeps its minimum as standard engines, so that it keeps serving through a
 // reclaim; the rest are reclaimable engines where available.
 func TargetCapacity(v *ScalingView) map[string]Capacity {
--- a/plan/utilization.go
+++ b/plan/utilization.go
@@ -35,9 +35,9 @@
 	// decodeLoadStep is the step of the computed utilization. Measured pauses vary, and
 	// roles must not change with each of them.
 	decodeLoadStep = 0.05
-	// choicesPerRequest is the number of engines between which a request can be
-	// considered to choose freely. Knowledge of load is stale, so that it is far fewer
-	// than all engines.
+	// choicesPerRequest is the number of engines among which a request effectively has a
+	// free choice. What a node knows of their load is not current, so it is far below the
+	// number of all engines.
 	choicesPerRequest = 2
 )
 
--- a/plan/utilization_test.go
+++ b/plan/utilization_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a utilization that ignores the target latency, or that leaves the limits
-// for odd inputs. Without inputs it is the fixed one.
+// TestUtilizationFollowsTargets guards against a utilization that ignores the target latency,
+// or that exceeds its limits for extreme inputs. Without inputs it is the default.
 func TestUtilizationFollowsTargets(t *testing.T) {
 	is := is.New(t)
 	is.Equal(LatencyNeeds{}.PrefillLoad(50_000), prefillLoad)
