capacity, backends, discovery, authority: plainer comments

Cause: "dearer", "knowledge" and "news" in comments, a comment on unseenShare that differed from the design note, and undocumented fields of Balancer. Change: comments reworded; observations.of is forService, and a local variable is named unseen as in engines.go.

--- a/authority/lease.go
+++ b/authority/lease.go
@@ -22,9 +22,9 @@
 	Margin time.Duration
 	// RenewEvery is the interval of lease renewal and acquisition of duties.
 	RenewEvery time.Duration
-	// ReacquireDelay is how long a process doesn't acquire a duty again that it has lost. Another
-	// process may have held it and given it up meanwhile: with a delay of a lease time, holders
-	// don't alternate within one.
+	// ReacquireDelay is the least time after the loss of a duty until the process acquires it
+	// again; 0 for none. Another process may have held it and given it up meanwhile: with a delay
+	// of a lease time, holders don't alternate within one.
 	ReacquireDelay time.Duration
 	// StoreTimeout limits each call to the store.
 	StoreTimeout time.Duration
--- a/backends/balancer.go
+++ b/backends/balancer.go
@@ -32,11 +32,12 @@
 	// promptTokens counts the prompt tokens that were sent to engines and were not
 	// expected to be cached.
 	promptTokens atomic.Uint64
-	// promptTokenSquares is the sum of the squares of these numbers by prompt.
+	// promptTokenSquares is the sum over all prompts of the squares of these numbers.
 	promptTokenSquares atomic.Uint64
-	prefillRate        capacity.PromptRate
-	decodeRate         capacity.PromptRate
-	observed           observations
+	// prefillRate and decodeRate are the rates of prompt processing at the usual speed, by role.
+	prefillRate, decodeRate capacity.PromptRate
+	// observed is what was observed of the servers that state their speed.
+	observed observations
 	// unseenShare is the constant of that name; simulations change it.
 	unseenShare float64
 	// limits are the rate limits of the servers.
@@ -184,14 +185,14 @@
 	var best *Server
 	bestScore := 0.0
 	rng := newRandom()
-	spread := b.unseenShare * b.observed.of(servers[0].Service).reported[RoleNone].load()
+	unseen := b.unseenShare * b.observed.forService(servers[0].Service).reported[RoleNone].load()
 	for _, s := range servers {
 		slots := float64(max(1, s.Slots))
 		requests, _ := b.load(now, s)
 		draw := rng.float64()
 		score := requests / slots
 		if s.stats.model.StatesSpeed() {
-			score = scaledShare(requests+spread*draw, slots, s.stats.model.Slowdown(now))
+			score = scaledShare(requests+unseen*draw, slots, s.stats.model.Slowdown(now))
 		}
 		score += failurePenalty * s.stats.failedShare()
 		if s.FailureDomain != b.failureDomain {
--- a/backends/engines.go
+++ b/backends/engines.go
@@ -182,7 +182,7 @@
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
 	preferredOnly := role == RolePrefill && criteria.Prompt.Tokens-criteria.Prompt.OwnTokens() >= minAffinityTokens && preferred[0] != nil
 	rng := newRandom()
-	observed := b.observed.of(criteria.Service)
+	observed := b.observed.forService(criteria.Service)
 	rate, eventTime := b.usualPromptRate(role), &observed.eventTime
 	unseen := b.unseenShare * observed.reported[RoleDecode].load()
 	var best engineCost
--- a/backends/evenload_test.go
+++ b/backends/evenload_test.go
@@ -362,8 +362,8 @@
 	{name: "oracle", oracle: true},
 }
 
-// TestServersAreLoadedEvenly guards against many nodes that choose the same server by the same old
-// knowledge, also in a burst, when a server comes back empty and when half of the nodes are gone.
+// TestServersAreLoadedEvenly guards against many nodes that choose the same server because they
+// know the same outdated load, also in a burst, when a server comes back empty and when half of the nodes are gone.
 // It compares the sums over these cases with and without the draw.
 func TestServersAreLoadedEvenly(t *testing.T) {
 	is := is.New(t)
--- a/backends/speed.go
+++ b/backends/speed.go
@@ -23,10 +23,10 @@
 	minEventInterval = time.Millisecond
 	// unseenShare bounds the requests that a plain server or a decode engine may have besides those
 	// that this node knows of, as a multiple of the mean that such servers report. A number up to it
-	// is drawn for each server. Without it all nodes choose the same server, by knowledge that is
-	// old compared with the time of a call, or the fastest engines, which all of them know. In the
-	// simulation the variation of load is least from 2 to 3, and a greater number sends more
-	// requests to other failure domains.
+	// is drawn for each server. Without it all nodes choose the same server, because the load that
+	// they know is old compared with the time of a call, or the fastest engines. Between 1.5 and 3
+	// the load is about equally even, and a greater number sends more requests to other failure
+	// domains; see docs/design/even-load.md.
 	unseenShare = 2.0
 	// reportWeight is the weight of one report in the mean of them.
 	reportWeight = 0.1
@@ -43,8 +43,8 @@
 	reported [RoleDecode + 1]meanRequests
 }
 
-// of returns the observations of a service.
-func (o *observations) of(service string) *observation {
+// forService returns the observations of a service.
+func (o *observations) forService(service string) *observation {
 	if v, ok := o.byService.Load(service); ok {
 		return v.(*observation)
 	}
@@ -66,12 +66,12 @@
 // observeReport adds the last report of a server that was chosen to the mean of its service.
 func (b *Balancer) observeReport(s *Server) {
 	if r := s.stats.report.Load(); r != nil && s.stats.model.StatesSpeed() {
-		b.observed.of(s.Service).reported[s.Role].add(float64(r.running + r.waiting))
+		b.observed.forService(s.Service).reported[s.Role].add(float64(r.running + r.waiting))
 	}
 }
 
 // random draws numbers for the candidates of one choice. It is cheaper than the global source,
-// which counts for hundreds of candidates.
+// which matters for hundreds of candidates.
 type random struct{ source rand.PCG }
 
 // newRandom returns a source with a random seed.
@@ -87,7 +87,7 @@
 }
 
 // scaledShare returns the share of busy slots of a service, scaled by the slowdown of the server
-// so that an idle slow server is dearer than an idle fast one. At the usual speed it is the
+// so that an idle slow server has a higher score than an idle fast one. At the usual speed it is the
 // share of busy slots.
 func scaledShare(requests, slots, slowdown float64) float64 {
 	return (slowdown*(requests+1) - 1) / slots
@@ -154,9 +154,10 @@
 	inflight, queued := b.load(now, s)
 	e := model.At(now)
 	prompts := time.Duration(queued / promptRate(&e, b.usualPromptRate(s.Role)) * float64(time.Millisecond))
-	// How much of the queue falls into this interval is not known exactly.
+	// How much of the queue falls into this interval is not known, so at most half of the interval
+	// is taken as time for prompts.
 	steps := max(interval-prompts, interval/2)
-	times := &b.observed.of(s.Service).eventTime
+	times := &b.observed.forService(s.Service).eventTime
 	model.RecordEvent(now, steps, times.Millis(inflight))
 	times.Observe(steps, inflight, e.Slowdown)
 }
--- a/backends/speed_test.go
+++ b/backends/speed_test.go
@@ -72,7 +72,7 @@
 	cost, _ := b.cheapestEngine(now, criteria, []*Server{s}, RoleDecode)
 	is.True(math.Abs(cost.totalMillis-30*runningRequestMillis) < 0.01)
 	is.Equal(cost.choicePenalty, 0.0)
-	is.Equal(b.observed.of("s").eventTime.Millis(1), 0.0)
+	is.Equal(b.observed.forService("s").eventTime.Millis(1), 0.0)
 }
 
 // TestDecodeEngineIsChosenByPause guards against streams with pauses above the target, while a
@@ -87,7 +87,7 @@
 	// An event takes 20 ms and 4 ms for each request, at the usual speed.
 	for i := range 400 {
 		running := float64(i % 40)
-		b.observed.of("s").eventTime.Observe(time.Duration(20+4*running)*time.Millisecond, running, 1)
+		b.observed.forService("s").eventTime.Observe(time.Duration(20+4*running)*time.Millisecond, running, 1)
 	}
 	criteria := engineCriteria(prompt("", 0, 6000))
 	criteria.Prefilled, criteria.HandleDomain = true, "near"
@@ -119,7 +119,7 @@
 			c.Event(now.Add(10 * time.Microsecond))
 		}
 	}
-	millis := b.observed.of("s").eventTime.Millis(20)
+	millis := b.observed.forService("s").eventTime.Millis(20)
 	is.True(millis > 66 && millis < 72) // 50 and 1 for each request
 	is.True(s.Capacity(now).EventMillis > 130)
 }
--- a/capacity/eventtime.go
+++ b/capacity/eventtime.go
@@ -18,7 +18,7 @@
 
 // EventTime estimates how the time between two events of a stream grows with the number of
 // requests that run at the server, at a slowdown of 1. It is shared by the servers of one
-// service. The zero value knows nothing. It is safe for use by many goroutines.
+// service. The zero value has no samples. It is safe for use by many goroutines.
 type EventTime struct {
 	line atomic.Pointer[line]
 	// mu guards the weighted sums of the samples: their number, the running requests (x), the
@@ -30,8 +30,8 @@
 // line is the estimate in milliseconds.
 type line struct{ base, perRequest float64 }
 
-// Observe adds an interval between two events, without the time for prompts, that was seen while
-// running requests ran at a server with a slowdown. A sample that arrives while another is added
+// Observe adds an interval between two events, without the time for prompts, and the number of
+// requests that ran at the server and its slowdown at that time. A sample that arrives while another is added
 // is dropped, so that streams don't wait.
 func (t *EventTime) Observe(interval time.Duration, running, slowdown float64) {
 	if interval <= 0 || slowdown <= 0 || running < 0 {
--- a/capacity/promptrate.go
+++ b/capacity/promptrate.go
@@ -21,7 +21,8 @@
 )
 
 // PromptRate estimates from samples how many prompt tokens a server processes per
-// millisecond. The zero value has no samples. It is safe for use by many goroutines.
+// millisecond. The zero value has no samples. It is safe for use by many goroutines; of two
+// samples that are added at the same time one may be lost.
 type PromptRate struct{ bits atomic.Uint64 }
 
 // TokensPerMilli returns the estimate in tokens per millisecond, or assumed if there
--- a/discovery/announce.go
+++ b/discovery/announce.go
@@ -52,8 +52,8 @@
 }
 
 // register writes the entry under a new lease. It replaces the entry of an earlier incarnation or
-// of a copy of the store, which remains until its lease lapses. Mostly there is none, so the entry is
-// read only after a conflict: a call of each node counts when all nodes start.
+// of a copy of the store, which remains until its lease lapses. Usually there is none, so the entry is
+// read only after a conflict, which saves a call of each node when all nodes start.
 func (a *announcer) register(ctx context.Context) error {
 	key := nodesPrefix + a.nodes.self.Name
 	lease, err := a.store.Grant(ctx, nodeLease)
--- a/discovery/storecalls_test.go
+++ b/discovery/storecalls_test.go
@@ -217,7 +217,7 @@
 	})
 }
 
-// TestStoreCallsOfDay guards against reads of the platform's store that carry no news: a node that
+// TestStoreCallsOfDay guards against reads of the platform's store that return nothing new: a node that
 // registers has no earlier entry. Each call costs the operator; a renewal counts a tenth.
 func TestStoreCallsOfDay(t *testing.T) {
 	is := is.New(t)
