gateway: clearer log lines and comments

Cause: two log lines did not tell what was refused or ignored, and wake, speedChecks, eventPause and some functions were documented wrongly or not at all.

--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -56,8 +56,8 @@
 	demand         scaler.Demand
 	// controllers decide on the orders while this node holds the duty, by service.
 	controllers map[string]*scaler.Controller
-	// speedChecks counts the health checks made to learn whether servers state their speeds,
-	// by service.
+	// speedChecks counts the health checks made by askForSpeeds, by service. It is kept when the
+	// duty is lost.
 	speedChecks map[string]int
 	// ordered is the record of the orders in the store, see orderedKey, and orderedRevision
 	// its revision.
@@ -143,8 +143,9 @@
 // maxSpeedChecks is how many servers of a service are asked for their speeds before any request.
 const maxSpeedChecks = 3
 
-// askForSpeeds makes a health check of a server unless one of the service has stated its speed, or
-// enough were asked. Until requests are answered nothing else shows whether they do.
+// askForSpeeds makes a health check of a server, unless one of the service has stated its speed or
+// maxSpeedChecks were made. Before there is traffic nothing else shows whether servers state their
+// speeds, which decides how the service is scaled.
 func (a *autoscaler) askForSpeeds(ctx context.Context, service *core.Service) {
 	if service.Scaling == nil || service.HealthPath == "" || a.speedChecks[service.Name] >= maxSpeedChecks || a.speedsKnown(service.Name) {
 		return
@@ -314,6 +315,7 @@
 	return 1 / e.Slowdown
 }
 
+// errorText returns the text of an error for the log; empty if there is none.
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,7 +129,7 @@
 	limits *rateLimits
 	// quotas keeps requests within the quotas of workspaces.
 	quotas *quotas
-	// inbound accounts for what callers send.
+	// inbound limits the memory and the connections for what callers send.
 	inbound *membudget.Inbound
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// reservedDescriptors are for the listeners, the store, other nodes and the runtime.
+	// reservedDescriptors is the number of descriptors for the listeners, the store, other nodes
+	// and the runtime.
 	reservedDescriptors = 32
-	// descriptorsPerCaller are those of a caller's connection and of the one to a backend server.
+	// descriptorsPerCaller is the number for a caller's connection and the one to a backend server.
 	descriptorsPerCaller = 2
 )
 
@@ -33,13 +34,13 @@
 	return max(1, (descriptors-reservedDescriptors)/descriptorsPerCaller)
 }
 
-// logInbound counts what was closed or refused for want of room for what callers send, and logs it at
-// a bounded rate.
+// logInbound counts a connection or request that was closed or refused because a limit on what
+// callers send was reached (see membudget.Inbound), and logs it at a bounded rate.
 func (o *observer) logInbound(what string) {
 	o.inbound.Add(what, 1)
 	if !o.logLimiter.Allow() {
 		o.droppedLines.Add("inbound", 1)
 		return
 	}
-	o.log.Info("no room for what callers send", "event", what)
+	o.log.Info("limit on data or connections of callers reached", "event", what)
 }
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -75,7 +75,8 @@
 		PromptTokens:  g.balancer.PromptTokens(),
 		ConfigVersion: g.config.Version(), RegistrationsRevision: uint64(g.servers.Revision()),
 	}
-	// A statement that arrives from now on goes into the next update.
+	// A statement that arrives from now on goes into the next update, and possibly into this one
+	// too.
 	statedAfter := g.statementsSentAt
 	g.statementsSentAt = time.Now()
 	for _, s := range g.registry.View().All() {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -41,5 +41,5 @@
 		return
 	}
 	value := values[0][:min(len(values[0]), maxLoggedHeaderBytes)]
-	g.log.Info("load of a backend server not used", "backend_server", s.ID, "headers", len(values), "value", value)
+	g.log.Info("malformed load header of a backend server ignored", "backend_server", s.ID, "headers", len(values), "value", value)
 }
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -43,7 +43,7 @@
 	socketErrorOnce sync.Once
 
 	firstEvent, totalTime, prefillTime, longestPause, unread *metrics.Histogram
-	// eventPause is the mean pause between the events of recent streams.
+	// eventPause is the mean pause between the events of recent streams of all services.
 	eventPause meanDuration
 	// burn measures the consumption of error budgets.
 	burn *burnMonitor
@@ -239,6 +239,7 @@
 // meanDurationSamples is the number of samples over which meanDuration averages.
 const meanDurationSamples = 50
 
+// observe adds a sample.
 func (m *meanDuration) observe(d time.Duration) {
 	old := m.nanos.Load()
 	if old == 0 {
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -20,11 +20,11 @@
 )
 
 const (
-	// quotaIdleInterval is the time between two looks at the configuration while no workspace
+	// quotaIdleInterval is the time between two checks of the configuration while no workspace
 	// has a quota.
 	quotaIdleInterval = 500 * time.Millisecond
-	// quotaReachLogInterval is the shortest time between two log lines about the nodes that
-	// count as unreachable for quotas.
+	// quotaReachLogInterval is the least time between two log lines about the fraction of
+	// nodes that is reachable for quotas.
 	quotaReachLogInterval = time.Second
 )
 
@@ -41,7 +41,7 @@
 	applyMu sync.Mutex
 	// nodes returns the addresses of all listed nodes.
 	nodes func() []string
-	// wake is signaled when workspaces have a quota for the first time.
+	// wake is signaled when a configuration with quotas is applied, which ends quotaIdleInterval.
 	wake chan struct{}
 	// reachable is the fraction of nodes that was last logged. Only the goroutine that ticks
 	// uses it.
@@ -49,6 +49,7 @@
 	reachLines *rate.Limiter
 }
 
+// setUpQuotas creates the quotas of the node. incarnation is not 0.
 func (g *Gateway) setUpQuotas(incarnation uint64) {
 	b := &g.settings.Bounds
 	options := quota.Options{Window: g.settings.QuotaWindow(), Overage: b.QuotaOverage, Tolerance: b.QuotaTolerance}
@@ -123,6 +124,7 @@
 	}
 }
 
+// sendQuotaMessages sends the pending messages of the limiter to other nodes.
 func (g *Gateway) sendQuotaMessages(conn net.PacketConn) {
 	for _, m := range g.quotas.limiter.Messages() {
 		u := &figweirv1.LoadUpdate{Scope: figweirv1.Scope_SCOPE_QUOTAS, Incarnation: g.quotas.incarnation, Quotas: peer.EncodeQuota(&m)}
--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -11,7 +11,8 @@
 	"github.com/figweir/figweir/platform"
 )
 
-// maxOrderRounds is how often the controller is asked at a time: after probes, and after a refusal.
+// maxOrderRounds is how often the controller is asked at most in one round of scaling: at first, after
+// probes, and after a refusal.
 const maxOrderRounds = 3
 
 // orderServers sends the orders that the controller of a service decides on. The
@@ -33,7 +34,7 @@
 // reclaimable servers were refused, and this node still holds the duty.
 func (a *autoscaler) sendOrders(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView) (sent, again bool) {
 	for _, o := range c.Orders(time.Now(), v, &a.demand) {
-		// The call before may have taken longer than the lease.
+		// The previous call may have taken longer than the lease was valid.
 		if current, held := a.duty.FencingToken(); !held || current != token {
 			return sent, false
 		}
