capacity, plan/scaler, gateway: correct comments

Cause: the comment on maxReportWeight denied the exception after currentEnd, and two test comments were figurative. Change: comments reworded.

--- a/capacity/model.go
+++ b/capacity/model.go
@@ -47,8 +47,9 @@
 	// statement is old.
 	currentTime = 300 * time.Millisecond
 	usualTime   = 10 * time.Second
-	// maxReportWeight is the weight of one statement in the short mean, however long ago the
-	// last one was: a single statement may be an outlier.
+	// maxReportWeight is the greatest weight of one statement in the short mean, because a
+	// single one may be an outlier. A statement that follows the last one by more than
+	// currentEnd replaces the mean.
 	maxReportWeight = 0.5
 	// The short mean counts fully up to currentFull and not at all from currentEnd. The long
 	// one counts fully up to usualFull; from usualEnd the server counts as normal, so that a
@@ -65,7 +66,7 @@
 	maxEventRatio = 4.0
 )
 
-// Model is what a node knows of one incarnation of a server. The zero value knows nothing.
+// Model is what a node knows of one incarnation of a server. The zero value has no samples.
 // It is safe for use by many goroutines. At and Slowdown take no lock; they may see a statement
 // whose effect is stored in part, which lies between the states before and after it. The fields
 // that every choice reads for every server stand together.
--- a/gateway/duty_test.go
+++ b/gateway/duty_test.go
@@ -30,7 +30,7 @@
 // store and of the interface for orders.
 const dutyHolderEnv = "FIGWEIR_TEST_DUTY_HOLDER"
 
-// pollInterval is the time between two looks at a condition that a test waits for.
+// pollInterval is the time between two checks of a condition that a test waits for.
 const pollInterval = 10 * time.Millisecond
 
 // newHolder returns a lease with the gateway's proportions, its duty, and a client for orders.
--- a/plan/scaler/scaler_test.go
+++ b/plan/scaler/scaler_test.go
@@ -642,7 +642,7 @@
 	is.True(s.calls <= 8)
 }
 
-// Guards against giving back nearly all engines while there is no traffic, and against a
+// Guards against releasing nearly all engines while there is no traffic, and against a
 // demand that is overestimated because the first prompts find no cache.
 func TestTrafficReturnsAfterIdle(t *testing.T) {
 	is := is.New(t)
