--- a/backends/engines.go
+++ b/backends/engines.go
@@ -181,7 +181,7 @@
 func (b *Balancer) cheapestEngine(now time.Time, criteria *Criteria, servers []*Server, role Role) (cheapest engineCost, ok bool) {
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), servers, role, criteria.Prompt.Model)
 	rng := newRandom()
-	observed := b.observed.of(criteria.Service)
+	observed := b.observed.forService(criteria.Service)
 	rate, eventTime := b.usualPromptRate(role), &observed.eventTime
 	unseen := b.unseenShare * observed.reported[RoleDecode].load()
 	var best engineCost
--- a/backends/explain.go
+++ b/backends/explain.go
@@ -75,7 +75,7 @@
 		}
 		e.Considered = append(e.Considered, c)
 		if s.stats.model.StatesSpeed() && s.Role != RolePrefill {
-			e.Draw = b.unseenShare * b.observed.of(s.Service).reported[s.Role].load()
+			e.Draw = b.unseenShare * b.observed.forService(s.Service).reported[s.Role].load()
 		}
 	}
 	slices.SortFunc(e.Considered, func(x, y Consideration) int { return cmp.Compare(x.Server, y.Server) })
@@ -135,7 +135,7 @@
 		return c
 	}
 	preferred := preferredServers(criteria.Prompt.AffinityKey(), candidates, s.Role, criteria.Prompt.Model)
-	cost := b.engineCost(now, s, criteria, s == preferred[0], b.usualPromptRate(s.Role), &b.observed.of(s.Service).eventTime)
+	cost := b.engineCost(now, s, criteria, s == preferred[0], b.usualPromptRate(s.Role), &b.observed.forService(s.Service).eventTime)
 	c.QueueMillis, c.PromptMillis, c.PauseMillis, c.UncachedTokens = cost.queueMillis, cost.promptMillis, cost.pauseMillis, cost.uncachedTokens
 	c.CostMillis = cost.totalMillis + cost.choicePenalty
 	if c.RuledOut == "" && preferredOnly(s.Role, criteria, preferred) && !slices.Contains(preferred[:], s) {
--- a/gateway/autoscaler.go
+++ b/gateway/autoscaler.go
@@ -56,9 +56,12 @@
 	demand         scaler.Demand
 	// controllers decide on the orders while this node holds the duty, by service.
 	controllers map[string]*scaler.Controller
-	// speedChecks counts the health checks made to learn whether servers state their speeds,
-	// by service.
+	// speedChecks counts the health checks made by askForSpeeds, by service. It is kept when the
+	// duty is lost.
 	speedChecks map[string]int
+	// speedsStated holds the services of which a server has stated its speed. It is kept when all
+	// of their servers are replaced.
+	speedsStated map[string]bool
 	// ordered is the record of the orders in the store, see orderedKey, and orderedRevision
 	// its revision.
 	ordered         map[string]int
@@ -69,7 +72,7 @@
 	return &autoscaler{
 		Gateway: g, cloud: cloud, backend: backend, roleOrderTimes: make(map[string]time.Time),
 		controllers: make(map[string]*scaler.Controller), ordered: make(map[string]int),
-		speedChecks: make(map[string]int),
+		speedChecks: make(map[string]int), speedsStated: make(map[string]bool),
 	}
 }
 
@@ -143,8 +146,9 @@
 // maxSpeedChecks is how many servers of a service are asked for their speeds before any request.
 const maxSpeedChecks = 3
 
-// askForSpeeds makes a health check of a server unless one of the service has stated its speed, or
-// enough were asked. Until requests are answered nothing else shows whether they do.
+// askForSpeeds makes a health check of a server, unless one of the service has stated its speed or
+// maxSpeedChecks were made. Before there is traffic nothing else shows whether servers state their
+// speeds, which decides how the service is scaled.
 func (a *autoscaler) askForSpeeds(ctx context.Context, service *core.Service) {
 	if service.Scaling == nil || service.HealthPath == "" || a.speedChecks[service.Name] >= maxSpeedChecks || a.speedsKnown(service.Name) {
 		return
@@ -159,7 +163,10 @@
 
 // speedsKnown reports whether a server of a service has stated its speed.
 func (a *autoscaler) speedsKnown(service string) bool {
-	return slices.ContainsFunc(a.registry.View().Servers(service), (*backends.Server).StatesSpeed)
+	if !a.speedsStated[service] {
+		a.speedsStated[service] = slices.ContainsFunc(a.registry.View().Servers(service), (*backends.Server).StatesSpeed)
+	}
+	return a.speedsStated[service]
 }
 
 // controller returns the controller of a service. The first one after this node acquired
@@ -314,6 +321,7 @@
 	return 1 / e.Slowdown
 }
 
+// errorText returns the text of an error for the log; empty if there is none.
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/gateway/serverorders.go
+++ b/gateway/serverorders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/figweir/figweir/core"
@@ -11,7 +12,8 @@
 	"github.com/figweir/figweir/platform"
 )
 
-// maxOrderRounds is how often the controller is asked at a time: after probes, and after a refusal.
+// maxOrderRounds is how often the controller is asked at most in one round of scaling: at first, after
+// probes, and after a refusal.
 const maxOrderRounds = 3
 
 // orderServers sends the orders that the controller of a service decides on. The
@@ -33,7 +35,7 @@
 // reclaimable servers were refused, and this node still holds the duty.
 func (a *autoscaler) sendOrders(ctx context.Context, token uint64, service string, c *scaler.Controller, v *plan.ScalingView) (sent, again bool) {
 	for _, o := range c.Orders(time.Now(), v, &a.demand) {
-		// The call before may have taken longer than the lease.
+		// The previous call may have taken longer than the lease was valid.
 		if current, held := a.duty.FencingToken(); !held || current != token {
 			return sent, false
 		}
@@ -62,7 +64,7 @@
 	need, tokens, streams := c.Need(), a.demand.PromptTokens(), a.demand.Streams()
 	a.log.Info("servers ordered", "service", service, "failure_domain", o.FailureDomain, "reclaimable", o.Reclaimable,
 		"count", o.Count, "present", o.Present, "reason", o.Reason, "fencing_token", token, "engines", len(v.Engines),
-		"need", int(need.Total+1), "need_at_least", int(need.Hard+1), "floor", need.Floor, "capacity", int(v.Speed()),
+		"need", int(math.Ceil(need.Total)), "need_at_least", int(math.Ceil(need.Hard)), "floor", need.Floor, "capacity", int(v.Speed()),
 		"prompt_tokens_per_s", int(tokens.RecentPeak), "mean_prompt_tokens_per_s", int(tokens.Mean), "slope", int(tokens.Slope),
 		"engine_tokens_per_s", int(v.PrefillTokensPerSecond), "streams", int(streams.RecentPeak),
 		"prefill_load_percent", int(100*need.PrefillLoad), "decode_load_percent", int(100*need.DecodeLoad), "error", errorText(err))
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -346,3 +346,16 @@
 	is.Equal(granted, 2)
 	is.True(!f.nodes[node].limiter.Active())
 }
+
+// TestRequestOfRemovedQuotaIsGranted guards against a request that waits until its deadline because the
+// quota of its workspace was removed after the request had looked it up.
+func TestRequestOfRemovedQuotaIsGranted(t *testing.T) {
+	is := is.New(t)
+	w := newWorkspace("a", Limit{PerSecond: 1})
+	l := New("n", 1, Options{Window: time.Second})
+	w.end()
+	l.byName.Store(&map[string]*workspace{"a": w})
+	granted := false
+	l.Request(time.Now(), "a", 5, func(ok bool, _ time.Duration) { granted = ok })
+	is.True(granted)
+}
--- a/quota/requester.go
+++ b/quota/requester.go
@@ -16,6 +16,10 @@
 	l.checkPause(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.ended {
+		done(true, 0)
+		return 0
+	}
 	r := &waiting{amount: uint64(min(max(amount, 1), maxAmount)), done: done}
 	if r.amount >= w.refusedAmount && now.Before(w.refusedUntil) {
 		l.finish(w, r, false, w.availableAt.Sub(now))
--- a/quota/workspace.go
+++ b/quota/workspace.go
@@ -67,6 +67,8 @@
 	largeRefusedSince, largeRefusedAt time.Time
 
 	counts Counts
+	// ended is set once the workspace has no quota any more. A request may have looked it up before.
+	ended bool
 }
 
 // Counts counts what happened to the requests of this node, and what it granted.
@@ -168,6 +170,7 @@
 func (w *workspace) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.ended = true
 	for id, r := range w.waiting {
 		delete(w.waiting, id)
 		r.finished = true
