plan: orders by count follow the demand as before

Change: Peak is the maximum of the former average; the order tracker releases sooner only where speeds are known.

--- a/plan/ordertracker.go
+++ b/plan/ordertracker.go
@@ -17,6 +17,10 @@
 // OrderTracker records the last order sent for each key and decides when the next one
 // is due. A platform that reclaims engines does not replace them by itself.
 type OrderTracker[K comparable] struct {
+	// PromptReleases makes a lower count due after urgentInterval once the last order has been
+	// met, and an order due if more engines run than ordered: an earlier one was carried out late.
+	PromptReleases bool
+
 	lastSent map[K]*sentOrder
 }
 
@@ -52,9 +56,8 @@
 // number of running engines. An order is due after retryInterval if the count
 // differs, the last order failed or it has not been met. It is due after
 // urgentInterval if running engines were lost or the count grows by at least
-// urgentGrowth and by more than one engine. More running engines than ordered also
-// make an order due: an earlier order was carried out late. A lower count is due
-// after urgentInterval once the last order has been met.
+// urgentGrowth and by more than one engine. With
+// PromptReleases lower counts are due sooner.
 func (t *OrderTracker[K]) Due(now time.Time, key K, count, running int) bool {
 	s := t.lastSent[key]
 	if s == nil {
@@ -65,13 +68,13 @@
 		return elapsed >= urgentInterval
 	}
 	s.maxRunning = max(s.maxRunning, running)
-	if s.count == count && !s.failed && running == count {
+	if s.count == count && !s.failed && (running == count || running > count && !t.PromptReleases) {
 		return false
 	}
 	if growth := count - s.count; growth > 1 && float64(growth) >= urgentGrowth*float64(s.count) {
 		return elapsed >= urgentInterval
 	}
-	if count < s.count && running == s.count && !s.failed {
+	if t.PromptReleases && count < s.count && running == s.count && !s.failed {
 		return elapsed >= urgentInterval
 	}
 	return elapsed >= retryInterval
--- a/plan/scaler/controller.go
+++ b/plan/scaler/controller.go
@@ -181,6 +181,7 @@
 		c.initial = t.countAll()
 	}
 	c.updateNeed(now, v, d)
+	c.tracker.PromptReleases = v.SpeedsKnown
 	if !v.SpeedsKnown || v.ReclaimablePrice <= 0 || v.ReclaimablePrice >= 1 {
 		return c.ordersByCount(now, v)
 	}
--- a/plan/scaler/demand.go
+++ b/plan/scaler/demand.go
@@ -35,9 +35,11 @@
 
 // Estimate describes one kind of demand.
 type Estimate struct {
-	// Mean is the moving average, Peak its maximum that decays by peakDecay at each
-	// sample, and RecentPeak its maximum over peakWindow.
-	Mean, Peak, RecentPeak float64
+	// Mean is the moving average, and RecentPeak its maximum over peakWindow.
+	Mean, RecentPeak float64
+	// Peak is the maximum of a moving average that begins at zero, and decays by peakDecay at
+	// each sample. Roles and orders by count follow it.
+	Peak float64
 	// Slope is the growth of Mean per second.
 	Slope float64
 }
@@ -45,8 +47,10 @@
 // series computes an Estimate from samples.
 type series struct {
 	estimate Estimate
-	samples  int
-	recent   []timedValue
+	// lagging is the moving average that begins at zero.
+	lagging float64
+	samples int
+	recent  []timedValue
 }
 
 // timedValue is a value of a series and its time.
@@ -61,11 +65,12 @@
 	s.samples++
 	e := &s.estimate
 	e.Mean += max(smoothing, 1/float64(s.samples)) * (sample - e.Mean)
+	s.lagging += smoothing * (sample - s.lagging)
+	e.Peak = max(s.lagging, e.Peak*(1-peakDecay))
 	if s.samples < minSamples {
-		e.Peak, e.RecentPeak = e.Mean, e.Mean
+		e.RecentPeak = e.Mean
 		return
 	}
-	e.Peak = max(e.Mean, e.Peak*(1-peakDecay))
 	s.recent = append(s.recent, timedValue{now, e.Mean})
 	for now.Sub(s.recent[0].at) > peakWindow {
 		s.recent = s.recent[1:]
