authority: the clock is read before the lock is taken

Cause: loseDutiesLocked read the clock with the lock of the lease held. Change: the callers pass the time. Result: go test ./authority -count=2 passes.

--- a/authority/lease.go
+++ b/authority/lease.go
@@ -152,7 +152,7 @@
 				"fencing_token", uint64(d.revision))
 		}
 	}
-	l.loseDutiesLocked()
+	l.loseDutiesLocked(now)
 }
 
 // newestEra returns the newest era seen.
@@ -233,19 +233,20 @@
 
 // loseDuties marks all duties that use the lease as not held.
 func (l *Lease) loseDuties(id store.LeaseID) {
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.id == id {
-		l.loseDutiesLocked()
+		l.loseDutiesLocked(now)
 	}
 }
 
 // loseDutiesLocked marks all duties as not held and forgets the lease. The caller holds mu.
-func (l *Lease) loseDutiesLocked() {
+func (l *Lease) loseDutiesLocked(now time.Time) {
 	l.id, l.validUntil = store.NoLease, time.Time{}
 	for _, d := range l.duties {
 		if d.held {
-			d.held, d.lostAt = false, l.clock.Now()
+			d.held, d.lostAt = false, now
 		}
 	}
 }
@@ -269,6 +270,7 @@
 
 // takeDuties marks all duties as not held. It returns those that were.
 func (l *Lease) takeDuties() []*Duty {
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var held []*Duty
@@ -277,7 +279,7 @@
 			held = append(held, d)
 		}
 	}
-	l.loseDutiesLocked()
+	l.loseDutiesLocked(now)
 	return held
 }
 
