membudget: bodies that arrive in time wait for each other and are not refused

What callers saw: of six uploads of 4 MB at a time, two seconds each, a third got 503 on a VM of 144 MB, while the process held 54 MB.

Cause: unfinished bodies had half of the account (18 MB). A body that did not fit closed the unfinished one with the least progress, or was refused itself, although all of them arrived in time.

Change: bodies may use the three quarters for bodies whether they have arrived completely or not; the separate half for unfinished ones is gone, since they can be closed for others at any time. A part of a body is reserved in the order in which the requests began, and only if what older bodies still need fits too, so that the oldest always completes. Bodies that arrive too slowly to be complete in time hold nobody up and are closed first. After a second, one of a group that holds more than an equal share gives way too. For a new connection an idle one is closed before a slow request.

The signatures of Open and ReadBody have changed.

--- a/membudget/body.go
+++ b/membudget/body.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"bytes"
 	"io"
 	"time"
 )
@@ -13,11 +14,19 @@
 	parts [][]byte
 	size  int
 
+	upload Upload
+	// waited is the time that the body has waited for memory and that OnWait has not been told.
+	waited time.Duration
+
 	// The following fields are guarded by account.mu. reserved is the memory of the parts, large what
 	// is beyond UnsharedBytes.
 	reserved, large int64
 	finished        bool
 	users           int
+	// waiting is set while the body waits for memory and is not read. readingSince is when it was
+	// last read on.
+	waiting      bool
+	readingSince time.Time
 }
 
 const (
@@ -26,14 +35,13 @@
 	maxPartBytes   = 64 << 10
 )
 
-// ReadBody reads a body to its end. announced is its length, negative if that is not known. It returns
-// ErrExhausted or ErrClosed if there is no room for the body, which must be released in any case.
-func (c *Connection) ReadBody(r io.Reader, announced int64) (*Body, error) {
-	b := &Body{connection: c, users: 1}
-	if c != nil {
-		c.account.mu.Lock()
-		c.body = b
-		c.account.mu.Unlock()
+// ReadBody reads a body to its end. It returns ErrExhausted or ErrClosed if there is no room for the
+// body, which must be released in any case.
+func (c *Connection) ReadBody(r io.Reader, u Upload) (*Body, error) {
+	announced := u.Announced
+	b, err := c.beginBody(u)
+	if err != nil {
+		return b, err
 	}
 	partBytes := firstPartBytes
 	for {
@@ -48,6 +56,9 @@
 		if err := b.reserve(int64(size)); err != nil {
 			return b, err
 		}
+		if err := b.reportWait(); err != nil {
+			return b, err
+		}
 		if c != nil {
 			c.account.garbage.collect()
 		}
@@ -69,6 +80,70 @@
 	}
 }
 
+// beginBody begins the body of a request. It returns ErrExhausted if it can't fit.
+func (c *Connection) beginBody(u Upload) (*Body, error) {
+	b := &Body{connection: c, upload: u, users: 1, readingSince: time.Now()}
+	if c == nil {
+		return b, nil
+	}
+	if u.Announced > 0 && u.Announced*b.memoryFactor() > c.account.oneBodyLimit {
+		c.account.onClose(RefusedRequest)
+		return b, ErrExhausted
+	}
+	c.account.mu.Lock()
+	c.body = b
+	c.account.mu.Unlock()
+	return b, nil
+}
+
+// memoryFactor returns the memory for a byte of the body.
+func (b *Body) memoryFactor() int64 { return int64(max(1, b.upload.MemoryFactor)) }
+
+// Reader reads a body for a handler that keeps it in buffers of its own, and reserves memory for what it
+// has read. Its Read returns ErrExhausted or ErrClosed if there is no room.
+type Reader struct {
+	r    io.Reader
+	body *Body
+	err  error
+}
+
+// NewReader returns a reader of the body. The memory is given back by Release.
+func (c *Connection) NewReader(r io.Reader, u Upload) *Reader {
+	b, err := c.beginBody(u)
+	return &Reader{r: r, body: b, err: err}
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.r.Read(p)
+	if n > 0 {
+		r.body.size += n
+		r.body.addProgress(n)
+		if r.err = r.body.reserve(r.body.memoryFactor() * int64(n)); r.err == nil {
+			r.err = r.body.reportWait()
+		}
+		if r.err != nil {
+			return 0, r.err
+		}
+	}
+	if err == io.EOF {
+		if arrived := r.body.connection.Arrived(); arrived != nil {
+			r.err = arrived
+			return 0, r.err
+		}
+	}
+	return n, err
+}
+
+// Err returns the error for lack of room that Read has returned, or nil.
+func (r *Reader) Err() error { return r.err }
+
+// Release gives the memory of the body back.
+func (r *Reader) Release() { r.body.Release() }
+
 // readEnd reads the end of a body that has arrived completely.
 func readEnd(r io.Reader) error {
 	var next [1]byte
@@ -124,7 +199,13 @@
 		return ErrExhausted
 	}
 	large := b.reserved+n > UnsharedBytes
-	if err := a.makeRoom(c, n, large); err != nil {
+	var err error
+	if large {
+		err = a.makeRoomForUpload(c, n)
+	} else {
+		err = a.makeRoom(c, n, false)
+	}
+	if err != nil {
 		if err == ErrExhausted {
 			a.onClose(RefusedRequest)
 		}
@@ -136,6 +217,7 @@
 		a.bodies += n
 		a.unfinished += n
 		b.large += n
+		a.uploads[c] = struct{}{}
 	}
 	return nil
 }
@@ -145,12 +227,25 @@
 	if !b.finished {
 		b.finished = true
 		b.connection.account.unfinished -= b.large
+		delete(b.connection.account.uploads, b.connection)
+		b.connection.account.signalRoom()
 	}
 }
 
 // Parts returns the parts of the body. They may be used until Release.
 func (b *Body) Parts() [][]byte { return b.parts }
 
+// Join returns the body in one piece and drops its parts. The caller must have reserved the memory for
+// the copy. The result may be used until Release.
+func (b *Body) Join() []byte {
+	joined := bytes.Join(b.parts, nil)
+	b.parts = [][]byte{joined}
+	if b.connection != nil {
+		b.connection.account.garbage.add(int64(b.size))
+	}
+	return joined
+}
+
 // Size returns the length of the body in bytes.
 func (b *Body) Size() int { return b.size }
 
@@ -184,4 +279,5 @@
 	a.bodies -= b.large
 	a.garbage.add(b.large)
 	b.reserved, b.large = 0, 0
+	a.signalRoom()
 }
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"sync"
 	"time"
 )
@@ -17,9 +18,8 @@
 	// of a few bytes needs far more for its entry in the map than for its text.
 	headerByteCost = 2
 	headerLineCost = 128
-	// unfinishedShare, bodyShare, oneBodyShare and connectionShare are parts of the account: of the
-	// bodies that have not arrived completely, of all bodies, of one body, and of the connections.
-	unfinishedShare = 0.5
+	// bodyShare, oneBodyShare and connectionShare are parts of the account: of all bodies, of one body,
+	// and of the connections.
 	bodyShare       = 0.75
 	oneBodyShare    = 0.25
 	connectionShare = 0.5
@@ -47,13 +47,16 @@
 	stateClosed
 )
 
-// Inbound is the account of what callers send: connections, headers and bodies. Memory is reserved as
-// bytes arrive and given back at the end of the request. When it is full, unfinished requests are closed
-// in the order of ChooseVictim; requests that have arrived completely never are. It is safe for
+// Inbound is the account of what clients send on all listeners of a process: connections, headers and
+// bodies. Memory is reserved as bytes arrive and given back at the end of the request. When it is full,
+// unfinished requests are closed in the order of ChooseVictim; requests that have arrived completely
+// never are. Bodies that arrive in time wait for each other instead (see uploads.go). It is safe for
 // concurrent use.
 type Inbound struct {
-	limit, unfinishedLimit, bodyLimit, oneBodyLimit int64
+	limit, connectionLimit, bodyLimit, oneBodyLimit int64
 	maxConnections                                  int
+	// roomWait is how long a request that has begun to arrive waits for memory.
+	roomWait time.Duration
 	// onClose is called with what was closed or refused, perhaps with mu held. It must not block or
 	// call the account.
 	onClose func(what string)
@@ -63,7 +66,17 @@
 	// used is what is reserved, bodies the part of it for bodies beyond UnsharedBytes of each, and
 	// unfinished the part of bodies that have not arrived completely.
 	used, bodies, unfinished int64
-	open                     map[*Connection]struct{}
+	// open holds the connections and the streams of HTTP/2, connections is the number of the former
+	// and connectionBytes their memory.
+	open            map[*Connection]struct{}
+	connections     int
+	connectionBytes int64
+	// uploads holds the connections whose body is larger than UnsharedBytes and has not arrived
+	// completely.
+	uploads map[*Connection]struct{}
+	// roomFreed is closed when memory is given back, waiting the number of requests that wait for it.
+	roomFreed chan struct{}
+	waiting   int
 }
 
 // What Inbound closes or refuses, as it is passed to onClose.
@@ -82,12 +95,19 @@
 func NewInbound(bytes int64, maxConnections int, onClose func(what string)) *Inbound {
 	share := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
 	return &Inbound{
-		limit: bytes, unfinishedLimit: share(unfinishedShare), bodyLimit: share(bodyShare), oneBodyLimit: share(oneBodyShare),
+		limit: bytes, connectionLimit: share(connectionShare), bodyLimit: share(bodyShare), oneBodyLimit: share(oneBodyShare),
 		maxConnections: max(1, min(maxConnections, int(share(connectionShare)/ConnectionBytes))),
-		onClose:        onClose, garbage: garbage{limit: share(garbageShare)}, open: make(map[*Connection]struct{}),
+		roomWait:       roomWait, onClose: onClose, garbage: garbage{limit: share(garbageShare)},
+		open: make(map[*Connection]struct{}), uploads: make(map[*Connection]struct{}), roomFreed: make(chan struct{}),
 	}
 }
 
+// MaxBodyBytes returns the size of the largest body that fits into an account of the given size.
+func MaxBodyBytes(accountBytes int64) int64 { return int64(oneBodyShare * float64(accountBytes)) }
+
+// MaxBodyBytes returns the size of the largest body that fits into the account.
+func (a *Inbound) MaxBodyBytes() int64 { return a.oneBodyLimit }
+
 // InboundStats are the current figures of an account.
 type InboundStats struct {
 	UsedBytes, BodyBytes, UnfinishedBytes int64
@@ -98,18 +118,24 @@
 func (a *Inbound) Stats() InboundStats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return InboundStats{a.used, a.bodies, a.unfinished, len(a.open), a.maxConnections}
+	return InboundStats{a.used, a.bodies, a.unfinished, a.connections, a.maxConnections}
 }
 
-// Connection is the account of one connection and of the request on it. The methods of a nil
-// *Connection do nothing and reserve without a limit.
+// Connection is the account of one connection and of the request on it, or of one stream of an HTTP/2
+// connection. The methods of a nil *Connection do nothing and reserve without a limit.
 type Connection struct {
 	account *Inbound
 	// close ends the connection, or only its reads if a request on it can still be answered. It must
 	// not block.
 	close func(answer bool)
+	// listener names the listener, bytes is the memory of the connection itself.
+	listener string
+	bytes    int64
+	// parent is the connection of a stream, nil for a connection.
+	parent *Connection
 
-	// The following fields are guarded by account.mu.
+	// The following fields are guarded by account.mu. streams is the number of open streams.
+	streams   int
 	state     state
 	workspace string
 	since     time.Time
@@ -153,24 +179,26 @@
 	return 0
 }
 
-// Open registers a connection. It returns nil if there is no room, even by closing another one; else
-// the caller must call Close. closeConn ends the connection, or only its reads if a request on it can
-// still be answered. It must not block.
-func (a *Inbound) Open(closeConn func(answer bool)) *Connection {
-	c := &Connection{account: a, close: closeConn, since: time.Now(), closing: make(chan struct{})}
+// Open registers a connection on the named listener whose buffers and goroutines take the given memory.
+// It returns nil if there is no room, even by closing others; else the caller must call Close. closeConn
+// ends the connection, or only its reads if a request on it can still be answered. It must not block.
+func (a *Inbound) Open(listener string, bytes int64, closeConn func(answer bool)) *Connection {
+	c := &Connection{account: a, close: closeConn, listener: listener, bytes: bytes, since: time.Now(), closing: make(chan struct{})}
 	a.mu.Lock()
 	var v *Connection
-	if len(a.open) >= a.maxConnections || a.used+ConnectionBytes > a.limit {
-		v = a.victim(nil, 0, false)
+	if !a.fitsConnection(bytes) {
+		v = a.connectionVictim()
 	}
 	if v != nil && v.closedAs != ClosedBody {
 		// No request is being handled on it, so its memory is free at once.
 		a.forget(v)
 	}
-	ok := len(a.open) < a.maxConnections && a.used+ConnectionBytes <= a.limit
+	ok := a.fitsConnection(bytes)
 	if ok {
 		a.open[c] = struct{}{}
-		a.used += ConnectionBytes
+		a.connections++
+		a.connectionBytes += bytes
+		a.used += bytes
 	}
 	a.mu.Unlock()
 	if v != nil {
@@ -183,17 +211,70 @@
 	return c
 }
 
-// forget removes a connection that has no request and gives back what it holds. a.mu must be held.
+// fitsConnection reports whether there is room for another connection. a.mu must be held.
+func (a *Inbound) fitsConnection(bytes int64) bool {
+	return a.connections < a.maxConnections && a.connectionBytes+bytes <= a.connectionLimit && a.used+bytes <= a.limit
+}
+
+// OpenStream registers a stream of an HTTP/2 connection, which carries one request. The caller must call
+// Close. cancel ends the reads of the stream; it must not block.
+func (c *Connection) OpenStream(cancel func(answer bool)) *Connection {
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	s := &Connection{account: a, close: cancel, listener: c.listener, parent: c, since: time.Now(), closing: make(chan struct{})}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.state = stateHeader
+	if c.state == stateClosed {
+		s.state = stateClosed
+	} else {
+		c.state = stateServing
+	}
+	c.streams++
+	a.open[s] = struct{}{}
+	return s
+}
+
+// AddProgress counts bytes that have arrived on an HTTP/2 connection.
+func (c *Connection) AddProgress(bytes int) {
+	if c == nil {
+		return
+	}
+	c.account.mu.Lock()
+	c.progress.add(time.Now(), int64(bytes))
+	c.account.mu.Unlock()
+}
+
+// group returns the group with which the connection shares the memory: the workspace of its request, or
+// else its listener.
+func (c *Connection) group() string {
+	if c.workspace == "" {
+		return "listener " + c.listener
+	}
+	return c.workspace
+}
+
+// forget removes a connection or stream that has no request and gives back what it holds. a.mu must be
+// held.
 func (a *Inbound) forget(c *Connection) {
 	if c.gone {
 		return
 	}
 	c.gone = true
 	delete(a.open, c)
-	a.used -= ConnectionBytes + c.headerBytes + c.requestBytes
+	a.used -= c.bytes + c.headerBytes + c.requestBytes
 	a.garbage.add(c.headerBytes)
 	c.headerBytes, c.requestBytes = 0, 0
+	if c.parent == nil {
+		a.connections--
+		a.connectionBytes -= c.bytes
+	} else if c.parent.streams--; c.parent.streams == 0 && c.parent.state == stateServing {
+		c.parent.state, c.parent.since = stateIdle, time.Now()
+	}
 	c.signalRelease()
+	a.signalRoom()
 }
 
 // signalRelease wakes the request that waits for the memory of a closed one. account.mu must be held.
@@ -235,25 +316,32 @@
 	c.account.onClose(c.closedAs)
 }
 
-// victim chooses the connection that is closed first and marks it; nil if it is self, which needs n
-// bytes, or none gives enough back. If large is set, only bodies are considered. a.mu must be held.
-func (a *Inbound) victim(self *Connection, n int64, large bool) *Connection {
+// connectionVictim chooses the connection that is closed first to make room for another one, and marks
+// it: one without a request if there is any, since its client loses nothing. a.mu must be held.
+func (a *Inbound) connectionVictim() *Connection {
+	if v := a.victim(nil, 0, func(c *Connection) bool { return c.parent == nil && c.state == stateIdle }); v != nil {
+		return v
+	}
+	return a.victim(nil, 0, func(c *Connection) bool { return c.parent == nil })
+}
+
+// victim chooses the eligible connection that is closed first and marks it; nil if it is self, which
+// needs n bytes, or none gives enough back. a.mu must be held.
+func (a *Inbound) victim(self *Connection, n int64, eligible func(*Connection) bool) *Connection {
 	now := time.Now()
 	connections := make([]*Connection, 0, len(a.open))
 	candidates := make([]Candidate, 0, len(a.open))
 	freeable := int64(0)
 	for c := range a.open {
-		if c.state > stateBody {
+		if c.state > stateBody || !eligible(c) {
 			continue
 		}
-		held := ConnectionBytes + c.headerBytes + c.requestBytes
+		held := c.bytes + c.headerBytes + c.requestBytes
+		progress := c.progress.at(now)
 		if c.body != nil {
 			held += c.body.reserved
-		}
-		if large {
-			held = 0
-			if c.body != nil {
-				held = c.body.large
+			if c.body.waiting {
+				progress = math.MaxInt64
 			}
 		}
 		if c != self {
@@ -263,10 +351,10 @@
 		}
 		if held > 0 {
 			connections = append(connections, c)
-			candidates = append(candidates, Candidate{c.workspace, held, c.progress.at(now), c.since})
+			candidates = append(candidates, Candidate{c.group(), held, progress, c.since})
 		}
 	}
-	if large && a.bodies+n-freeable > a.bodyLimit || a.used+n-freeable > a.limit && !large {
+	if a.used+n-freeable > a.limit {
 		return nil
 	}
 	best := ChooseVictim(candidates)
@@ -277,40 +365,46 @@
 	return connections[best]
 }
 
-// fits reports whether n more bytes can be reserved. a.mu must be held.
-func (a *Inbound) fits(n int64, large bool) bool {
-	return a.used+n <= a.limit && (!large || a.unfinished+n <= a.unfinishedLimit && a.bodies+n <= a.bodyLimit)
-}
-
 // makeRoom returns nil when n more bytes can be reserved for the request on c, for which it closes
-// others if necessary, or else ErrExhausted, or ErrClosed if the request is closed for another one.
+// others if necessary, or else ErrExhausted, or ErrClosed if the request is closed for another one. If
+// wait is set, it spares the bodies that arrive in time and waits for memory that is given back.
 // a.mu must be held; it is released while makeRoom waits.
-func (a *Inbound) makeRoom(c *Connection, n int64, large bool) error {
+func (a *Inbound) makeRoom(c *Connection, n int64, wait bool) error {
+	deadline := time.Now().Add(a.roomWait)
+	eligible := func(o *Connection) bool { return !wait || !o.arrivesInTime(time.Now()) }
 	for {
 		if c.state == stateClosed {
 			return ErrClosed
 		}
-		if a.fits(n, large) {
+		if a.used+n <= a.limit {
 			return nil
 		}
-		v := a.victim(c, n, large && a.used+n <= a.limit)
-		if v == nil {
-			return ErrExhausted
+		if v := a.victim(c, n, eligible); v != nil {
+			a.closeVictim(v, c)
+			continue
 		}
-		released := v.released
-		a.mu.Unlock()
-		v.interrupt()
-		timer := time.NewTimer(closeWait)
-		select {
-		case <-released:
-		case <-c.closing:
-		case <-timer.C:
+		if !wait || !a.awaitRoom(c, deadline) {
+			return ErrExhausted
 		}
-		timer.Stop()
-		a.mu.Lock()
 	}
 }
 
+// closeVictim closes v, which is marked, for the request on c and waits until it has given its memory
+// back. a.mu must be held; it is released meanwhile.
+func (a *Inbound) closeVictim(v, c *Connection) {
+	released := v.released
+	a.mu.Unlock()
+	v.interrupt()
+	timer := time.NewTimer(closeWait)
+	select {
+	case <-released:
+	case <-c.closing:
+	case <-timer.C:
+	}
+	timer.Stop()
+	a.mu.Lock()
+}
+
 // AddHeader reserves memory for a part of a header that was read. It returns ErrExhausted or ErrClosed
 // if the connection has to be closed. While a request is being served it does nothing.
 func (c *Connection) AddHeader(bytes, lines int) error {
@@ -357,17 +451,59 @@
 		return ErrClosed
 	}
 	c.state, c.workspace = stateBody, workspace
-	if err := a.makeRoom(c, RequestBytes, false); err != nil {
+	return a.addRequestBytes(c, RequestBytes, false)
+}
+
+// AddWork reserves memory that a request needs besides its headers and body while it is handled. It
+// waits for room, and returns ErrExhausted if there is none in time. EndRequest gives the memory back.
+func (c *Connection) AddWork(bytes int64) error {
+	if c == nil {
+		return nil
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.account.addRequestBytes(c, bytes, true)
+}
+
+// MaxWorkBytes returns the most that AddWork may be called with: half of the account, so that there is
+// room for it beside the connections.
+func (c *Connection) MaxWorkBytes() int64 {
+	if c == nil {
+		return math.MaxInt64
+	}
+	return c.account.limit / 2
+}
+
+// addRequestBytes reserves memory until EndRequest. a.mu must be held.
+func (a *Inbound) addRequestBytes(c *Connection, bytes int64, wait bool) error {
+	if err := a.makeRoom(c, bytes, wait); err != nil {
 		if err == ErrExhausted {
 			a.onClose(RefusedRequest)
 		}
 		return err
 	}
-	a.used += RequestBytes
-	c.requestBytes += RequestBytes
+	if c.gone {
+		return ErrClosed
+	}
+	a.used += bytes
+	c.requestBytes += bytes
 	return nil
 }
 
+// EndWork gives memory back that AddWork has reserved, of buffers that are garbage now.
+func (c *Connection) EndWork(bytes int64) {
+	if c == nil {
+		return
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.requestBytes -= bytes
+	a.used -= bytes
+	a.garbage.add(bytes)
+	a.signalRoom()
+}
+
 // IsClosed reports whether the request is closed to make room for others.
 func (c *Connection) IsClosed() bool {
 	if c == nil {
@@ -414,6 +550,7 @@
 	a.garbage.add(c.headerBytes)
 	c.headerBytes, c.requestBytes = 0, 0
 	c.workspace = ""
+	a.signalRoom()
 	if c.state == stateClosed {
 		c.signalRelease()
 		return
--- a/membudget/victim.go
+++ b/membudget/victim.go
@@ -4,8 +4,8 @@
 
 // Candidate is an unfinished request, or a connection without one, that may be closed to make room.
 type Candidate struct {
-	// Workspace is the workspace that the request states; empty before its headers are read.
-	Workspace string
+	// Group is the workspace that the request states, or the listener before its headers are read.
+	Group string
 	// ReservedBytes is what closing it gives back.
 	ReservedBytes int64
 	// ProgressBytes is what has arrived of it in the last second.
@@ -15,14 +15,14 @@
 }
 
 // ChooseVictim returns the index of the candidate that is closed first, or -1 if closing none gives
-// anything back. A workspace that holds more than an equal share of what all candidates hold is first,
-// so that many requests of one workspace don't displace those of others; within it the candidate
-// with the least progress is first, and of those the oldest.
+// anything back. A group that holds more than an equal share of what all candidates hold is first, so
+// that many requests of one workspace or listener don't displace those of others; within it the
+// candidate with the least progress is first, and of those the oldest.
 func ChooseVictim(candidates []Candidate) int {
 	held := make(map[string]int64)
 	total := int64(0)
 	for i := range candidates {
-		held[candidates[i].Workspace] += candidates[i].ReservedBytes
+		held[candidates[i].Group] += candidates[i].ReservedBytes
 		total += candidates[i].ReservedBytes
 	}
 	if total == 0 {
@@ -32,7 +32,7 @@
 	best := -1
 	for i := range candidates {
 		c := &candidates[i]
-		if c.ReservedBytes <= 0 || held[c.Workspace] < share {
+		if c.ReservedBytes <= 0 || held[c.Group] < share {
 			continue
 		}
 		if best < 0 || closesBefore(c, &candidates[best]) {
