inbound, gateway: one account for all listeners of the process

What callers saw: clients of the listeners for readiness, peers and administration could end a process.

Cause: only the listener for callers counted in the account. The other servers read headers of up to 1 MB, had no timeout for bodies and idle connections, and the handlers for peers read messages of up to 33 MB, although requests for state, mirrors and burn reports carry no data.

Change: package inbound wraps each listener and handler, so that its connections, headers and bodies count in the one account of the process. HTTP/2 is limited to 100 requests a connection, frames of 16 KB and 64 KB of unread bodies; its requests count as streams of their connection. Requests of peers are limited to 4 KB, compressed or not. One listener has at most 15 of 16 parts of the connections, so that callers don't keep the readiness probe out. The fractions of the VM's memory and the limit of descriptors move from package gateway, for use by both daemons.

The test of gateway/inbound_test.go is inbound/limits_test.go now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,7 @@
 	"github.com/figweir/figweir/burn"
 	"github.com/figweir/figweir/core"
 	"github.com/figweir/figweir/discovery"
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/loadshare"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/membudget"
@@ -58,14 +60,6 @@
 	// retryBudgetFraction keeps the retries of all nodes below the shared budget
 	// while nodes join and leave.
 	retryBudgetFraction = 0.8
-	// heapFraction is the fraction of the VM's memory that the Go heap may use.
-	heapFraction = 0.6
-	// responseBufferFraction is the fraction of the VM's memory for buffering
-	// responses of backend servers.
-	responseBufferFraction = 0.125
-	// inboundFraction is the fraction of the VM's memory for what callers send. With the responses
-	// and the 20 MB of an idle node it leaves room below heapFraction for garbage.
-	inboundFraction = 0.25
 )
 
 // Gateway is one node with all its components.
@@ -176,12 +170,13 @@
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
-	g.inbound = membudget.NewInbound(memoryFraction(inboundFraction, s.Limits.MemoryMB), maxCallerConnections(descriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
+	vm := inbound.VM(s.Limits.MemoryMB)
+	g.inbound = vm.NewAccount(inbound.MaxConnections(inbound.DescriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection, OnSocketError: g.observer.logSocketError}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
-		Pool: g.pool, Answers: membudget.New(responseBufferBytes(s.Limits.MemoryMB)), OnFreeFailed: g.observer.logFreeFailure,
+		Pool: g.pool, Answers: membudget.New(vm.AnswerBytes()), OnFreeFailed: g.observer.logFreeFailure,
 		OnNotice: g.onNotice, OnMalformedLoad: g.onMalformedLoad,
 	}
 	g.backend = backend
@@ -258,20 +253,20 @@
 	// First of all, because the default action of the signal ends the process.
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
-	setMemoryLimit(g.settings.Limits.MemoryMB)
-	baseListener, err := listen(g.settings.Listen.Callers)
+	debug.SetMemoryLimit(inbound.VM(g.settings.Limits.MemoryMB).HeapBytes())
+	baseListener, err := g.listen(g.settings.Listen.Callers, "callers", inbound.HTTP1)
 	if err != nil {
 		return err
 	}
-	readinessListener, err := listen(g.settings.Listen.Readiness)
+	readinessListener, err := g.listen(g.settings.Listen.Readiness, "readiness", inbound.HTTP1)
 	if err != nil {
 		return err
 	}
-	peerListener, err := listen(g.settings.Listen.Peers)
+	peerListener, err := g.listen(g.settings.Listen.Peers, "peers", inbound.HTTP2)
 	if err != nil {
 		return err
 	}
-	adminListener, err := listen(fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]))
+	adminListener, err := g.listen(fmt.Sprintf("%s:%d", g.settings.IPAddress, g.settings.Ports[0]), "admin", inbound.HTTP1)
 	if err != nil {
 		return err
 	}
@@ -309,16 +304,15 @@
 
 	callerListener := platform.NewListener(baseListener, &g.table)
 	callerListener.OnSocketError = g.observer.logSocketError
-	callerListener.Inbound = g.inbound
 	callerServer := &http.Server{
 		Handler: g.callerRoutes(), ConnContext: platform.ConnContext, ConnState: platform.TrackConnState,
 		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
 	}
-	readyServer := &http.Server{Handler: g.readyRoutes(), ReadHeaderTimeout: callerHeaderTimeout}
-	adminServer := &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: callerHeaderTimeout}
+	readyServer := inbound.NewServer(g.readyRoutes(), inbound.HTTP1)
+	adminServer := inbound.NewServer(g.adminRoutes(), inbound.HTTP1)
 	go g.serve(callerServer, callerListener)
 	go g.serve(readyServer, readinessListener)
-	peerServer := &http.Server{Handler: g.peerRoutes(), ReadHeaderTimeout: callerHeaderTimeout, Protocols: peer.Protocols()}
+	peerServer := inbound.NewServer(g.peerRoutes(), inbound.HTTP2)
 	go g.serve(adminServer, adminListener)
 	go g.serve(peerServer, peerListener)
 
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/peer"
 	"github.com/figweir/figweir/platform"
 	"github.com/figweir/figweir/upstream"
@@ -63,26 +63,19 @@
 	return r
 }
 
-// listen opens a TCP listener whose connections detect an unresponsive client.
-func listen(address string) (net.Listener, error) {
+// listen opens a TCP listener whose connections detect an unresponsive client and count in the account
+// of what clients send.
+func (g *Gateway) listen(address, name string, protocol inbound.Protocol) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2},
 		Control:         upstream.TCPUserTimeout(upstream.DefaultOptions.UserTimeout),
 	}
-	return config.Listen(context.Background(), "tcp", address)
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return inbound.NewListener(l, g.inbound, name, protocol), nil
 }
 
 // callerKeepAlive is the interval of TCP keep-alive probes to clients.
 const callerKeepAlive = 5 * time.Second
-
-func setMemoryLimit(megabytes int) { debug.SetMemoryLimit(memoryFraction(heapFraction, megabytes)) }
-
-// responseBufferBytes returns the number of bytes available for buffering responses.
-func responseBufferBytes(megabytes int) int64 {
-	return memoryFraction(responseBufferFraction, megabytes)
-}
-
-// memoryFraction returns a fraction of the given number of megabytes, in bytes.
-func memoryFraction(fraction float64, megabytes int) int64 {
-	return int64(fraction * float64(megabytes) * (1 << 20))
-}
--- /dev/null
+++ b/inbound/handler.go
@@ -0,0 +1,185 @@
+package inbound
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/figweir/figweir/membudget"
+)
+
+// retryNoRoom is the Retry-After, in seconds, of a process without memory for a request: about the time
+// that an unfinished request keeps its memory when others need it.
+const retryNoRoom = "1"
+
+// Options configures NewHandler.
+type Options struct {
+	// BodyTimeout limits the time until the body of a request has arrived.
+	BodyTimeout time.Duration
+	// MemoryFactor is the memory for a byte of a body that the handler buffers and decodes; 0 means 1.
+	MemoryFactor int
+	// MaxMessageBytes is the size to which the handler decompresses a body; 0 if it refuses compressed
+	// bodies or their size is negligible.
+	MaxMessageBytes int64
+}
+
+// NewHandler returns a handler that reserves the memory of each request while next handles it, and
+// refuses with status 503 those for which there is no room. Nothing of them has been handled.
+func NewHandler(next http.Handler, o Options) http.Handler { return &handler{next, o} }
+
+type handler struct {
+	next    http.Handler
+	options Options
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	account, end, err := Begin(w, r)
+	defer end()
+	control := http.NewResponseController(w)
+	deadline := time.Now().Add(h.options.BodyTimeout)
+	_ = control.SetReadDeadline(deadline)
+	if err == nil {
+		err = h.reserve(account, r)
+	}
+	if err != nil {
+		refuse(w, r)
+		return
+	}
+	if r.ContentLength == 0 {
+		// The deadline is removed, because its expiry would cancel the request's context.
+		_ = control.SetReadDeadline(time.Time{})
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	body := &requestBody{
+		Closer: r.Body, control: control,
+		reader: account.NewReader(r.Body, membudget.Upload{
+			Announced: r.ContentLength, Timeout: h.options.BodyTimeout, MemoryFactor: h.options.MemoryFactor,
+			OnWait: func(waited time.Duration) {
+				deadline = deadline.Add(waited)
+				_ = control.SetReadDeadline(deadline)
+			},
+		}),
+	}
+	defer body.reader.Release()
+	r.Body = body
+	h.next.ServeHTTP(w, r)
+}
+
+// reserve reserves the memory of a request besides its body.
+func (h *handler) reserve(account *membudget.Connection, r *http.Request) error {
+	if err := account.BeginRequest(""); err != nil {
+		return err
+	}
+	if r.ContentLength == 0 {
+		return account.Arrived()
+	}
+	if h.options.MaxMessageBytes == 0 || !isCompressed(r.Header) {
+		return nil
+	}
+	// What a compressed body becomes is known only once it has been decompressed.
+	return account.AddWork(min(int64(max(1, h.options.MemoryFactor))*h.options.MaxMessageBytes, account.MaxWorkBytes()))
+}
+
+// encodingHeaders are the headers in which the protocols of connect-go name the compression of a body.
+var encodingHeaders = []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"}
+
+// isCompressed reports whether the body of a request may be compressed.
+func isCompressed(header http.Header) bool {
+	for _, name := range encodingHeaders {
+		if v := header.Get(name); v != "" && v != "identity" {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse refuses a request for which there is no room.
+func refuse(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("Retry-After", retryNoRoom)
+	http.Error(w, "too little memory for requests", http.StatusServiceUnavailable)
+}
+
+// requestBody reserves memory for what is read of a body.
+type requestBody struct {
+	io.Closer
+	reader  *membudget.Reader
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err == io.EOF {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// AccountOf returns the account of the connection of a request of HTTP/1.1; nil if it has none.
+func AccountOf(ctx context.Context) *membudget.Connection {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn.Account()
+}
+
+// Begin returns the account of a request, nil if its listener has none. end must be called when the
+// request has been handled, also after an error, which means that there is no room for its header.
+func Begin(w http.ResponseWriter, r *http.Request) (account *membudget.Connection, end func(), err error) {
+	conn, _ := r.Context().Value(connKey{}).(*Conn)
+	if conn == nil {
+		return nil, func() {}, nil
+	}
+	if conn.protocol != HTTP2 {
+		return conn.account, conn.account.EndRequest, nil
+	}
+	reads := &streamReads{control: http.NewResponseController(w)}
+	stream := conn.account.OpenStream(reads.interrupt)
+	bytes, lines := headerSize(r)
+	err = stream.AddHeader(bytes, lines)
+	return stream, func() {
+		reads.end()
+		stream.EndRequest()
+		stream.Close()
+	}, err
+}
+
+// streamReads ends the reads of a stream of HTTP/2 as long as its request is handled.
+type streamReads struct {
+	mu      sync.Mutex
+	control *http.ResponseController
+	ended   bool
+}
+
+// interrupt ends the reads. The request can still be answered.
+func (s *streamReads) interrupt(bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		_ = s.control.SetReadDeadline(longPast)
+	}
+}
+
+// end states that the request has been handled.
+func (s *streamReads) end() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+}
+
+// headerSize returns the size of the header of a request in bytes and lines.
+func headerSize(r *http.Request) (bytes, lines int) {
+	bytes = len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			bytes += len(name) + len(v)
+			lines++
+		}
+	}
+	return bytes, lines
+}
--- a/gateway/inbound_test.go
+++ b/inbound/limits_test.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"testing"
@@ -6,18 +6,18 @@
 	"github.com/matryer/is"
 )
 
-// TestCallersLeaveDescriptors guards against connections of callers that use up the descriptors which
+// TestClientsLeaveDescriptors guards against connections of clients that use up the descriptors which
 // connections to backend servers and the store need, and against a configured limit above that of the
 // process.
-func TestCallersLeaveDescriptors(t *testing.T) {
+func TestClientsLeaveDescriptors(t *testing.T) {
 	is := is.New(t)
 	for _, descriptors := range []int{1, 64, 160, 1024, 65536} {
-		connections := maxCallerConnections(descriptors)
+		connections := MaxConnections(descriptors)
 		is.True(connections >= 1)
 		is.True(connections == 1 || 2*connections+reservedDescriptors <= descriptors)
 	}
-	process := descriptorLimit(0)
+	process := DescriptorLimit(0)
 	is.True(process > 0)
-	is.Equal(descriptorLimit(process+1), process)
-	is.Equal(descriptorLimit(10), 10)
+	is.Equal(DescriptorLimit(process+1), process)
+	is.Equal(DescriptorLimit(10), 10)
 }
--- /dev/null
+++ b/inbound/server.go
@@ -0,0 +1,58 @@
+package inbound
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// maxStreams is how many requests one HTTP/2 connection may have open.
+	maxStreams = 100
+	// maxFrameBytes is the size of the largest frame of HTTP/2, which is buffered as a whole; the least
+	// that the protocol allows.
+	maxFrameBytes = 16 << 10
+	// maxUnreadBytes is how much of the bodies of a connection of HTTP/2 may arrive before it is read;
+	// the least that the protocol allows is 65,535.
+	maxUnreadBytes = 64 << 10
+	// headerTableBytes is the size of the table of header compression.
+	headerTableBytes = 4 << 10
+	// http2ConnectionBytes is the memory of a connection of HTTP/2 without requests: its goroutines,
+	// its buffers and the buffer of a frame.
+	http2ConnectionBytes = 64 << 10
+)
+
+// Timeouts and limits of servers that are not for callers.
+const (
+	serverHeaderTimeout  = 5 * time.Second
+	serverIdleTimeout    = 60 * time.Second
+	serverWriteTimeout   = 10 * time.Second
+	serverMaxHeaderBytes = 16 << 10
+	// ServerBodyTimeout is the timeout for reading a body.
+	ServerBodyTimeout = 5 * time.Second
+)
+
+// NewServer returns a server for listeners that are not for callers. Its connections and requests count
+// in the account of the listener.
+func NewServer(handler http.Handler, protocol Protocol) *http.Server {
+	s := &http.Server{
+		Handler:           NewHandler(handler, Options{BodyTimeout: ServerBodyTimeout}),
+		ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout, WriteTimeout: serverWriteTimeout,
+		MaxHeaderBytes: serverMaxHeaderBytes,
+	}
+	Attach(s, protocol)
+	return s
+}
+
+// Attach sets the hooks of a server on a Listener, and the protocol with its limits.
+func Attach(s *http.Server, protocol Protocol) {
+	s.ConnContext, s.ConnState = ConnContext, TrackConnState
+	if protocol != HTTP2 {
+		return
+	}
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	s.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes, MaxDecoderHeaderTableSize: headerTableBytes,
+		MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes,
+	}
+}
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -23,6 +23,9 @@
 	bodyShare       = 0.75
 	oneBodyShare    = 0.25
 	connectionShare = 0.5
+	// listenerShare is the part of the connections that one listener may have, so that many clients of
+	// one don't keep readiness probes and operators out.
+	listenerShare = 15.0 / 16
 	// closeWait is how long a request waits for the memory of one that is closed for it, which ends
 	// as soon as its goroutine runs.
 	closeWait = time.Second
@@ -71,6 +74,7 @@
 	open            map[*Connection]struct{}
 	connections     int
 	connectionBytes int64
+	byListener      map[string]int
 	// uploads holds the connections whose body is larger than UnsharedBytes and has not arrived
 	// completely.
 	uploads map[*Connection]struct{}
@@ -98,7 +102,7 @@
 		limit: bytes, connectionLimit: share(connectionShare), bodyLimit: share(bodyShare), oneBodyLimit: share(oneBodyShare),
 		maxConnections: max(1, min(maxConnections, int(share(connectionShare)/ConnectionBytes))),
 		roomWait:       roomWait, onClose: onClose, garbage: garbage{limit: share(garbageShare)},
-		open: make(map[*Connection]struct{}), uploads: make(map[*Connection]struct{}), roomFreed: make(chan struct{}),
+		open: make(map[*Connection]struct{}), byListener: make(map[string]int), uploads: make(map[*Connection]struct{}), roomFreed: make(chan struct{}),
 	}
 }
 
@@ -186,17 +190,18 @@
 	c := &Connection{account: a, close: closeConn, listener: listener, bytes: bytes, since: time.Now(), closing: make(chan struct{})}
 	a.mu.Lock()
 	var v *Connection
-	if !a.fitsConnection(bytes) {
-		v = a.connectionVictim()
+	if !a.fitsConnection(listener, bytes) {
+		v = a.connectionVictim(listener)
 	}
 	if v != nil && v.closedAs != ClosedBody {
 		// No request is being handled on it, so its memory is free at once.
 		a.forget(v)
 	}
-	ok := a.fitsConnection(bytes)
+	ok := a.fitsConnection(listener, bytes)
 	if ok {
 		a.open[c] = struct{}{}
 		a.connections++
+		a.byListener[listener]++
 		a.connectionBytes += bytes
 		a.used += bytes
 	}
@@ -211,9 +216,15 @@
 	return c
 }
 
-// fitsConnection reports whether there is room for another connection. a.mu must be held.
-func (a *Inbound) fitsConnection(bytes int64) bool {
-	return a.connections < a.maxConnections && a.connectionBytes+bytes <= a.connectionLimit && a.used+bytes <= a.limit
+// fitsConnection reports whether there is room for another connection on a listener. a.mu must be held.
+func (a *Inbound) fitsConnection(listener string, bytes int64) bool {
+	return a.connections < a.maxConnections && !a.isCrowded(listener) && a.connectionBytes+bytes <= a.connectionLimit && a.used+bytes <= a.limit
+}
+
+// isCrowded reports whether a listener has as many connections as one listener may have. a.mu must be
+// held.
+func (a *Inbound) isCrowded(listener string) bool {
+	return a.byListener[listener] >= int(math.Ceil(listenerShare*float64(a.maxConnections)))
 }
 
 // OpenStream registers a stream of an HTTP/2 connection, which carries one request. The caller must call
@@ -269,6 +280,7 @@
 	c.headerBytes, c.requestBytes = 0, 0
 	if c.parent == nil {
 		a.connections--
+		a.byListener[c.listener]--
 		a.connectionBytes -= c.bytes
 	} else if c.parent.streams--; c.parent.streams == 0 && c.parent.state == stateServing {
 		c.parent.state, c.parent.since = stateIdle, time.Now()
@@ -316,13 +328,16 @@
 	c.account.onClose(c.closedAs)
 }
 
-// connectionVictim chooses the connection that is closed first to make room for another one, and marks
-// it: one without a request if there is any, since its client loses nothing. a.mu must be held.
-func (a *Inbound) connectionVictim() *Connection {
-	if v := a.victim(nil, 0, func(c *Connection) bool { return c.parent == nil && c.state == stateIdle }); v != nil {
+// connectionVictim chooses the connection that is closed first to make room for another one on a
+// listener, and marks it: one without a request if there is any, since its client loses nothing. a.mu
+// must be held.
+func (a *Inbound) connectionVictim(listener string) *Connection {
+	crowded := a.isCrowded(listener)
+	eligible := func(c *Connection) bool { return c.parent == nil && (!crowded || c.listener == listener) }
+	if v := a.victim(nil, 0, func(c *Connection) bool { return c.state == stateIdle && eligible(c) }); v != nil {
 		return v
 	}
-	return a.victim(nil, 0, func(c *Connection) bool { return c.parent == nil })
+	return a.victim(nil, 0, eligible)
 }
 
 // victim chooses the eligible connection that is closed first and marks it; nil if it is self, which
--- a/membudget/inbound_test.go
+++ b/membudget/inbound_test.go
@@ -213,6 +213,49 @@
 	is.Equal(refused, 1)
 }
 
+// TestListenersLeaveConnections guards against clients of one listener who are all being served and keep
+// the readiness probe of another one out.
+func TestListenersLeaveConnections(t *testing.T) {
+	is := is.New(t)
+	a := NewInbound(testMemory, 64, func(string) {})
+	for range 64 {
+		c := a.Open("callers", ConnectionBytes, func(bool) {})
+		if c == nil {
+			break
+		}
+		is.NoErr(c.BeginRequest("a"))
+		is.NoErr(c.Arrived())
+	}
+	is.Equal(a.Stats().Connections, 60)
+	for range 8 {
+		is.True(a.Open("readiness", ConnectionBytes, func(bool) {}) != nil)
+	}
+	is.Equal(a.Stats().Connections, 64) // the last four replaced idle ones of their own listener
+}
+
+// TestStreamsCountOnTheirConnection guards against a connection of HTTP/2 that is closed as idle while
+// requests on it are served, and against memory of a stream that stays reserved.
+func TestStreamsCountOnTheirConnection(t *testing.T) {
+	is := is.New(t)
+	a := NewInbound(testMemory, 1, func(string) {})
+	c := a.Open("peers", ConnectionBytes, func(bool) {})
+	first, second := c.OpenStream(func(bool) {}), c.OpenStream(func(bool) {})
+	for _, s := range []*Connection{first, second} {
+		is.NoErr(s.AddHeader(300, 8))
+		is.NoErr(s.BeginRequest(""))
+		is.NoErr(s.Arrived())
+	}
+	is.True(a.Open("callers", ConnectionBytes, func(bool) {}) == nil)
+	first.EndRequest()
+	first.Close()
+	is.True(a.Open("callers", ConnectionBytes, func(bool) {}) == nil)
+	second.EndRequest()
+	second.Close()
+	is.Equal(a.Stats().UsedBytes, int64(ConnectionBytes))
+	is.True(a.Open("callers", ConnectionBytes, func(bool) {}) != nil) // in place of the idle one
+	is.Equal(a.Stats().Connections, 1)
+}
+
 // TestHeaderLinesAreCounted guards against short header lines without end, which need more memory than
 // their bytes.
 func TestHeaderLinesAreCounted(t *testing.T) {
--- a/peer/burn.go
+++ b/peer/burn.go
@@ -25,7 +25,7 @@
 // NewBurnServiceHandler returns the path and the HTTP handler of BurnService for
 // a recorder.
 func NewBurnServiceHandler(recorder *burn.Recorder, options ...connect.HandlerOption) (string, http.Handler) {
-	options = append([]connect.HandlerOption{connect.WithCompressMinBytes(compressMinBytes)}, options...)
+	options = append(options, connect.WithCompressMinBytes(compressMinBytes), connect.WithReadMaxBytes(maxQueryBytes))
 	return figweirv1connect.NewBurnServiceHandler(NewBurnServer(recorder), options...)
 }
 
--- a/peer/http.go
+++ b/peer/http.go
@@ -16,6 +16,9 @@
 	// headerTimeout limits the wait for the response headers of a call to a node
 	// that does not respond.
 	headerTimeout = 2 * time.Second
+	// maxQueryBytes is the maximum size of requests that name what they ask for and carry no data.
+	// It also bounds what a compressed one becomes.
+	maxQueryBytes = 4 << 10
 )
 
 // NewHTTPClient returns a client for calls between nodes. It uses HTTP/2 without
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -87,13 +87,9 @@
 
 // NewMirrorHandler returns the path and the HTTP handler of MirrorService.
 func NewMirrorHandler(source MirrorSource, auth *Auth) (string, http.Handler) {
-	return figweirv1connect.NewMirrorServiceHandler(mirrorServer{source}, connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxMirrorRequestBytes))
+	return figweirv1connect.NewMirrorServiceHandler(mirrorServer{source}, connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxQueryBytes))
 }
 
-// maxMirrorRequestBytes is the maximum size of a request to MirrorService, which names a
-// prefix and a revision.
-const maxMirrorRequestBytes = 4 << 10
-
 // mirrorServer implements MirrorService with a source.
 type mirrorServer struct{ source MirrorSource }
 
--- a/peer/state.go
+++ b/peer/state.go
@@ -54,7 +54,7 @@
 // NewStateHandler returns the path and the HTTP handler of StateService.
 func NewStateHandler(source StateSource, auth *Auth) (string, http.Handler) {
 	return figweirv1connect.NewStateServiceHandler(stateServer{source},
-		connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes), connect.WithCompressMinBytes(1<<10))
+		connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxQueryBytes), connect.WithCompressMinBytes(1<<10))
 }
 
 // stateServer implements StateService with a source.
