node: one account for what clients send on all listeners

What callers saw: clients could end a node. 100 callers with bodies of 8 MB, one byte short, took 888 MB, and 2,328 MB with those of a body over the limit; operators' requests 3,471 MB; calls of peers 3,686 MB, 20 connections with 8 messages of 8 MB each, without the secret. 40 sound callers with bodies of 8 MB took 958 MB. Idle connections up to max_connections kept all other callers out until their timeout.

Cause: figweir node had no account. It read whole bodies into growing buffers, decoded any number of them at a time, and checked the secret of peers only once their message had been read. A refused request with an unfinished body kept its connection for the timeout of the body.

Change: the node has the account of package inbound on its listeners for callers, peers and operators, as the gateway has, with the same fractions of the new setting limits.memory_mb (512 MB by default; settings whose max_body_bytes does not fit are rejected with a finding). The memory for decoding a body is reserved before it is decoded. Calls of peers without the secret are refused before their message is read. The connection of a request that is refused with an unread body is closed. max_connections now counts the connections of all listeners, and a new connection closes an idle one in place of waiting.

--- a/caller/call.go
+++ b/caller/call.go
@@ -66,7 +66,8 @@
 		h.refuseRequest(w, s, name, apierr.New(apierr.Forbidden, "the workspace may not call this service", apierr.NotRun()))
 		return
 	}
-	raw, err := h.readBody(w, r, s)
+	raw, release, err := h.readBody(w, r, s)
+	defer release()
 	if err != nil {
 		h.refuseRequest(w, s, name, err)
 		return
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -49,7 +49,8 @@
 		h.writeRefusal(w, err)
 		return
 	}
-	raw, err := h.readBody(w, r, s)
+	raw, release, err := h.readBody(w, r, s)
+	defer release()
 	if err != nil {
 		h.refuseRequest(w, s, "", err)
 		return
@@ -92,6 +93,7 @@
 		h.refuseRequest(w, s, req.Model, err)
 		return
 	}
+	s.endDecoding()
 	run.execute(ctx)
 }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/engine"
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/metrics"
@@ -111,6 +111,11 @@
 	// before their body is read: net/http reads the rest of the body before it sends
 	// the response.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
+	defer inbound.AccountOf(r.Context()).EndRequest()
+	if r.ContentLength != 0 {
+		// Until the body has been read: net/http would read the rest of it otherwise.
+		w.Header().Set("Connection", "close")
+	}
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 		h.writeRefusal(w, apierr.New(apierr.Draining, "this node is being stopped", apierr.NotRun(), apierr.RetryAfter(drainRetryAfter)))
@@ -129,12 +134,16 @@
 	key       string
 	keyID     string
 	log       logr.Logger
+	// account is the memory of the request; nil if it is not limited.
+	account *membudget.Connection
+	// workBytes is the memory that is reserved for decoding the body.
+	workBytes int64
 }
 
 // beginSession authenticates a request. If open is set, a request without a key
 // is allowed; a request with an unknown key never is. Errors are from apierr.
 func (h *Handler) beginSession(w http.ResponseWriter, r *http.Request, open bool) (*session, error) {
-	s := &session{id: uuid.NewString(), startedAt: time.Now()}
+	s := &session{id: uuid.NewString(), startedAt: time.Now(), account: inbound.AccountOf(r.Context())}
 	w.Header().Set(HeaderRequestID, s.id)
 	s.log = h.Log.WithValues(logging.RequestKey, s.id)
 	s.snapshot = h.Config.Load()
@@ -147,7 +156,7 @@
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
 		if open {
-			return s, nil
+			return s, s.begin()
 		}
 		return nil, apierr.New(apierr.Unauthorized, "a workspace key is needed: Authorization: Bearer KEY", apierr.NotRun())
 	}
@@ -158,7 +167,20 @@
 	s.workspace, s.key = workspace, key
 	s.keyID, _ = config.KeyID(key)
 	s.log = s.log.WithValues(logging.WorkspaceKey, workspace.Name)
-	return s, nil
+	return s, s.begin()
+}
+
+// begin reserves the memory of the request.
+func (s *session) begin() error {
+	if err := s.account.BeginRequest(s.workspaceName()); err != nil {
+		return noRoomError(err)
+	}
+	return nil
+}
+
+// noRoomError returns the error for a request for which there is no memory. Nothing of it has been sent.
+func noRoomError(err error) error {
+	return apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(unavailableRetryAfter))
 }
 
 // workspaceName returns the name of the workspace, or "" on open routes.
@@ -183,27 +205,71 @@
 	return apierr.New(apierr.Unauthorized, "the key was withdrawn")
 }
 
-// readBody reads the body within the limits of the handler. It refuses a request
-// that contains the workspace key in its body or URL.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, s *session) ([]byte, error) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes))
+// readBody reads the body within the limits of the handler. It refuses a request that contains the
+// workspace key in its body or URL. release must be called once the body is not used any more.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, s *session) (raw []byte, release func(), err error) {
+	if r.ContentLength > h.options.MaxBodyBytes {
+		return nil, func() {}, errTooLarge
+	}
+	control := http.NewResponseController(w)
+	deadline := time.Now().Add(h.options.BodyTimeout)
+	body, err := s.account.ReadBody(http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes), membudget.Upload{
+		Announced: r.ContentLength, Timeout: h.options.BodyTimeout,
+		OnWait: func(waited time.Duration) {
+			deadline = deadline.Add(waited)
+			_ = control.SetReadDeadline(deadline)
+		},
+	})
+	if err == nil {
+		err = s.account.Arrived()
+	}
+	if err == nil {
+		err = s.beginDecoding(body.Size())
+	}
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		return nil, bodyError(err)
+		if inbound.IsNoRoom(err) || s.account.IsClosed() {
+			return nil, body.Release, noRoomError(err)
+		}
+		return nil, body.Release, bodyError(err)
 	}
 	// The deadline is removed, because its expiry would cancel the request's context.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{})
+	if !h.draining.Load() {
+		w.Header().Del("Connection")
+	}
+	raw = body.Join()
 	if s.key != "" && (bytes.Contains(raw, []byte(s.key)) || strings.Contains(r.URL.RequestURI(), s.key)) {
-		return nil, apierr.New(apierr.BadRequest, "the workspace key may stand in the Authorization header only", apierr.NotRun())
+		return nil, body.Release, apierr.New(apierr.BadRequest, "the workspace key may stand in the Authorization header only", apierr.NotRun())
 	}
-	return raw, nil
+	return raw, body.Release, nil
 }
 
+// beginDecoding reserves the memory for decoding the body.
+func (s *session) beginDecoding(bodyBytes int) error {
+	work := inbound.BodyCopies * int64(bodyBytes)
+	if err := s.account.AddWork(work); err != nil {
+		return err
+	}
+	s.workBytes = work
+	return nil
+}
+
+// endDecoding gives the memory for decoding the body back. What is sent to backend servers has the memory
+// of the body itself.
+func (s *session) endDecoding() {
+	s.account.EndWork(s.workBytes)
+	s.workBytes = 0
+}
+
+// errTooLarge is the refusal of a body over the limit.
+var errTooLarge = apierr.New(apierr.TooLarge, "the body is larger than this node takes", apierr.NotRun())
+
 // bodyError converts an error of reading the body to an error for the caller.
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return apierr.New(apierr.TooLarge, "the body is larger than this node takes", apierr.NotRun())
+		return errTooLarge
 	}
 	return apierr.Wrap(err, apierr.BadRequest, "the body did not arrive whole in time", apierr.NotRun())
 }
--- a/cli/node.go
+++ b/cli/node.go
@@ -1,6 +1,9 @@
 package cli
 
 import (
+	"runtime/debug"
+
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/node"
 	"github.com/figweir/figweir/settings"
@@ -25,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(inbound.VM(s.Limits.MemoryMB).HeapBytes())
 	n, err := node.New(s, logging.New(env.stderr, s.Log.Verbose))
 	if err != nil {
 		return err
--- a/inbound/handler.go
+++ b/inbound/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -18,8 +19,6 @@
 type Options struct {
 	// BodyTimeout limits the time until the body of a request has arrived.
 	BodyTimeout time.Duration
-	// MemoryFactor is the memory for a byte of a body that the handler buffers and decodes; 0 means 1.
-	MemoryFactor int
 	// MaxMessageBytes is the size to which the handler decompresses a body; 0 if it refuses compressed
 	// bodies or their size is negligible.
 	MaxMessageBytes int64
@@ -55,9 +54,9 @@
 		return
 	}
 	body := &requestBody{
-		Closer: r.Body, control: control,
+		Closer: r.Body, control: control, header: w.Header(),
 		reader: account.NewReader(r.Body, membudget.Upload{
-			Announced: r.ContentLength, Timeout: h.options.BodyTimeout, MemoryFactor: h.options.MemoryFactor,
+			Announced: r.ContentLength, Timeout: h.options.BodyTimeout, MemoryFactor: BodyCopies,
 			OnWait: func(waited time.Duration) {
 				deadline = deadline.Add(waited)
 				_ = control.SetReadDeadline(deadline)
@@ -66,6 +65,10 @@
 	}
 	defer body.reader.Release()
 	r.Body = body
+	if r.ProtoMajor == 1 {
+		// Otherwise net/http would read the rest of a body that the handler doesn't read.
+		w.Header().Set("Connection", "close")
+	}
 	h.next.ServeHTTP(w, r)
 }
 
@@ -81,7 +84,7 @@
 		return nil
 	}
 	// What a compressed body becomes is known only once it has been decompressed.
-	return account.AddWork(min(int64(max(1, h.options.MemoryFactor))*h.options.MaxMessageBytes, account.MaxWorkBytes()))
+	return account.AddWork(min(BodyCopies*h.options.MaxMessageBytes, account.MaxWorkBytes()))
 }
 
 // encodingHeaders are the headers in which the protocols of connect-go name the compression of a body.
@@ -97,6 +100,12 @@
 	return false
 }
 
+// IsNoRoom reports whether a body could not be read for lack of memory. Nothing of its request has been
+// handled.
+func IsNoRoom(err error) bool {
+	return errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrClosed)
+}
+
 // refuse refuses a request for which there is no room.
 func refuse(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor == 1 {
@@ -111,12 +120,15 @@
 	io.Closer
 	reader  *membudget.Reader
 	control *http.ResponseController
+	// header is the header of the response.
+	header http.Header
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
 	if err == io.EOF {
+		b.header.Del("Connection")
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 	return n, err
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -38,6 +38,19 @@
 	return membudget.NewInbound(m.InboundBytes(), maxConnections, onClose)
 }
 
+const (
+	// BodyCopies is how many copies of a body a handler makes that decodes it: the body in one piece,
+	// the decoded fields, and what is sent on.
+	BodyCopies = 3
+	// bodySlackBytes is reserved beyond the end of a body whose length is not announced.
+	bodySlackBytes = 64 << 10
+)
+
+// MaxDecodedBodyBytes returns the size of the largest body that handlers can read and decode.
+func (m VM) MaxDecodedBodyBytes() int64 {
+	return membudget.MaxBodyBytes(m.InboundBytes())/BodyCopies - bodySlackBytes
+}
+
 const (
 	// reservedDescriptors is the number of descriptors for the listeners, the store, other nodes
 	// and the runtime.
--- a/membudget/body.go
+++ b/membudget/body.go
@@ -236,10 +236,10 @@
 func (b *Body) Parts() [][]byte { return b.parts }
 
 // Join returns the body in one piece and drops its parts. The caller must have reserved the memory for
-// the copy. The result may be used until Release.
+// the copy; the memory of the body is that of the result until Release.
 func (b *Body) Join() []byte {
 	joined := bytes.Join(b.parts, nil)
-	b.parts = [][]byte{joined}
+	b.parts = nil
 	if b.connection != nil {
 		b.connection.account.garbage.add(int64(b.size))
 	}
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -8,9 +8,8 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
-	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/inbound"
+	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/settings"
 	"github.com/figweir/figweir/tcpstate"
 )
@@ -25,14 +24,19 @@
 	callerServer, peerServer, operatorServer *http.Server
 }
 
-// openListeners opens the listeners, each limited to MaxConnections. It returns
-// an error that names the address if one can't be opened.
-func openListeners(s settings.Settings) (*listeners, error) {
+// openListeners opens the listeners, whose connections count in the account. It returns an error that
+// names the address if one can't be opened.
+func openListeners(s settings.Settings, account *membudget.Inbound) (*listeners, error) {
 	l := &listeners{limits: s.Limits}
 	for _, entry := range []struct {
-		address string
-		to      *net.Listener
-	}{{s.Listen.Callers, &l.callers}, {s.Listen.Peers, &l.peers}, {s.Listen.Operators, &l.operators}} {
+		address, name string
+		protocol      inbound.Protocol
+		to            *net.Listener
+	}{
+		{s.Listen.Callers, "callers", inbound.HTTP1, &l.callers},
+		{s.Listen.Peers, "peers", inbound.HTTP2, &l.peers},
+		{s.Listen.Operators, "operators", inbound.HTTP1, &l.operators},
+	} {
 		listener, err := net.Listen("tcp", entry.address)
 		if err != nil {
 			l.close()
@@ -42,31 +46,31 @@
 			l.callerConns = tcpstate.NewListener(listener)
 			listener = l.callerConns
 		}
-		*entry.to = netutil.LimitListener(listener, s.Limits.MaxConnections)
+		*entry.to = inbound.NewListener(listener, account, entry.name, entry.protocol)
 	}
 	return l, nil
 }
 
 // setHandlers creates the servers with their handlers.
 func (l *listeners) setHandlers(callers, peers, operators http.Handler) {
-	l.callerServer = l.newServer(callers)
-	l.callerServer.ConnContext = l.callerConns.ConnContext
-	l.peerServer = l.newServer(peers)
-	l.peerServer.Protocols = peer.Protocols()
-	// In HTTP/2, ReadTimeout applies to the body of each request, not to the
-	// connection.
-	l.peerServer.ReadTimeout = settings.SecondsToDuration(l.limits.BodyTimeoutSeconds)
-	l.operatorServer = l.newServer(operators)
+	l.callerServer = l.newServer(callers, inbound.HTTP1)
+	l.callerServer.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return inbound.ConnContext(l.callerConns.ConnContext(ctx, c), c)
+	}
+	l.peerServer = l.newServer(peers, inbound.HTTP2)
+	l.operatorServer = l.newServer(operators, inbound.HTTP1)
 }
 
 // newServer returns a server with the limits of the listeners.
-func (l *listeners) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func (l *listeners) newServer(handler http.Handler, protocol inbound.Protocol) *http.Server {
+	s := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: settings.SecondsToDuration(l.limits.HeaderTimeoutSeconds),
 		IdleTimeout:       settings.SecondsToDuration(l.limits.IdleTimeoutSeconds),
 		MaxHeaderBytes:    l.limits.MaxHeaderBytes,
 	}
+	inbound.Attach(s, protocol)
+	return s
 }
 
 // serve starts the servers and returns a channel that receives the error of each
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/figweir/figweir/configsync"
 	"github.com/figweir/figweir/engine"
 	"github.com/figweir/figweir/fleet"
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/logging"
 	"github.com/figweir/figweir/membership"
 	"github.com/figweir/figweir/membudget"
@@ -31,11 +32,9 @@
 )
 
 const (
-	// maxConfigBytes limits the size of a configuration that an operator sends.
+	// maxConfigBytes limits the size of a configuration that an operator sends, if the memory has room
+	// for it.
 	maxConfigBytes = 64 << 20
-	// answerMemoryBytes is the memory for answers of engines and services that are read whole
-	// before they are sent. It has room for several of the largest ones.
-	answerMemoryBytes = 64 << 20
 	// refusingGrace is how long running streams continue on a node that refuses new
 	// requests. A partitioned node refuses after 2 s, so a withdrawn key stops
 	// working there within 5 s.
@@ -58,8 +57,10 @@
 	repository *config.Repository
 	engines    *engine.Client
 	services   *service.Client
-	// answers limits the memory of answers that are read whole before they are sent.
+	// answers limits the memory of answers that are read whole before they are sent, inbound that of
+	// what clients send on all listeners.
 	answers      *membudget.Budget
+	inbound      *membudget.Inbound
 	peerHTTP     *http.Client
 	auth         *peer.Auth
 	bus          *bus.Bus
@@ -97,7 +98,7 @@
 		config:   config.NewCurrentSnapshot(),
 		engines:  engine.NewClient(),
 		services: service.NewClient(),
-		answers:  membudget.New(answerMemoryBytes),
+		answers:  membudget.New(inbound.VM(s.Limits.MemoryMB).AnswerBytes()),
 		peerHTTP: peer.NewHTTPClient(),
 		auth:     peer.NewAuth(s.Secrets.Peer),
 	}
@@ -106,8 +107,9 @@
 	client.Eras.OnChange(func(era store.Era) { n.log.Info("era of the store", "era", uint64(era)) })
 	n.eras, n.store = client.Eras, countCalls(client, n.metrics.StoreCallsTotal)
 	n.repository = config.NewRepository(n.store)
+	n.inbound = newInbound(n)
 	var err error
-	if n.listeners, err = openListeners(s); err != nil {
+	if n.listeners, err = openListeners(s, n.inbound); err != nil {
 		return nil, err
 	}
 	if n.bus, err = bus.New(n.log); err != nil {
@@ -163,13 +165,13 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: maxConfigBytes, BodyTimeout: settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds), Submit: n.orders.Submit,
+		MaxBodyBytes: min(maxConfigBytes, inbound.VM(n.settings.Limits.MemoryMB).MaxDecodedBodyBytes()), Submit: n.orders.Submit,
 		Reports: map[string]operator.Report{
 			"burn": n.observer.burnReport, "usage": n.usageReport, "spend": n.spendReport, "blocked": n.duties.blockedReport,
 			"quarantine": n.quarantine.report,
 		},
 	}
-	return h.Router()
+	return inbound.NewHandler(h.Router(), inbound.Options{BodyTimeout: settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds)})
 }
 
 // freshnessGate admits requests while the freshness rule allows the node to
--- a/node/peers.go
+++ b/node/peers.go
@@ -9,23 +9,30 @@
 
 	"github.com/figweir/figweir/bus"
 	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/peer"
+	"github.com/figweir/figweir/settings"
 )
 
 // maxPeerMessageBytes limits one message of a peer. The largest is a mirror batch
 // of a few thousand totals.
 const maxPeerMessageBytes = 4 << 20
 
-// peerHandler returns the handler of the listener for peers.
+// peerHandler returns the handler of the listener for peers. It refuses calls without the shared secret
+// before it reads their messages.
 func (n *Node) peerHandler() http.Handler {
 	options := []connect.HandlerOption{connect.WithInterceptors(n.auth), connect.WithReadMaxBytes(maxPeerMessageBytes)}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewMembershipHandler(n.members, n.auth))
-	mux.Handle(peer.NewConfigHandler(n.sync, n.auth))
-	mux.Handle(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), options...))
-	mux.Handle(peer.NewUsageServiceHandler(n.meter.ledger, options...))
-	mux.Handle(peer.NewBurnServiceHandler(n.observer.recorder, options...))
-	mux.Handle(peer.NewEventHandler(n.receiveEvent, options...))
+	handle := func(maxMessageBytes int64) func(path string, h http.Handler) {
+		o := inbound.Options{BodyTimeout: settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds), MaxMessageBytes: maxMessageBytes}
+		return func(path string, h http.Handler) { mux.Handle(path, inbound.NewHandler(n.auth.RequireSecret(h), o)) }
+	}
+	handle(peer.MaxHeartbeatBytes)(peer.NewMembershipHandler(n.members, n.auth))
+	handle(peer.MaxConfigBytes)(peer.NewConfigHandler(n.sync, n.auth))
+	handle(maxPeerMessageBytes)(figweirv1connect.NewOnceServiceHandler(peer.NewOnceServer(n.claims.writers.Handle), options...))
+	handle(maxPeerMessageBytes)(peer.NewUsageServiceHandler(n.meter.ledger, options...))
+	handle(maxPeerMessageBytes)(peer.NewBurnServiceHandler(n.observer.recorder, options...))
+	handle(maxPeerMessageBytes)(peer.NewEventHandler(n.receiveEvent, options...))
 	return mux
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,6 +19,7 @@
 	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/config"
 	"github.com/figweir/figweir/finding"
+	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/metrics"
 	"github.com/figweir/figweir/store"
 )
@@ -81,6 +82,9 @@
 // Report returns the content of a report, which is sent to operators as JSON.
 type Report func(ctx context.Context) (any, error)
 
+// retryNoRoom is when a request may be sent again for which there was no memory.
+const retryNoRoom = time.Second
+
 // Handler handles the requests of operators.
 type Handler struct {
 	Node    Node
@@ -93,10 +97,8 @@
 	Reports map[string]Report
 	// Submit executes orders for engines.
 	Submit SubmitFunc
-	// MaxBodyBytes limits the size of a request body, in bytes. BodyTimeout
-	// limits the time until the body has arrived; 0 means no limit.
+	// MaxBodyBytes limits the size of a request body, in bytes.
 	MaxBodyBytes int64
-	BodyTimeout  time.Duration
 }
 
 // Router returns the HTTP handler with all routes.
@@ -105,7 +107,7 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get("/readyz", h.serveReadiness)
 	r.Group(func(r chi.Router) {
-		r.Use(h.limitReadTime, h.authenticate, h.readBody)
+		r.Use(h.authenticate, h.readBody)
 		r.Get("/debug/vars", h.serveVars)
 		r.Get("/v1/config", h.readConfig)
 		r.Put("/v1/config", h.applyConfig)
@@ -128,35 +130,34 @@
 	})
 }
 
-// limitReadTime limits the time until the body has arrived. It must precede all
-// middleware that may refuse the request, because net/http reads the rest of
-// the body before it sends the response.
-func (h *Handler) limitReadTime(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.BodyTimeout > 0 {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.BodyTimeout))
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // readBody reads the complete body before the request is handled.
 func (h *Handler) readBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
+		raw, err := h.readAll(w, r)
+		if inbound.IsNoRoom(err) {
+			apierr.Write(w, apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(retryNoRoom)))
+			return
+		}
 		if err != nil {
-			w.Header().Set("Connection", "close")
 			apierr.Write(w, apierr.Wrap(err, apierr.BadRequest, "the body did not arrive whole in time, or is too large"))
 			return
 		}
-		// Clear the deadline; if it expired later, it would cancel the context
-		// of the request.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		r.Body = io.NopCloser(bytes.NewReader(raw))
 		next.ServeHTTP(w, r)
 	})
 }
 
+// errTooLarge is the error of a body over the limit.
+var errTooLarge = errors.New("operator: the body is too large")
+
+// readAll reads a body of at most MaxBodyBytes.
+func (h *Handler) readAll(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > h.MaxBodyBytes {
+		return nil, errTooLarge
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
+}
+
 func (h *Handler) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if err := h.Node.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
+	"net/http"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -66,6 +67,19 @@
 	}
 }
 
+// RequireSecret refuses HTTP requests without the secret before their messages are read, and passes the
+// others to next.
+func (a *Auth) RequireSecret(next http.Handler) http.Handler {
+	writer := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := a.check(r.Header.Get(authHeader)); err != nil {
+			_ = writer.Write(w, r, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // setHeader adds the secret to the headers of a call.
 func (a *Auth) setHeader(header interface{ Set(key, value string) }) {
 	if !a.acceptAll {
--- a/peer/auth_test.go
+++ b/peer/auth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -51,6 +52,34 @@
 	return &configsync.PullReply{Revision: 6, Author: "a", Parts: testParts}, nil
 }
 
+// TestRequireSecret guards against messages of clients without the secret that are read before the call is
+// refused.
+func TestRequireSecret(t *testing.T) {
+	is := is.New(t)
+	handled := 0
+	h := NewAuth("secret-of-the-nodes").RequireSecret(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled++ }))
+	for token, status := range map[string]int{"": http.StatusUnauthorized, "Bearer x": http.StatusUnauthorized, "Bearer secret-of-the-nodes": http.StatusOK} {
+		unread := &unreadBody{}
+		r := httptest.NewRequest(http.MethodPost, "/figweir.v1.ConfigService/Push", unread)
+		r.Header.Set("Content-Type", "application/proto")
+		r.Header.Set("Authorization", token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		is.Equal(w.Code, status)
+		is.True(!unread.read)
+	}
+	is.Equal(handled, 1)
+}
+
+// unreadBody records whether it is read.
+type unreadBody struct{ read bool }
+
+// Read implements io.Reader.
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.read = true
+	return 0, io.EOF
+}
+
 // startServer serves both services on loopback and requires a secret.
 func startServer(t *testing.T, secret string) (*recordingHandler, membership.VM) {
 	handler, mux := &recordingHandler{}, http.NewServeMux()
--- a/peer/config.go
+++ b/peer/config.go
@@ -13,9 +13,9 @@
 	"github.com/figweir/figweir/store"
 )
 
-// maxConfigBytes limits a message with all parts of a configuration. The store
+// MaxConfigBytes limits a message with all parts of a configuration. The store
 // limits each part to 1 MB.
-const maxConfigBytes = 33 << 20
+const MaxConfigBytes = 33 << 20
 
 // ConfigHandler handles the calls that distribute the configuration.
 // configsync.Sync implements it.
@@ -42,7 +42,7 @@
 		make:       figweirv1connect.NewConfigServiceClient,
 		httpClient: httpClient,
 		options: []connect.ClientOption{
-			connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(1 << 10),
+			connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxConfigBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(1 << 10),
 		},
 	}}
 }
@@ -68,7 +68,7 @@
 // NewConfigHandler returns the path and the HTTP handler of ConfigService.
 func NewConfigHandler(handler ConfigHandler, auth *Auth) (string, http.Handler) {
 	return figweirv1connect.NewConfigServiceHandler(configServer{handler},
-		connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes), connect.WithCompressMinBytes(1<<10))
+		connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxConfigBytes), connect.WithCompressMinBytes(1<<10))
 }
 
 // configServer implements ConfigService with a handler.
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -13,9 +13,9 @@
 	"github.com/figweir/figweir/store"
 )
 
-// maxHeartbeatBytes limits the size of a message. It is well above the size of a
+// MaxHeartbeatBytes limits the size of a message. It is well above the size of a
 // heartbeat with 256 notices and 24 changes.
-const maxHeartbeatBytes = 256 << 10
+const MaxHeartbeatBytes = 256 << 10
 
 // HeartbeatHandler handles heartbeats. membership.Membership implements it.
 type HeartbeatHandler interface {
@@ -37,7 +37,7 @@
 		make:       figweirv1connect.NewMembershipServiceClient,
 		httpClient: httpClient,
 		options: []connect.ClientOption{
-			connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxHeartbeatBytes), connect.WithAcceptCompression("gzip", nil, nil),
+			connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxHeartbeatBytes), connect.WithAcceptCompression("gzip", nil, nil),
 		},
 	}}
 }
@@ -55,7 +55,7 @@
 // MembershipService.
 func NewMembershipHandler(handler HeartbeatHandler, auth *Auth) (string, http.Handler) {
 	return figweirv1connect.NewMembershipServiceHandler(membershipServer{handler},
-		connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxHeartbeatBytes))
+		connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxHeartbeatBytes))
 }
 
 // membershipServer implements MembershipService with a handler.
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -33,7 +33,7 @@
 func NewMirrorClient(httpClient connect.HTTPClient, auth *Auth) *MirrorClient {
 	return &MirrorClient{clientCache[figweirv1connect.MirrorServiceClient]{
 		make: figweirv1connect.NewMirrorServiceClient, httpClient: httpClient,
-		options: []connect.ClientOption{connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes)},
+		options: []connect.ClientOption{connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxConfigBytes)},
 	}}
 }
 
--- a/peer/state.go
+++ b/peer/state.go
@@ -33,7 +33,7 @@
 func NewStateClient(httpClient connect.HTTPClient, auth *Auth) *StateClient {
 	return &StateClient{clientCache[figweirv1connect.StateServiceClient]{
 		make: figweirv1connect.NewStateServiceClient, httpClient: httpClient,
-		options: []connect.ClientOption{connect.WithInterceptors(auth), connect.WithReadMaxBytes(maxConfigBytes)},
+		options: []connect.ClientOption{connect.WithInterceptors(auth), connect.WithReadMaxBytes(MaxConfigBytes)},
 	}}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,8 +61,11 @@
 
 // Limits holds the connection and request limits of one node.
 type Limits struct {
-	// MaxConnections is the maximum number of open connections.
+	// MaxConnections is the maximum number of open connections on all listeners together.
 	MaxConnections int `json:"max_connections"`
+	// MemoryMB is the memory of the VM in megabytes. It bounds what clients send on all listeners
+	// together, the answers that are collected, and the heap.
+	MemoryMB int `json:"memory_mb"`
 	// MaxHeaderBytes and MaxBodyBytes are the maximum sizes of the header and
 	// the body of a request.
 	MaxHeaderBytes int   `json:"max_header_bytes"`
@@ -122,7 +125,7 @@
 	return Settings{
 		Platform: Platform{TimeoutSeconds: 2, ListLagSeconds: 30},
 		Limits: Limits{
-			MaxConnections: 4096, MaxHeaderBytes: 32 << 10, MaxBodyBytes: 8 << 20,
+			MaxConnections: 4096, MemoryMB: 512, MaxHeaderBytes: 32 << 10, MaxBodyBytes: 8 << 20,
 			HeaderTimeoutSeconds: 5, BodyTimeoutSeconds: 30, WriteTimeoutSeconds: 30,
 			IdleTimeoutSeconds: 90, RequestTimeoutSeconds: 300, StopTimeoutSeconds: 300,
 			MaxAttempts: 3,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -74,6 +74,8 @@
 		{"port of the platform is 0", `10.0.0.1:7400`, `10.0.0.1:0`, "$.platform.address"},
 		{"duration overflows", `"max_connections": 100`, `"idle_timeout_s": 1e12`, "$.limits.idle_timeout_s"},
 		{"duration as text", `"max_connections": 100`, `"idle_timeout_s": "5s"`, "$.limits.idle_timeout_s"},
+		{"no memory", `"max_connections": 100`, `"memory_mb": 0`, "$.limits.memory_mb"},
+		{"body without room", `"max_connections": 100`, `"memory_mb": 64`, "$.limits.max_body_bytes"},
 		{"no platform", `"platform": {"address": "10.0.0.1:7400"},`, ``, "$.platform"},
 		{"space in a name", `"entry-1"`, `"entry 1"`, "$.name"},
 		{"malformed", `"secrets": {`, `"secrets": `, "$"},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -6,6 +6,7 @@
 	"regexp"
 
 	"github.com/figweir/figweir/finding"
+	"github.com/figweir/figweir/inbound"
 )
 
 const (
@@ -18,6 +19,8 @@
 	maxConnections = 1 << 20
 	// maxBytes is the maximum that can be set for the size of headers and bodies.
 	maxBytes = 1 << 30
+	// maxMemoryMB is the maximum that can be set for Limits.MemoryMB.
+	maxMemoryMB = 1 << 20
 	// maxAttempts is the maximum that can be set for Limits.MaxAttempts.
 	maxAttempts = 100
 )
@@ -88,6 +91,8 @@
 
 func (v validator) checkLimits(l *Limits) {
 	v.checkPositive("$.limits.max_connections", float64(l.MaxConnections), maxConnections)
+	v.checkPositive("$.limits.memory_mb", float64(l.MemoryMB), maxMemoryMB)
+	v.checkBodyFits(l)
 	v.checkPositive("$.limits.max_header_bytes", float64(l.MaxHeaderBytes), maxBytes)
 	v.checkPositive("$.limits.max_body_bytes", float64(l.MaxBodyBytes), maxBytes)
 	v.checkPositive("$.limits.header_timeout_s", l.HeaderTimeoutSeconds, maxSeconds)
@@ -99,6 +104,13 @@
 	v.checkPositive("$.limits.max_attempts", float64(l.MaxAttempts), maxAttempts)
 }
 
+// checkBodyFits checks that the memory has room for the largest body, which would be refused otherwise.
+func (v validator) checkBodyFits(l *Limits) {
+	if limit := inbound.VM(l.MemoryMB).MaxDecodedBodyBytes(); l.MemoryMB > 0 && l.MaxBodyBytes > limit {
+		v.findings.Addf("$.limits.max_body_bytes", "must be at most %d with a memory_mb of %d", max(0, limit), l.MemoryMB)
+	}
+}
+
 func (v validator) checkPolicy(name string) {
 	switch name {
 	case PolicyCost, PolicyRoundRobin, PolicyLeastOutstanding, PolicyPrefixAffinity:
