inbound: answers that peers don't read are bounded

What callers saw: a gateway on a VM of 96 MB reached 470 MB when 30 clients of its listener for peers made 100 calls each for a configuration of about 100 KB and accepted no byte of the answers.

Cause: an answer to a peer stays in memory until the client accepts it, and nothing bounded how many there are; the write had no timeout.

Change: parts of answers of more than 16 KB count in the account while they are written, up to a quarter of it. Beyond that an answer is cut at once.

--- a/inbound/handler.go
+++ b/inbound/handler.go
@@ -25,7 +25,8 @@
 }
 
 // NewHandler returns a handler that reserves the memory of each request while next handles it, and
-// refuses with status 503 those for which there is no room. Nothing of them has been handled.
+// refuses with status 503 those for which there is no room. Nothing of them has been handled. An answer
+// that the client doesn't read is cut if there is no room for it.
 func NewHandler(next http.Handler, o Options) http.Handler { return &handler{next, o} }
 
 type handler struct {
@@ -47,6 +48,7 @@
 		refuse(w, r)
 		return
 	}
+	w = &answerWriter{w, account}
 	if r.ContentLength == 0 {
 		// The deadline is removed, because its expiry would cancel the request's context.
 		_ = control.SetReadDeadline(time.Time{})
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -18,9 +18,10 @@
 	// of a few bytes needs far more for its entry in the map than for its text.
 	headerByteCost = 2
 	headerLineCost = 128
-	// bodyShare, oneBodyShare and connectionShare are parts of the account: of all bodies, of one body,
-	// and of the connections.
+	// bodyShare, answerShare, oneBodyShare and connectionShare are parts of the account: of all bodies,
+	// of answers that are being written, of one body, and of the connections.
 	bodyShare       = 0.75
+	answerShare     = 0.25
 	oneBodyShare    = 0.25
 	connectionShare = 0.5
 	// listenerShare is the part of the connections that one listener may have, so that many clients of
@@ -56,8 +57,8 @@
 // never are. Bodies that arrive in time wait for each other instead (see uploads.go). It is safe for
 // concurrent use.
 type Inbound struct {
-	limit, connectionLimit, bodyLimit, oneBodyLimit int64
-	maxConnections                                  int
+	limit, connectionLimit, bodyLimit, answerLimit, oneBodyLimit int64
+	maxConnections                                               int
 	// roomWait is how long a request that has begun to arrive waits for memory.
 	roomWait time.Duration
 	// onClose is called with what was closed or refused, perhaps with mu held. It must not block or
@@ -66,9 +67,9 @@
 	garbage garbage
 
 	mu sync.Mutex
-	// used is what is reserved, bodies the part of it for bodies beyond UnsharedBytes of each, and
-	// unfinished the part of bodies that have not arrived completely.
-	used, bodies, unfinished int64
+	// used is what is reserved, bodies the part of it for bodies beyond UnsharedBytes of each, unfinished
+	// the part of bodies that have not arrived completely, and answers that of AddAnswer.
+	used, bodies, unfinished, answers int64
 	// open holds the connections and the streams of HTTP/2, connections is the number of the former
 	// and connectionBytes their memory.
 	open            map[*Connection]struct{}
@@ -91,6 +92,7 @@
 	RefusedConnection = "connection_refused"
 	RefusedHeader     = "header_refused"
 	RefusedRequest    = "request_refused"
+	CutAnswer         = "answer_cut"
 )
 
 // NewInbound returns an account of the given number of bytes for at most maxConnections connections.
@@ -99,7 +101,7 @@
 func NewInbound(bytes int64, maxConnections int, onClose func(what string)) *Inbound {
 	share := func(fraction float64) int64 { return int64(fraction * float64(bytes)) }
 	return &Inbound{
-		limit: bytes, connectionLimit: share(connectionShare), bodyLimit: share(bodyShare), oneBodyLimit: share(oneBodyShare),
+		limit: bytes, connectionLimit: share(connectionShare), bodyLimit: share(bodyShare), answerLimit: share(answerShare), oneBodyLimit: share(oneBodyShare),
 		maxConnections: max(1, min(maxConnections, int(share(connectionShare)/ConnectionBytes))),
 		roomWait:       roomWait, onClose: onClose, garbage: garbage{limit: share(garbageShare)},
 		open: make(map[*Connection]struct{}), byListener: make(map[string]int), uploads: make(map[*Connection]struct{}), roomFreed: make(chan struct{}),
@@ -480,6 +482,38 @@
 	return c.account.addRequestBytes(c, bytes, true)
 }
 
+// AddAnswer reserves memory for an answer that is being written. It returns ErrExhausted at once if there
+// is no room: an answer that waited would hold its memory meanwhile. EndAnswer gives the memory back.
+func (c *Connection) AddAnswer(bytes int64) error {
+	if c == nil {
+		return nil
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.answers+bytes > a.answerLimit || a.used+bytes > a.limit {
+		a.onClose(CutAnswer)
+		return ErrExhausted
+	}
+	a.answers += bytes
+	a.used += bytes
+	return nil
+}
+
+// EndAnswer gives the memory of an answer back.
+func (c *Connection) EndAnswer(bytes int64) {
+	if c == nil {
+		return
+	}
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answers -= bytes
+	a.used -= bytes
+	a.garbage.add(bytes)
+	a.signalRoom()
+}
+
 // MaxWorkBytes returns the most that AddWork may be called with: half of the account, so that there is
 // room for it beside the connections.
 func (c *Connection) MaxWorkBytes() int64 {
--- a/membudget/inbound_test.go
+++ b/membudget/inbound_test.go
@@ -256,6 +256,25 @@
 	is.Equal(a.Stats().Connections, 1)
 }
 
+// TestAnswersAreBounded guards against answers that clients don't read and that use up the memory of
+// requests.
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := NewInbound(testMemory, 100, func(string) {})
+	c := a.Open("peers", ConnectionBytes, func(bool) {})
+	held := 0
+	for c.AddAnswer(1<<20) == nil {
+		held++
+	}
+	is.Equal(held, 6) // a quarter of 24 MB
+	c.EndAnswer(1 << 20)
+	is.NoErr(c.AddAnswer(1 << 20))
+	for range held {
+		c.EndAnswer(1 << 20)
+	}
+	is.Equal(a.Stats().UsedBytes, int64(ConnectionBytes))
+}
+
 // TestHeaderLinesAreCounted guards against short header lines without end, which need more memory than
 // their bytes.
 func TestHeaderLinesAreCounted(t *testing.T) {
