inbound, caller: writes to clients that don't read end

What callers saw: with all connections of a node used up by clients that send requests and read no answer, nobody else was answered: in a test with 16 connections operators got no answer for a minute.

Such a connection can't be closed to make room, since its request counts as being served.

Change: each write of an answer, and what net/http writes after the handler, has a deadline on all listeners (inbound.LimitWrites).

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -112,6 +112,8 @@
 	// the response.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
 	defer inbound.AccountOf(r.Context()).EndRequest()
+	w, endWrites := inbound.LimitWrites(w, h.options.WriteTimeout)
+	defer endWrites()
 	if r.ContentLength != 0 {
 		// Until the body has been read: net/http would read the rest of it otherwise.
 		w.Header().Set("Connection", "close")
--- a/e2e/uncontrolled_test.go
+++ b/e2e/uncontrolled_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tidwall/sjson"
 
 	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
 	"github.com/figweir/figweir/peer"
@@ -27,6 +29,8 @@
 	// each with several requests.
 	crowdSize      = 100
 	http2CrowdSize = 20
+	// heldConnections is the limit of connections that is used up by a crowd of twice the size.
+	heldConnections = 16
 	// crowdHold is how long the clients keep what they have sent open.
 	crowdHold = time.Second
 )
@@ -84,6 +88,54 @@
 	}
 }
 
+// TestNodeConnectionsAreLeft guards against clients who keep all connections of a node, so that nobody else
+// is answered: more of them than it may have stay idle, stop inside a request, or send requests without
+// reading the answers. Callers and operators are answered while their connections are open.
+func TestNodeConnectionsAreLeft(t *testing.T) {
+	d := startDeployment(t, 1)
+	d.restartWithLimits(t, map[string]any{"max_connections": heldConnections, "body_timeout_s": 2, "write_timeout_s": 2})
+	s := d.nodes[0].settings
+	for _, listener := range []string{"callers", "operators"} {
+		target := crowd.Target{
+			Address: s.Listen.Callers,
+			Head:    "POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer " + d.key + "\r\n",
+			Request: "GET /v1/models HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer " + d.key + "\r\n\r\n",
+		}
+		if listener == "operators" {
+			target.Address = s.Listen.Operators
+			target.Head = "PUT /v1/config HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer " + d.operatorSecret + "\r\n"
+			target.Request = "GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n"
+		}
+		for _, kind := range crowd.HoldingKinds {
+			t.Run(listener+" "+kind.Name, func(t *testing.T) {
+				// The second crowd takes what the first one has left.
+				defer kind.Begin(target, 2*heldConnections)()
+				defer kind.Begin(target, 2*heldConnections)()
+				d.httpClient.CloseIdleConnections()
+				d.checkNode(t)
+				eventually(t, "operators are answered", func() error { return d.probe(d.nodes[0], "/readyz") })
+			})
+		}
+	}
+}
+
+// restartWithLimits starts the node again with other limits in its settings.
+func (d *deployment) restartWithLimits(t *testing.T, limits map[string]any) {
+	is := is.New(t)
+	n := d.nodes[0]
+	raw, err := os.ReadFile(n.settingsFile)
+	is.NoErr(err)
+	for name, value := range limits {
+		raw, err = sjson.SetBytes(raw, "limits."+name, value)
+		is.NoErr(err)
+	}
+	is.NoErr(os.WriteFile(n.settingsFile, raw, 0o600))
+	n.signal(t, syscall.SIGKILL)
+	n.waitForExit(t)
+	d.startNode(0)
+	d.waitReady(0)
+}
+
 // TestNodePeerListenerOutlivesCrowds guards against the same on the listener for peers, which speaks
 // HTTP/2: many messages at a time that stop before their end, compressed ones, headers without end,
 // large headers of open requests, and idle connections. Some clients know the secret of the nodes.
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/figweir/figweir/membudget"
 )
@@ -9,14 +10,14 @@
 // uncountedAnswerBytes is the size of parts of answers that are in the memory of the request.
 const uncountedAnswerBytes = 16 << 10
 
-// answerWriter reserves memory for large parts of an answer as long as the client has not accepted them.
-type answerWriter struct {
+// countedWriter reserves memory for large parts of an answer as long as the client has not accepted them.
+type countedWriter struct {
 	http.ResponseWriter
 	account *membudget.Connection
 }
 
 // Write implements io.Writer. It cuts the answer if there is no room for the part.
-func (w *answerWriter) Write(p []byte) (int, error) {
+func (w *countedWriter) Write(p []byte) (int, error) {
 	if len(p) <= uncountedAnswerBytes {
 		return w.ResponseWriter.Write(p)
 	}
@@ -28,7 +29,47 @@
 }
 
 // Unwrap returns the wrapped writer for http.ResponseController.
-func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // Flush implements http.Flusher.
-func (w *answerWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
+func (w *countedWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
+
+// limitedWriter sets the deadline of each write of an answer.
+type limitedWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+// LimitWrites returns a writer whose writes end after the timeout, also if the client reads nothing. end
+// must be called when the request has been handled: it does the same for what net/http still writes then.
+func LimitWrites(w http.ResponseWriter, timeout time.Duration) (limited http.ResponseWriter, end func()) {
+	l := &limitedWriter{w, http.NewResponseController(w), timeout}
+	// The deadline of the previous request on the connection may have passed.
+	_ = l.control.SetWriteDeadline(time.Time{})
+	return l, l.extend
+}
+
+// extend sets the deadline of the next write.
+func (w *limitedWriter) extend() { _ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) }
+
+// Write implements io.Writer.
+func (w *limitedWriter) Write(p []byte) (int, error) {
+	w.extend()
+	return w.ResponseWriter.Write(p)
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *limitedWriter) WriteHeader(status int) {
+	w.extend()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the wrapped writer for http.ResponseController.
+func (w *limitedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Flush implements http.Flusher.
+func (w *limitedWriter) Flush() {
+	w.extend()
+	_ = w.control.Flush()
+}
--- a/inbound/handler.go
+++ b/inbound/handler.go
@@ -17,8 +17,9 @@
 
 // Options configures NewHandler.
 type Options struct {
-	// BodyTimeout limits the time until the body of a request has arrived.
-	BodyTimeout time.Duration
+	// BodyTimeout limits the time until the body of a request has arrived, WriteTimeout that of each
+	// write of the answer.
+	BodyTimeout, WriteTimeout time.Duration
 	// MaxMessageBytes is the size to which the handler decompresses a body; 0 if it refuses compressed
 	// bodies or their size is negligible.
 	MaxMessageBytes int64
@@ -38,6 +39,8 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	account, end, err := Begin(w, r)
 	defer end()
+	w, endWrites := LimitWrites(w, h.options.WriteTimeout)
+	defer endWrites()
 	control := http.NewResponseController(w)
 	deadline := time.Now().Add(h.options.BodyTimeout)
 	_ = control.SetReadDeadline(deadline)
@@ -48,7 +51,7 @@
 		refuse(w, r)
 		return
 	}
-	w = &answerWriter{w, account}
+	w = &countedWriter{w, account}
 	if r.ContentLength == 0 {
 		// The deadline is removed, because its expiry would cancel the request's context.
 		_ = control.SetReadDeadline(time.Time{})
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -17,33 +17,32 @@
 	// headerTableBytes is the size of the table of header compression.
 	headerTableBytes = 4 << 10
 	// http2ConnectionBytes is the memory of a connection of HTTP/2 without requests: its goroutines,
-	// its buffers and the buffer of a frame.
+	// its buffers, unread bodies and the buffer of a frame.
 	http2ConnectionBytes = 64 << 10
 )
 
 // Timeouts and limits of servers that are not for callers.
 const (
 	serverHeaderTimeout  = 5 * time.Second
+	serverBodyTimeout    = 5 * time.Second
 	serverIdleTimeout    = 60 * time.Second
 	serverWriteTimeout   = 10 * time.Second
 	serverMaxHeaderBytes = 16 << 10
-	// ServerBodyTimeout is the timeout for reading a body.
-	ServerBodyTimeout = 5 * time.Second
 )
 
 // NewServer returns a server for listeners that are not for callers. Its connections and requests count
 // in the account of the listener.
 func NewServer(handler http.Handler, protocol Protocol) *http.Server {
 	s := &http.Server{
-		Handler:           NewHandler(handler, Options{BodyTimeout: ServerBodyTimeout}),
-		ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout, WriteTimeout: serverWriteTimeout,
+		Handler:           NewHandler(handler, Options{BodyTimeout: serverBodyTimeout, WriteTimeout: serverWriteTimeout}),
+		ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout,
 		MaxHeaderBytes: serverMaxHeaderBytes,
 	}
 	Attach(s, protocol)
 	return s
 }
 
-// Attach sets the hooks of a server on a Listener, and the protocol with its limits.
+// Attach sets the hooks of a server on a Listener, and the limits of HTTP/2.
 func Attach(s *http.Server, protocol Protocol) {
 	s.ConnContext, s.ConnState = ConnContext, TrackConnState
 	if protocol != HTTP2 {
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -8,11 +8,20 @@
 
 	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/membudget"
+	"github.com/figweir/figweir/settings"
 )
 
 // inboundLogInterval is the least time between two log lines about limits on what clients send.
 const inboundLogInterval = time.Second
 
+// inboundOptions returns the options of the handlers for peers and operators.
+func (n *Node) inboundOptions() inbound.Options {
+	return inbound.Options{
+		BodyTimeout:  settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds),
+		WriteTimeout: settings.SecondsToDuration(n.settings.Limits.WriteTimeoutSeconds),
+	}
+}
+
 // newInbound returns the account of what clients send on all listeners of the node, and publishes its
 // figures.
 func newInbound(n *Node) *membudget.Inbound {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -58,7 +58,6 @@
 		return inbound.ConnContext(l.callerConns.ConnContext(ctx, c), c)
 	}
 	l.peerServer = l.newServer(peers, inbound.HTTP2)
-	l.peerServer.WriteTimeout = settings.SecondsToDuration(l.limits.WriteTimeoutSeconds)
 	l.operatorServer = l.newServer(operators, inbound.HTTP1)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -171,7 +171,7 @@
 			"quarantine": n.quarantine.report,
 		},
 	}
-	return inbound.NewHandler(h.Router(), inbound.Options{BodyTimeout: settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds)})
+	return inbound.NewHandler(h.Router(), n.inboundOptions())
 }
 
 // freshnessGate admits requests while the freshness rule allows the node to
--- a/node/peers.go
+++ b/node/peers.go
@@ -11,7 +11,6 @@
 	"github.com/figweir/figweir/gen/figweir/v1/figweirv1connect"
 	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/peer"
-	"github.com/figweir/figweir/settings"
 )
 
 // maxPeerMessageBytes limits one message of a peer. The largest is a mirror batch
@@ -24,7 +23,8 @@
 	options := []connect.HandlerOption{connect.WithInterceptors(n.auth), connect.WithReadMaxBytes(maxPeerMessageBytes)}
 	mux := http.NewServeMux()
 	handle := func(maxMessageBytes int64) func(path string, h http.Handler) {
-		o := inbound.Options{BodyTimeout: settings.SecondsToDuration(n.settings.Limits.BodyTimeoutSeconds), MaxMessageBytes: maxMessageBytes}
+		o := n.inboundOptions()
+		o.MaxMessageBytes = maxMessageBytes
 		return func(path string, h http.Handler) { mux.Handle(path, inbound.NewHandler(n.auth.RequireSecret(h), o)) }
 	}
 	handle(peer.MaxHeartbeatBytes)(peer.NewMembershipHandler(n.members, n.auth))
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -29,6 +29,8 @@
 	Head string
 	// BodyBytes is the size of the largest body that the server takes.
 	BodyBytes int
+	// Request is a whole request that the server answers, for HoldingKinds.
+	Request string
 }
 
 // Kind is a way in which clients leave the limits.
@@ -40,31 +42,31 @@
 
 // Kinds are the kinds for listeners of HTTP/1.1.
 var Kinds = []Kind{
-	{"body one byte short", func(c net.Conn, t Target) bool {
+	{Name: "body one byte short", send: func(c net.Conn, t Target) bool {
 		return write(c, t.Head, fmt.Sprintf("Content-Length: %d\r\n\r\n", t.BodyBytes)) && repeat(c, "b", t.BodyBytes-1)
 	}},
-	{"body over the limit", func(c net.Conn, t Target) bool {
+	{Name: "body over the limit", send: func(c net.Conn, t Target) bool {
 		return write(c, t.Head, fmt.Sprintf("Content-Length: %d\r\n\r\n", 100*t.BodyBytes)) && repeat(c, "b", 2*t.BodyBytes)
 	}},
-	{"chunk one byte short", func(c net.Conn, t Target) bool {
+	{Name: "chunk one byte short", send: func(c net.Conn, t Target) bool {
 		return write(c, t.Head, chunked, fmt.Sprintf("%x\r\n", t.BodyBytes)) && repeat(c, "b", t.BodyBytes-1)
 	}},
-	{"small chunks short of the end", func(c net.Conn, t Target) bool {
+	{Name: "small chunks short of the end", send: func(c net.Conn, t Target) bool {
 		const small = "1\r\nb\r\n"
 		return write(c, t.Head, chunked) && repeat(c, small, min(t.BodyBytes-1, endlessBytes/len(small))*len(small))
 	}},
-	{"chunks over the limit", func(c net.Conn, t Target) bool {
+	{Name: "chunks over the limit", send: func(c net.Conn, t Target) bool {
 		chunk := "10000\r\n" + strings.Repeat("b", 64<<10) + "\r\n"
 		return write(c, t.Head, chunked) && repeat(c, chunk, 2*t.BodyBytes)
 	}},
-	{"trailers without end", func(c net.Conn, t Target) bool {
+	{Name: "trailers without end", send: func(c net.Conn, t Target) bool {
 		return write(c, t.Head, chunked, "1\r\nb\r\n0\r\n") && repeat(c, "X-Trailer: t\r\n", endlessBytes)
 	}},
-	{"chunk extension without end", func(c net.Conn, t Target) bool {
+	{Name: "chunk extension without end", send: func(c net.Conn, t Target) bool {
 		return write(c, t.Head, chunked, "1;") && repeat(c, "extension;", endlessBytes)
 	}},
-	{"chunk size without end", func(c net.Conn, t Target) bool { return write(c, t.Head, chunked) && repeat(c, "0", endlessBytes) }},
-	{"header lines without end", func(c net.Conn, t Target) bool {
+	{Name: "chunk size without end", send: func(c net.Conn, t Target) bool { return write(c, t.Head, chunked) && repeat(c, "0", endlessBytes) }},
+	{Name: "header lines without end", send: func(c net.Conn, t Target) bool {
 		if !write(c, t.Head) {
 			return false
 		}
@@ -75,11 +77,22 @@
 		}
 		return true
 	}},
-	{"header line without end", func(c net.Conn, t Target) bool { return write(c, t.Head, "X: ") && repeat(c, "x", endlessBytes) }},
-	{"header that stops", func(c net.Conn, t Target) bool { return write(c, t.Head) }},
-	{"request line without end", func(c net.Conn, _ Target) bool { return write(c, "GET /") && repeat(c, "x", endlessBytes) }},
-	{"empty lines without end", func(c net.Conn, _ Target) bool { return repeat(c, "\r\n", endlessBytes) }},
-	{"idle connection", func(net.Conn, Target) bool { return true }},
+	{Name: "header line without end", send: func(c net.Conn, t Target) bool { return write(c, t.Head, "X: ") && repeat(c, "x", endlessBytes) }},
+	{Name: "header that stops", send: func(c net.Conn, t Target) bool { return write(c, t.Head) }},
+	{Name: "request line without end", send: func(c net.Conn, _ Target) bool { return write(c, "GET /") && repeat(c, "x", endlessBytes) }},
+	{Name: "empty lines without end", send: func(c net.Conn, _ Target) bool { return repeat(c, "\r\n", endlessBytes) }},
+	{Name: "idle connection", send: func(net.Conn, Target) bool { return true }},
+}
+
+// HoldingKinds are the kinds whose clients try to keep connections for as long as they like.
+var HoldingKinds = []Kind{
+	{Name: "idle connection", send: func(net.Conn, Target) bool { return true }},
+	{Name: "header that stops", send: func(c net.Conn, t Target) bool { return write(c, t.Head) }},
+	{Name: "body that stops", send: func(c net.Conn, t Target) bool { return write(c, t.Head, "Content-Length: 10\r\n\r\nb") }},
+	{Name: "refused body that stops", send: func(c net.Conn, _ Target) bool {
+		return write(c, "POST /unknown HTTP/1.1\r\nHost: node\r\nContent-Length: 10\r\n\r\nb")
+	}},
+	{Name: "unread answers", send: func(c net.Conn, t Target) bool { return sendUntilBlocked(c, t.Request) }},
 }
 
 // chunked ends the headers of a request whose body comes in chunks.
@@ -106,14 +119,36 @@
 	return write(c, strings.Repeat(text, bytes/len(text)))
 }
 
+// blockedTime is how long a write must block before the server counts as blocked by unread answers.
+const blockedTime = 4 * time.Second
+
+// sendUntilBlocked sends requests and reads no answer, until the server doesn't read on.
+func sendUntilBlocked(c net.Conn, request string) bool {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(4 << 10)
+	}
+	requests := strings.Repeat(request, max(1, pieceBytes/len(request)))
+	for begun := time.Now(); time.Since(begun) < sendTimeout; {
+		_ = c.SetWriteDeadline(time.Now().Add(blockedTime))
+		if !write(c, requests) {
+			return true
+		}
+	}
+	return false
+}
+
 // Send opens a connection for each client, sends what the kind says on all of them at the same time,
-// and closes them once all have been written and hold has passed. It returns how many connections the
-// listener had not closed while the client wrote.
-func (k Kind) Send(t Target, clients int, hold time.Duration) (open int) {
-	var all sync.WaitGroup
-	var mu sync.Mutex
+// and closes them once all have been written and hold has passed.
+func (k Kind) Send(t Target, clients int, hold time.Duration) {
+	end := k.Begin(t, clients)
+	time.Sleep(hold)
+	end()
+}
+
+// Begin is Send without the end: the connections stay open until end is called.
+func (k Kind) Begin(t Target, clients int) (end func()) {
+	var all, sent sync.WaitGroup
 	release := make(chan struct{})
-	var sent sync.WaitGroup
 	sent.Add(clients)
 	for range clients {
 		all.Go(func() {
@@ -125,19 +160,14 @@
 			}
 			defer c.Close()
 			_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
-			if !k.send(c, t) {
-				return
-			}
-			mu.Lock()
-			open++
-			mu.Unlock()
+			k.send(c, t)
 			done()
 			<-release
 		})
 	}
 	sent.Wait()
-	time.Sleep(hold)
-	close(release)
-	all.Wait()
-	return open
+	return func() {
+		close(release)
+		all.Wait()
+	}
 }
