--- a/inbound/server.go
+++ b/inbound/server.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// maxStreams is how many requests one HTTP/2 connection may have open.
-	maxStreams = 100
+	// maxStreams is how many requests one HTTP/2 connection may have open. net/http keeps the headers of
+	// four times as many that were reset before they were handled.
+	maxStreams = 16
+	// http2MaxHeaderBytes is the size of the largest header of a request of HTTP/2.
+	http2MaxHeaderBytes = 4 << 10
 	// maxFrameBytes is the size of the largest frame of HTTP/2, which is buffered as a whole; the least
 	// that the protocol allows.
 	maxFrameBytes = 16 << 10
@@ -18,7 +21,7 @@
 	headerTableBytes = 4 << 10
 	// http2ConnectionBytes is the memory of a connection of HTTP/2 without requests: its goroutines,
 	// its buffers, unread bodies and the buffer of a frame.
-	http2ConnectionBytes = 64 << 10
+	http2ConnectionBytes = 128 << 10
 )
 
 // Timeouts and limits of servers that are not for callers.
@@ -48,6 +51,7 @@
 	if protocol != HTTP2 {
 		return
 	}
+	s.MaxHeaderBytes = http2MaxHeaderBytes
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	s.HTTP2 = &http.HTTP2Config{
--- a/standin/crowd/http2.go
+++ b/standin/crowd/http2.go
@@ -55,6 +55,12 @@
 	{"frame one byte short", func(ctx context.Context, t HTTP2Target, sent func()) {
 		onConnection(ctx, t, sent, func(c net.Conn) { unfinishedFrame(c, t.Path) })
 	}},
+	{"pings whose answers are not read", func(ctx context.Context, t HTTP2Target, sent func()) {
+		onConnection(ctx, t, sent, func(c net.Conn) { endlessPings(c) })
+	}},
+	{"requests that are reset", func(ctx context.Context, t HTTP2Target, sent func()) {
+		onConnection(ctx, t, sent, func(c net.Conn) { resetRequests(c, t.Path) })
+	}},
 	{"idle connection", func(ctx context.Context, t HTTP2Target, sent func()) {
 		onConnection(ctx, t, sent, func(c net.Conn) { begin(c) })
 	}},
@@ -239,6 +245,32 @@
 	}
 }
 
+// endlessPings sends pings and reads no answer, until the server doesn't read on.
+func endlessPings(c net.Conn) {
+	begin(c)
+	var ping bytes.Buffer
+	_ = http2.NewFramer(&ping, nil).WritePing(false, [8]byte{})
+	sendUntilBlocked(c, ping.String())
+}
+
+// resetCount is how many requests a client sends that it resets at once.
+const resetCount = 20_000
+
+// resetRequests sends requests with headers and resets each of them at once.
+func resetRequests(c net.Conn, path string) {
+	f := begin(c)
+	block := headerBlock(path, frameBytes/2)
+	for i := range resetCount {
+		id := uint32(2*i + 1)
+		if f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: block, EndHeaders: true}) != nil {
+			return
+		}
+		if f.WriteRSTStream(id, http2.ErrCodeCancel) != nil {
+			return
+		}
+	}
+}
+
 // announcedFrameBytes is the size of a frame that never ends. A server that takes frames of up to
 // 1 MiB keeps a buffer of this size.
 const announcedFrameBytes = 1 << 20
