--- a/caller/handler.go
+++ b/caller/handler.go
@@ -182,7 +182,7 @@
 
 // noRoomError returns the error for a request for which there is no memory. Nothing of it has been sent.
 func noRoomError(err error) error {
-	return apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(unavailableRetryAfter))
+	return apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(inbound.RetryNoRoom))
 }
 
 // workspaceName returns the name of the workspace, or "" on open routes.
--- a/inbound/handler.go
+++ b/inbound/handler.go
@@ -5,15 +5,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/figweir/figweir/membudget"
 )
 
-// retryNoRoom is the Retry-After, in seconds, of a process without memory for a request: about the time
-// that an unfinished request keeps its memory when others need it.
-const retryNoRoom = "1"
+// RetryNoRoom is the Retry-After of a process without memory for a request: about the time that an
+// unfinished request keeps its memory when others need it.
+const RetryNoRoom = time.Second
 
 // Options configures NewHandler.
 type Options struct {
@@ -116,7 +117,7 @@
 	if r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	w.Header().Set("Retry-After", retryNoRoom)
+	w.Header().Set("Retry-After", strconv.Itoa(int(RetryNoRoom.Seconds())))
 	http.Error(w, "too little memory for requests", http.StatusServiceUnavailable)
 }
 
--- a/membudget/uploads.go
+++ b/membudget/uploads.go
@@ -160,38 +160,6 @@
 	return connections[best]
 }
 
-// awaitRoom waits until memory is given back or roomPollInterval has passed. It returns false if the
-// deadline has passed. a.mu must be held; it is released meanwhile.
-func (a *Inbound) awaitRoom(c *Connection, deadline time.Time) bool {
-	if !time.Now().Before(deadline) {
-		return false
-	}
-	if c.body != nil && c.state == stateBody {
-		c.body.waiting = true
-	}
-	freed := a.roomFreed
-	a.waiting++
-	a.mu.Unlock()
-	timer := time.NewTimer(roomPollInterval)
-	select {
-	case <-freed:
-	case <-c.closing:
-	case <-timer.C:
-	}
-	timer.Stop()
-	a.mu.Lock()
-	a.waiting--
-	return true
-}
-
-// signalRoom wakes the requests that wait for memory. a.mu must be held.
-func (a *Inbound) signalRoom() {
-	if a.waiting > 0 {
-		close(a.roomFreed)
-		a.roomFreed = make(chan struct{})
-	}
-}
-
 // endWait states that the body is read on, after a wait that began at the given time if it waited.
 // account.mu must be held.
 func (b *Body) endWait(begun time.Time) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,7 +11,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
@@ -82,9 +81,6 @@
 // Report returns the content of a report, which is sent to operators as JSON.
 type Report func(ctx context.Context) (any, error)
 
-// retryNoRoom is when a request may be sent again for which there was no memory.
-const retryNoRoom = time.Second
-
 // Handler handles the requests of operators.
 type Handler struct {
 	Node    Node
@@ -135,7 +131,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, err := h.readAll(w, r)
 		if inbound.IsNoRoom(err) {
-			apierr.Write(w, apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(retryNoRoom)))
+			apierr.Write(w, apierr.Wrap(err, apierr.Unavailable, "too little memory for requests", apierr.NotRun(), apierr.RetryAfter(inbound.RetryNoRoom)))
 			return
 		}
 		if err != nil {
