membudget: a body checks its room again after a wait for the account

A part of a body that waited for the whole account could be reserved although other bodies had used the memory for bodies meanwhile. Found on reading the change; no run has shown it. Headers on the readiness and admin listeners may have 64 KB, as those of callers.

--- a/inbound/server.go
+++ b/inbound/server.go
@@ -30,7 +30,7 @@
 	serverBodyTimeout    = 5 * time.Second
 	serverIdleTimeout    = 60 * time.Second
 	serverWriteTimeout   = 10 * time.Second
-	serverMaxHeaderBytes = 16 << 10
+	serverMaxHeaderBytes = 64 << 10
 )
 
 // NewServer returns a server for listeners that are not for callers. Its connections and requests count
--- a/membudget/uploads.go
+++ b/membudget/uploads.go
@@ -100,7 +100,11 @@
 			if a.used+n <= a.limit {
 				return nil
 			}
-			return a.makeRoom(c, n, true)
+			if err := a.makeRoom(c, n, true); err != nil {
+				return err
+			}
+			// Other bodies may have grown while it waited.
+			continue
 		}
 		shares := a.uploadShares(c, n)
 		if a.fitsUpload(c, n, shares.yields) && a.used+n <= a.limit {
