inbound: open calls of a connection by daemon; names

A node takes 100 calls on a connection of a peer, since claims come from all requests of the peer at once and net/http begins up to 100 calls on a new connection before it knows the limit; the others would be sent again a second later. The gateway keeps 16. A connection counts with 4 KB for each call that it may have open.

The memory of a VM is inbound.MemoryMB; the gateway's log line and comments speak of clients, as they are about all listeners.

--- a/cli/node.go
+++ b/cli/node.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(inbound.VM(s.Limits.MemoryMB).HeapBytes())
+	debug.SetMemoryLimit(inbound.MemoryMB(s.Limits.MemoryMB).HeapBytes())
 	n, err := node.New(s, logging.New(env.stderr, s.Log.Verbose))
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,7 @@
 	limits *rateLimits
 	// quotas keeps requests within the quotas of workspaces.
 	quotas *quotas
-	// inbound limits the memory and the connections for what callers send.
+	// inbound limits the memory and the connections for what clients send on all listeners.
 	inbound *membudget.Inbound
 	// backend sends requests to backend servers.
 	backend  *platform.Backend
@@ -170,13 +170,13 @@
 	g.usageWindows, g.incarnations = windows, make(map[string]uint64)
 	counter := metering.NewCounter(windows, g.trueTime)
 	g.counter, g.receivedCounts, g.seals = counter, metering.NewReceivedCounts(), metering.NewSeals()
-	vm := inbound.VM(s.Limits.MemoryMB)
-	g.inbound = vm.NewAccount(inbound.MaxConnections(inbound.DescriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
+	memory := inbound.MemoryMB(s.Limits.MemoryMB)
+	g.inbound = memory.NewAccount(inbound.MaxConnections(inbound.DescriptorLimit(s.Limits.FileDescriptors)), g.observer.logInbound)
 	g.callerHandler = &platform.CallerHandler{CurrentTable: &g.table, OnReject: g.observer.logRejection, OnSocketError: g.observer.logSocketError}
 	g.balancer = backends.NewBalancer(g.registry, s.FailureDomain, g.peerLoads, g.cell, g.sharer.NotifyChange)
 	g.balancer.SetRateLimits(g.limits.limiter)
 	backend := &platform.Backend{
-		Pool: g.pool, Answers: membudget.New(vm.AnswerBytes()), OnFreeFailed: g.observer.logFreeFailure,
+		Pool: g.pool, Answers: membudget.New(memory.AnswerBytes()), OnFreeFailed: g.observer.logFreeFailure,
 		OnNotice: g.onNotice, OnMalformedLoad: g.onMalformedLoad,
 	}
 	g.backend = backend
@@ -253,7 +253,7 @@
 	// First of all, because the default action of the signal ends the process.
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
-	debug.SetMemoryLimit(inbound.VM(g.settings.Limits.MemoryMB).HeapBytes())
+	debug.SetMemoryLimit(inbound.MemoryMB(g.settings.Limits.MemoryMB).HeapBytes())
 	baseListener, err := g.listen(g.settings.Listen.Callers, "callers", inbound.HTTP1)
 	if err != nil {
 		return err
@@ -262,7 +262,7 @@
 	if err != nil {
 		return err
 	}
-	peerListener, err := g.listen(g.settings.Listen.Peers, "peers", inbound.HTTP2)
+	peerListener, err := g.listen(g.settings.Listen.Peers, "peers", inbound.HTTP2(peerStreams))
 	if err != nil {
 		return err
 	}
@@ -312,7 +312,7 @@
 	adminServer := inbound.NewServer(g.adminRoutes(), inbound.HTTP1)
 	go g.serve(callerServer, callerListener)
 	go g.serve(readyServer, readinessListener)
-	peerServer := inbound.NewServer(g.peerRoutes(), inbound.HTTP2)
+	peerServer := inbound.NewServer(g.peerRoutes(), inbound.HTTP2(peerStreams))
 	go g.serve(adminServer, adminListener)
 	go g.serve(peerServer, peerListener)
 
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -77,5 +77,9 @@
 	return inbound.NewListener(l, g.inbound, name, protocol), nil
 }
 
+// peerStreams is how many calls of one connection of a peer run at the same time. A node has one open
+// watch for each prefix of the store, and single calls besides.
+const peerStreams = 16
+
 // callerKeepAlive is the interval of TCP keep-alive probes to clients.
 const callerKeepAlive = 5 * time.Second
--- a/inbound/handler.go
+++ b/inbound/handler.go
@@ -38,7 +38,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	account, end, err := Begin(w, r)
+	account, end, err := begin(w, r)
 	defer end()
 	w, endWrites := LimitWrites(w, h.options.WriteTimeout)
 	defer endWrites()
@@ -146,14 +146,14 @@
 	return conn.Account()
 }
 
-// Begin returns the account of a request, nil if its listener has none. end must be called when the
+// begin returns the account of a request, nil if its listener has none. end must be called when the
 // request has been handled, also after an error, which means that there is no room for its header.
-func Begin(w http.ResponseWriter, r *http.Request) (account *membudget.Connection, end func(), err error) {
+func begin(w http.ResponseWriter, r *http.Request) (account *membudget.Connection, end func(), err error) {
 	conn, _ := r.Context().Value(connKey{}).(*Conn)
 	if conn == nil {
 		return nil, func() {}, nil
 	}
-	if conn.protocol != HTTP2 {
+	if !conn.protocol.isHTTP2() {
 		return conn.account, conn.account.EndRequest, nil
 	}
 	reads := &streamReads{control: http.NewResponseController(w)}
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -18,23 +18,23 @@
 	inboundFraction = 0.25
 )
 
-// VM is the memory of a VM in megabytes.
-type VM int
+// MemoryMB is the memory of a VM in megabytes. Its methods return what is set aside of it.
+type MemoryMB int
 
 // HeapBytes returns the limit of the Go heap.
-func (m VM) HeapBytes() int64 { return m.fraction(heapFraction) }
+func (m MemoryMB) HeapBytes() int64 { return m.fraction(heapFraction) }
 
 // AnswerBytes returns the memory for buffering answers of backend servers.
-func (m VM) AnswerBytes() int64 { return m.fraction(answerFraction) }
+func (m MemoryMB) AnswerBytes() int64 { return m.fraction(answerFraction) }
 
 // InboundBytes returns the memory for what clients send.
-func (m VM) InboundBytes() int64 { return m.fraction(inboundFraction) }
+func (m MemoryMB) InboundBytes() int64 { return m.fraction(inboundFraction) }
 
-func (m VM) fraction(f float64) int64 { return int64(f * float64(m) * (1 << 20)) }
+func (m MemoryMB) fraction(f float64) int64 { return int64(f * float64(m) * (1 << 20)) }
 
 // NewAccount returns the account of a process for what clients send on all its listeners, for at most
 // maxConnections connections. See membudget.NewInbound for onClose.
-func (m VM) NewAccount(maxConnections int, onClose func(what string)) *membudget.Inbound {
+func (m MemoryMB) NewAccount(maxConnections int, onClose func(what string)) *membudget.Inbound {
 	return membudget.NewInbound(m.InboundBytes(), maxConnections, onClose)
 }
 
@@ -47,7 +47,7 @@
 )
 
 // MaxDecodedBodyBytes returns the size of the largest body that handlers can read and decode.
-func (m VM) MaxDecodedBodyBytes() int64 {
+func (m MemoryMB) MaxDecodedBodyBytes() int64 {
 	return membudget.MaxBodyBytes(m.InboundBytes())/BodyCopies - bodySlackBytes
 }
 
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -16,19 +16,26 @@
 )
 
 // Protocol is the protocol of a listener.
-type Protocol int
+type Protocol struct {
+	// maxStreams is how many requests a connection of HTTP/2 may have open; 0 for HTTP/1.1.
+	maxStreams int
+}
 
-const (
-	// HTTP1 is HTTP/1.1.
-	HTTP1 Protocol = iota
-	// HTTP2 is HTTP/2 without TLS.
-	HTTP2
-)
+// HTTP1 is HTTP/1.1.
+var HTTP1 = Protocol{}
+
+// HTTP2 returns HTTP/2 without TLS, with at most maxStreams open requests on a connection. A client that
+// begins more on a new connection, since it doesn't know the limit yet, sends the others again, perhaps a
+// second later.
+func HTTP2(maxStreams int) Protocol { return Protocol{maxStreams} }
+
+// isHTTP2 reports whether the protocol is HTTP/2.
+func (p Protocol) isHTTP2() bool { return p.maxStreams > 0 }
 
 // connectionBytes returns the memory of a connection without requests.
 func (p Protocol) connectionBytes() int64 {
-	if p == HTTP2 {
-		return http2ConnectionBytes
+	if p.isHTTP2() {
+		return http2ConnectionBytes + int64(p.maxStreams)*http2MaxHeaderBytes
 	}
 	return membudget.ConnectionBytes
 }
@@ -97,7 +104,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if c.protocol == HTTP2 {
+	if c.protocol.isHTTP2() {
 		c.account.AddProgress(n)
 		return n, err
 	}
@@ -148,7 +155,7 @@
 // TrackConnState is the http.Server.ConnState hook of servers on a Listener.
 func TrackConnState(c net.Conn, state http.ConnState) {
 	conn, ok := c.(*Conn)
-	if ok && conn.protocol == HTTP1 && (state == http.StateIdle || state == http.StateNew) {
+	if ok && !conn.protocol.isHTTP2() && (state == http.StateIdle || state == http.StateNew) {
 		conn.account.SetIdle()
 	}
 }
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -6,10 +6,9 @@
 )
 
 const (
-	// maxStreams is how many requests one HTTP/2 connection may have open. net/http keeps the headers of
-	// four times as many that were reset before they were handled.
-	maxStreams = 16
-	// http2MaxHeaderBytes is the size of the largest header of a request of HTTP/2.
+	// http2MaxHeaderBytes is the size of the largest header of a request of HTTP/2. Those of peers have
+	// less than 1 KB. net/http keeps the headers of four times as many requests as may be open, if they
+	// were reset before they were handled.
 	http2MaxHeaderBytes = 4 << 10
 	// maxFrameBytes is the size of the largest frame of HTTP/2, which is buffered as a whole; the least
 	// that the protocol allows.
@@ -19,9 +18,9 @@
 	maxUnreadBytes = 64 << 10
 	// headerTableBytes is the size of the table of header compression.
 	headerTableBytes = 4 << 10
-	// http2ConnectionBytes is the memory of a connection of HTTP/2 without requests: its goroutines,
-	// its buffers, unread bodies and the buffer of a frame.
-	http2ConnectionBytes = 128 << 10
+	// http2ConnectionBytes is the memory of a connection of HTTP/2 without headers: its goroutines, its
+	// buffers and the buffer of a frame.
+	http2ConnectionBytes = 64 << 10
 )
 
 // Timeouts and limits of servers that are not for callers.
@@ -48,14 +47,14 @@
 // Attach sets the hooks of a server on a Listener, and the limits of HTTP/2.
 func Attach(s *http.Server, protocol Protocol) {
 	s.ConnContext, s.ConnState = ConnContext, TrackConnState
-	if protocol != HTTP2 {
+	if !protocol.isHTTP2() {
 		return
 	}
 	s.MaxHeaderBytes = http2MaxHeaderBytes
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	s.HTTP2 = &http.HTTP2Config{
-		MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes, MaxDecoderHeaderTableSize: headerTableBytes,
+		MaxConcurrentStreams: protocol.maxStreams, MaxReadFrameSize: maxFrameBytes, MaxDecoderHeaderTableSize: headerTableBytes,
 		MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes,
 	}
 }
--- a/membudget/body.go
+++ b/membudget/body.go
@@ -138,9 +138,6 @@
 	return n, err
 }
 
-// Err returns the error for lack of room that Read has returned, or nil.
-func (r *Reader) Err() error { return r.err }
-
 // Release gives the memory of the body back.
 func (r *Reader) Release() { r.body.Release() }
 
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// ConnectionBytes is the memory of a caller's connection: its goroutines, the two buffers of the
+	// ConnectionBytes is the memory of a connection of HTTP/1.1: its goroutines, the two buffers of the
 	// HTTP server and the record of the start of a request.
 	ConnectionBytes = 24 << 10
 	// RequestBytes is the memory of a request besides its headers and body: its state, the connection
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -29,7 +29,7 @@
 	closed := new(expvar.Map).Init()
 	lines := rate.Sometimes{Interval: inboundLogInterval}
 	maxConnections := min(limits.MaxConnections, inbound.MaxConnections(inbound.DescriptorLimit(0)))
-	account := inbound.VM(limits.MemoryMB).NewAccount(maxConnections, func(what string) {
+	account := inbound.MemoryMB(limits.MemoryMB).NewAccount(maxConnections, func(what string) {
 		closed.Add(what, 1)
 		lines.Do(func() { n.log.Info("limit on data or connections of clients reached", "event", what) })
 	})
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -14,6 +14,10 @@
 	"github.com/figweir/figweir/tcpstate"
 )
 
+// peerStreams is how many calls of one connection of a peer run at the same time. Claims come from all
+// requests of a peer at once, and net/http begins up to 100 calls on a new connection.
+const peerStreams = 100
+
 // listeners holds the three listeners of a node and their servers.
 type listeners struct {
 	callers, peers, operators net.Listener
@@ -34,7 +38,7 @@
 		to            *net.Listener
 	}{
 		{s.Listen.Callers, "callers", inbound.HTTP1, &l.callers},
-		{s.Listen.Peers, "peers", inbound.HTTP2, &l.peers},
+		{s.Listen.Peers, "peers", inbound.HTTP2(peerStreams), &l.peers},
 		{s.Listen.Operators, "operators", inbound.HTTP1, &l.operators},
 	} {
 		listener, err := net.Listen("tcp", entry.address)
@@ -57,7 +61,7 @@
 	l.callerServer.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return inbound.ConnContext(l.callerConns.ConnContext(ctx, c), c)
 	}
-	l.peerServer = l.newServer(peers, inbound.HTTP2)
+	l.peerServer = l.newServer(peers, inbound.HTTP2(peerStreams))
 	l.operatorServer = l.newServer(operators, inbound.HTTP1)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -98,7 +98,7 @@
 		config:   config.NewCurrentSnapshot(),
 		engines:  engine.NewClient(),
 		services: service.NewClient(),
-		answers:  membudget.New(inbound.VM(s.Limits.MemoryMB).AnswerBytes()),
+		answers:  membudget.New(inbound.MemoryMB(s.Limits.MemoryMB).AnswerBytes()),
 		peerHTTP: peer.NewHTTPClient(),
 		auth:     peer.NewAuth(s.Secrets.Peer),
 	}
@@ -165,7 +165,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	h := &operator.Handler{
 		Node: n, Metrics: n.metrics, Secret: n.settings.Secrets.Operator, Log: n.log,
-		MaxBodyBytes: min(maxConfigBytes, inbound.VM(n.settings.Limits.MemoryMB).MaxDecodedBodyBytes()), Submit: n.orders.Submit,
+		MaxBodyBytes: min(maxConfigBytes, inbound.MemoryMB(n.settings.Limits.MemoryMB).MaxDecodedBodyBytes()), Submit: n.orders.Submit,
 		Reports: map[string]operator.Report{
 			"burn": n.observer.burnReport, "usage": n.usageReport, "spend": n.spendReport, "blocked": n.duties.blockedReport,
 			"quarantine": n.quarantine.report,
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -106,7 +106,7 @@
 
 // checkBodyFits checks that the memory has room for the largest body, which would be refused otherwise.
 func (v validator) checkBodyFits(l *Limits) {
-	if limit := inbound.VM(l.MemoryMB).MaxDecodedBodyBytes(); l.MemoryMB > 0 && l.MaxBodyBytes > limit {
+	if limit := inbound.MemoryMB(l.MemoryMB).MaxDecodedBodyBytes(); l.MemoryMB > 0 && l.MaxBodyBytes > limit {
 		v.findings.Addf("$.limits.max_body_bytes", "must be at most %d with a memory_mb of %d", max(0, limit), l.MemoryMB)
 	}
 }
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -36,7 +36,7 @@
 // Kind is a way in which clients leave the limits.
 type Kind struct {
 	Name string
-	// send writes to a connection. It reports false if the connection was closed.
+	// send writes to a connection until it is closed. It reports whether all was written.
 	send func(c net.Conn, t Target) bool
 }
 
