--- a/membudget/body.go
+++ b/membudget/body.go
@@ -21,8 +21,10 @@
 	// The following fields are guarded by account.mu. reserved is the memory of the parts, large what
 	// is beyond UnsharedBytes.
 	reserved, large int64
-	finished        bool
-	users           int
+	// arrived is size, for other requests.
+	arrived  int64
+	finished bool
+	users    int
 	// waiting is set while the body waits for memory and is not read. readingSince is when it was
 	// last read on.
 	waiting      bool
@@ -178,6 +180,7 @@
 	}
 	a := b.connection.account
 	a.mu.Lock()
+	b.arrived += int64(n)
 	b.connection.progress.add(time.Now(), int64(n))
 	a.mu.Unlock()
 }
--- a/membudget/uploads.go
+++ b/membudget/uploads.go
@@ -33,11 +33,12 @@
 	MemoryFactor int
 }
 
-// paceBytes returns how much of the body must arrive in paceTime, at least one byte.
+// paceBytes returns how much of the body must arrive in paceTime, at least one byte. account.mu must be
+// held.
 func (b *Body) paceBytes() int64 {
 	total := b.upload.Announced
 	if total < 0 {
-		total = int64(b.size)
+		total = b.arrived
 	}
 	if b.upload.Timeout <= 0 {
 		return 1
