--- a/operator/operator.go
+++ b/operator/operator.go
@@ -146,7 +146,8 @@
 // errTooLarge is the error of a body over the limit.
 var errTooLarge = errors.New("operator: the body is too large")
 
-// readAll reads a body of at most MaxBodyBytes.
+// readAll reads a body of at most MaxBodyBytes. The node wraps the router in inbound.NewHandler, so that the
+// body counts in the account of what clients send.
 func (h *Handler) readAll(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength > h.MaxBodyBytes {
 		return nil, errTooLarge
