--- a/review/11/main.go
+++ b/review/11/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command review-11 is case 11 of the third review: a request that stands in the body of another one
 // is run.
 package main
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,6 +5,6 @@
 mkdir -p target
 for case in 11 12 13 14 15; do
   if [ -d "review/$case" ]; then
-    go build -o "target/review-$case" "./review/$case"
+    go build -tags review -o "target/review-$case" "./review/$case"
   fi
 done
--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package harness3
 
 import (
--- a/review/harness3/harness.go
+++ b/review/harness3/harness.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package harness3 starts the programs of a case of the third review: gateways as separate
 // processes with the command of the deploy file, and stand-ins of the platform and of backend
 // servers in the process of the case. All addresses are loopback addresses.
@@ -198,9 +200,11 @@
 type Gateway struct {
 	Callers, Readiness string
 
-	name   string
-	file   string
-	log    *os.File
+	name string
+	file string
+	log  *os.File
+
+	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
 }
@@ -263,33 +267,50 @@
 
 // start starts the process with the command of the deploy file.
 func (g *Gateway) start() {
-	g.cmd = exec.Command("target/figweir", "gateway")
-	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "FIGWEIR_NODE_FILE=" + g.file}
-	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
-	Check(g.cmd.Start())
-	g.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
+	cmd, exited := exec.Command("target/figweir", "gateway"), make(chan struct{})
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "FIGWEIR_NODE_FILE=" + g.file}
+	cmd.Stdout, cmd.Stderr = g.log, g.log
+	Check(cmd.Start())
+	go func() {
 		_ = cmd.Wait()
 		close(exited)
-	}(g.cmd, g.exited)
+	}()
+	g.mu.Lock()
+	g.cmd, g.exited = cmd, exited
+	g.mu.Unlock()
+}
+
+// process returns the process and a channel that is closed when it has ended.
+func (g *Gateway) process() (process *os.Process, exited chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cmd.Process, g.exited
 }
 
 // kill ends the process.
 func (g *Gateway) kill() {
-	_ = g.cmd.Process.Kill()
-	<-g.exited
+	process, exited := g.process()
+	_ = process.Kill()
+	<-exited
 }
 
 // Pid returns the process id.
-func (g *Gateway) Pid() int { return g.cmd.Process.Pid }
+func (g *Gateway) Pid() int {
+	process, _ := g.process()
+	return process.Pid
+}
 
 // Signal sends a signal to the process.
-func (g *Gateway) Signal(s os.Signal) { Check(g.cmd.Process.Signal(s)) }
+func (g *Gateway) Signal(s os.Signal) {
+	process, _ := g.process()
+	Check(process.Signal(s))
+}
 
 // Exited reports whether the process has ended.
 func (g *Gateway) Exited() bool {
+	_, exited := g.process()
 	select {
-	case <-g.exited:
+	case <-exited:
 		return true
 	default:
 		return false
@@ -327,15 +348,20 @@
 		if g.Exited() {
 			panic(Fatal{fmt.Errorf("%s has ended: %s", g.name, g.Log())})
 		}
-		resp, err := http.Get("http://" + g.Readiness + "/-/readiness")
-		if err != nil {
-			continue
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if g.IsReady() {
 			return
 		}
 	}
 	panic(Fatal{fmt.Errorf("%s is not ready: %s", g.name, g.Log())})
 }
+
+// IsReady reports whether the gateway states that it is ready.
+func (g *Gateway) IsReady() bool {
+	resp, err := http.Get("http://" + g.Readiness + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
