inbound: requests that state two ends are refused on all listeners

Cause: net/http drops the Content-Length beside a Transfer-Encoding before a handler sees the header. The gateway searched the bytes of the connection for it, but kept only the first 4 KB since the connection became idle and lost what had been read together with the request before. net/http answers "OPTIONS *" itself, ahead of the check. The other listeners of both daemons had no check.

Change: inbound.framing follows all bytes of a connection, so that it knows the head of each request whatever its length and position. inbound.Attach, through which all servers go, admits as many requests as have a sound head, answers the next one with 400 and closes the connection. A request that net/http finds where framing doesn't is refused too. "OPTIONS *" goes to the handlers (404).

--- a/demo/limits_test.go
+++ b/demo/limits_test.go
@@ -96,6 +96,8 @@
 		{"idle connection", "", false, 0, ""},
 		{"unknown route", "GET /nothing HTTP/1.1\r\n" + auth + "\r\n", false, 404, apierr.NotFound},
 		{"wrong method", "DELETE /v1/chat/completions HTTP/1.1\r\n" + auth + "\r\n", false, 400, apierr.BadRequest},
+		{"length and transfer encoding", post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false, 400, apierr.BadRequest},
+		{"options of the server", "OPTIONS * HTTP/1.1\r\n" + auth + "\r\n", false, 404, apierr.NotFound},
 		{"unknown service", "GET /services/nothing/ HTTP/1.1\r\n" + auth + "\r\n", false, 404, apierr.NotFound},
 	}
 	for _, test := range tests {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,14 +305,14 @@
 	callerListener := platform.NewListener(baseListener, &g.table)
 	callerListener.OnSocketError = g.observer.logSocketError
 	callerServer := &http.Server{
-		Handler: g.callerRoutes(), ConnContext: platform.ConnContext, ConnState: platform.TrackConnState,
-		ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
+		Handler: g.callerRoutes(), ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: callerMaxHeaderBytes,
 	}
-	readyServer := inbound.NewServer(g.readyRoutes(), inbound.HTTP1)
-	adminServer := inbound.NewServer(g.adminRoutes(), inbound.HTTP1)
+	g.callerHandler.Attach(callerServer)
+	readyServer := inbound.NewServer(g.readyRoutes(), inbound.HTTP1, g.refuseUnsound("readiness"))
+	adminServer := inbound.NewServer(g.adminRoutes(), inbound.HTTP1, g.refuseUnsound("admin"))
 	go g.serve(callerServer, callerListener)
 	go g.serve(readyServer, readinessListener)
-	peerServer := inbound.NewServer(g.peerRoutes(), inbound.HTTP2(peerStreams))
+	peerServer := inbound.NewServer(g.peerRoutes(), inbound.HTTP2(peerStreams), g.refuseUnsound("peers"))
 	go g.serve(adminServer, adminListener)
 	go g.serve(peerServer, peerListener)
 
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -74,6 +74,8 @@
 	net.Conn
 	account  *membudget.Connection
 	protocol Protocol
+	// framing follows the requests of HTTP/1.1.
+	framing framing
 	// interrupted is set when the account has ended the reads of the connection.
 	interrupted atomic.Bool
 }
@@ -111,6 +113,7 @@
 	if err := c.account.AddHeader(n, bytes.Count(p[:n], []byte{'\n'})); err != nil {
 		return 0, err
 	}
+	c.framing.read(p[:n])
 	return n, err
 }
 
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -33,21 +33,25 @@
 )
 
 // NewServer returns a server for listeners that are not for callers. Its connections and requests count
-// in the account of the listener.
-func NewServer(handler http.Handler, protocol Protocol) *http.Server {
+// in the account of the listener. refuse answers the requests whose framing is not sound.
+func NewServer(handler http.Handler, protocol Protocol, refuse Refusal) *http.Server {
 	s := &http.Server{
 		Handler:           NewHandler(handler, Options{BodyTimeout: serverBodyTimeout, WriteTimeout: serverWriteTimeout}),
 		ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout,
 		MaxHeaderBytes: serverMaxHeaderBytes,
 	}
-	Attach(s, protocol)
+	Attach(s, protocol, refuse)
 	return s
 }
 
-// Attach sets the hooks of a server on a Listener, and the limits of HTTP/2.
-func Attach(s *http.Server, protocol Protocol) {
+// Attach sets the hooks of a server on a Listener, the check of the framing of requests of HTTP/1.1, and
+// the limits of HTTP/2. refuse answers the requests whose framing is not sound.
+func Attach(s *http.Server, protocol Protocol, refuse Refusal) {
 	s.ConnContext, s.ConnState = ConnContext, TrackConnState
 	if !protocol.isHTTP2() {
+		s.Handler = &framingCheck{next: s.Handler, refuse: refuse}
+		// Otherwise net/http answers "OPTIONS *" itself, without the check.
+		s.DisableGeneralOptionsHandler = true
 		return
 	}
 	s.MaxHeaderBytes = http2MaxHeaderBytes
--- a/membudget/inbound.go
+++ b/membudget/inbound.go
@@ -8,7 +8,7 @@
 
 const (
 	// ConnectionBytes is the memory of a connection of HTTP/1.1: its goroutines, the two buffers of the
-	// HTTP server and the record of the start of a request.
+	// HTTP server and what is known of the framing of its requests.
 	ConnectionBytes = 24 << 10
 	// RequestBytes is the memory of a request besides its headers and body: its state, the connection
 	// to the backend server, and the part of its response that is not taken from the shared memory.
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -2,16 +2,18 @@
 
 import (
 	"expvar"
+	"net/http"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"github.com/figweir/figweir/apierr"
 	"github.com/figweir/figweir/inbound"
 	"github.com/figweir/figweir/membudget"
 	"github.com/figweir/figweir/settings"
 )
 
-// inboundLogInterval is the least time between two log lines about limits on what clients send.
+// inboundLogInterval is the least time between two log lines of a kind about what clients send.
 const inboundLogInterval = time.Second
 
 // inboundOptions returns the options of the handlers for peers and operators.
@@ -39,3 +41,18 @@
 	n.metrics.Publish("connections_limit", expvar.Func(func() any { return account.Stats().MaxConnections }))
 	return account
 }
+
+// newUnsoundRefusals publishes the number of requests that are refused because their framing is not sound,
+// and returns the refusal of each listener.
+func newUnsoundRefusals(n *Node) func(listener string) inbound.Refusal {
+	refused := new(expvar.Map).Init()
+	n.metrics.Publish("unsound_requests_total", refused)
+	lines := rate.Sometimes{Interval: inboundLogInterval}
+	return func(listener string) inbound.Refusal {
+		return func(w http.ResponseWriter, _ *http.Request, cause error) {
+			refused.Add(listener, 1)
+			lines.Do(func() { n.log.Info("request rejected", "listener", listener, "cause", cause.Error()) })
+			apierr.Write(w, apierr.Wrap(cause, apierr.BadRequest, cause.Error(), apierr.NotRun()))
+		}
+	}
+}
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -24,14 +24,16 @@
 	// callerConns are the connections of callers.
 	callerConns *tcpstate.Listener
 	limits      settings.Limits
+	// refuseUnsound returns the refusal of requests whose framing is not sound.
+	refuseUnsound func(listener string) inbound.Refusal
 
 	callerServer, peerServer, operatorServer *http.Server
 }
 
 // openListeners opens the listeners, whose connections count in the account. It returns an error that
 // names the address if one can't be opened.
-func openListeners(s settings.Settings, account *membudget.Inbound) (*listeners, error) {
-	l := &listeners{limits: s.Limits}
+func openListeners(s settings.Settings, account *membudget.Inbound, refuseUnsound func(listener string) inbound.Refusal) (*listeners, error) {
+	l := &listeners{limits: s.Limits, refuseUnsound: refuseUnsound}
 	for _, entry := range []struct {
 		address, name string
 		protocol      inbound.Protocol
@@ -57,23 +59,23 @@
 
 // setHandlers creates the servers with their handlers.
 func (l *listeners) setHandlers(callers, peers, operators http.Handler) {
-	l.callerServer = l.newServer(callers, inbound.HTTP1)
+	l.callerServer = l.newServer("callers", callers, inbound.HTTP1)
 	l.callerServer.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return inbound.ConnContext(l.callerConns.ConnContext(ctx, c), c)
 	}
-	l.peerServer = l.newServer(peers, inbound.HTTP2(peerStreams))
-	l.operatorServer = l.newServer(operators, inbound.HTTP1)
+	l.peerServer = l.newServer("peers", peers, inbound.HTTP2(peerStreams))
+	l.operatorServer = l.newServer("operators", operators, inbound.HTTP1)
 }
 
-// newServer returns a server with the limits of the listeners.
-func (l *listeners) newServer(handler http.Handler, protocol inbound.Protocol) *http.Server {
+// newServer returns the server of a listener, with the limits of all of them.
+func (l *listeners) newServer(name string, handler http.Handler, protocol inbound.Protocol) *http.Server {
 	s := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: settings.SecondsToDuration(l.limits.HeaderTimeoutSeconds),
 		IdleTimeout:       settings.SecondsToDuration(l.limits.IdleTimeoutSeconds),
 		MaxHeaderBytes:    l.limits.MaxHeaderBytes,
 	}
-	inbound.Attach(s, protocol)
+	inbound.Attach(s, protocol, l.refuseUnsound(name))
 	return s
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -109,7 +109,7 @@
 	n.repository = config.NewRepository(n.store)
 	n.inbound = newInbound(n)
 	var err error
-	if n.listeners, err = openListeners(s, n.inbound); err != nil {
+	if n.listeners, err = openListeners(s, n.inbound, newUnsoundRefusals(n)); err != nil {
 		return nil, err
 	}
 	if n.bus, err = bus.New(n.log); err != nil {
